--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving system for long model generations on engines that fail without warning.
