Fix the types that all parts share: verdict, key, cursor and wire messages

Cause: parts that are built side by side need one spelling of what they exchange. Ruled out: deriving wire types from inner types; wire types stay apart so that either side can change. Conclusion: each part can now be built against these.

--- /dev/null
+++ b/src/connection/engine_wire.rs
@@ -0,0 +1,136 @@
+//! JSON messages between a router and a model engine.
+//!
+//! | call | body | answer |
+//! | --- | --- | --- |
+//! | `POST /v1/completions` | [`EngineRequest`] | event stream of [`EngineEvent`] |
+//! | `GET /v1/streams/<attempt>?from=N` | | the same stream from position N, or 404 |
+//! | `DELETE /v1/streams/<attempt>` | | 204, also when the stream is unknown |
+//! | `GET /load` | | [`EngineReport`] |
+//! | `GET /cache-events?after=N` | | list of [`CacheEvent`], late and with gaps |
+//! | `POST /orders` | [`EngineOrder`] | 200, or 409 when the fencing number is old |
+
+/// A generation to start, or to continue after `prefix`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct EngineRequest {
+    /// Attempt identifier, 32 hexadecimal digits; names the stream for re-attachment.
+    pub attempt: String,
+    /// Model name.
+    pub model: String,
+    /// Model version; the engine refuses with 409 when it does not hold it.
+    pub version: String,
+    /// Adapter on top of the model, if any.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens already delivered; the engine goes on at position `prefix.len()`.
+    #[serde(default)]
+    pub prefix: Vec<String>,
+    /// Tokens of the whole answer at most, prefix included.
+    pub max_tokens: u32,
+    /// Higher goes first; see [`PRIORITY_NEW`] and [`PRIORITY_RESUMED`].
+    #[serde(default)]
+    pub priority: u8,
+}
+
+/// Priority of new work.
+pub const PRIORITY_NEW: u8 = 0;
+
+/// Priority of work that was lost elsewhere.
+pub const PRIORITY_RESUMED: u8 = 1;
+
+/// One `data:` line of an engine's stream.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(untagged)]
+pub enum EngineEvent {
+    /// One token.
+    Token {
+        /// Position in the whole answer, from 0.
+        index: u32,
+        /// The token's text.
+        text: String,
+    },
+    /// The last event.
+    Finished {
+        /// Tokens of the whole answer, prefix included.
+        count: u32,
+        /// `stop` or `length`.
+        finish_reason: String,
+    },
+}
+
+/// Load and loaded versions, reported with a lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct EngineReport {
+    /// Larger after each restart of the engine.
+    pub incarnation: u64,
+    /// Requests being generated.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that can be generated together.
+    pub slots: u32,
+    /// Loaded models.
+    pub loaded: Vec<LoadedModel>,
+    /// `serve`, or another role that takes no new work.
+    pub role: String,
+    /// The engine takes no new work.
+    pub leaving: bool,
+}
+
+/// A model version that an engine can serve.
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub struct LoadedModel {
+    /// Model name.
+    pub model: String,
+    /// Model version.
+    pub version: String,
+    /// Adapter, if any.
+    #[serde(default)]
+    pub adapter: Option<String>,
+}
+
+/// A prompt prefix entered or left an engine's cache.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event; gaps are events that were lost.
+    pub sequence: u64,
+    /// [`prefix_block_hash`] of the block.
+    pub block: u64,
+    /// Whether the block was stored or evicted.
+    pub stored: bool,
+}
+
+/// Bytes of prompt covered by one cache block.
+pub const PREFIX_BLOCK_BYTES: usize = 64;
+
+/// Hash of the prompt's first `blocks` blocks of [`PREFIX_BLOCK_BYTES`] bytes.
+#[must_use]
+pub fn prefix_block_hash(prompt: &[u8], blocks: usize) -> u64 {
+    let end = prompt.len().min(blocks * PREFIX_BLOCK_BYTES);
+    xxhash_rust::xxh3::xxh3_64(&prompt[..end])
+}
+
+/// An order with the fencing number of its issuer's lease.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct EngineOrder {
+    /// Grows with each holder of the lease.
+    pub fence: u64,
+    /// The wanted state.
+    pub wanted: WantedState,
+}
+
+/// State that an engine shall reach.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct WantedState {
+    /// Models to hold; any other is unloaded.
+    pub loaded: Vec<LoadedModel>,
+    /// Wanted role.
+    pub role: String,
+}
+
+/// Role of an engine that takes new work.
+pub const ROLE_SERVE: &str = "serve";
--- /dev/null
+++ b/src/connection/http.rs
@@ -0,0 +1,257 @@
+//! HTTP/1.1 requests over a fresh connection each, with a count of the bytes that left.
+
+use std::fmt;
+use std::io as std_io;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time;
+
+use async_std::future;
+use async_std::io;
+use async_std::net;
+use http_types::headers;
+
+/// Outcome of an HTTP exchange.
+pub type Result<T> = std::result::Result<T, ExchangeError>;
+
+/// How far an exchange got before it failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeStage {
+    /// No connection was made.
+    Connect,
+    /// The connection failed after it was made.
+    Exchange,
+    /// The time limit passed.
+    Timeout,
+}
+
+/// A failed exchange.
+#[derive(Clone, Debug)]
+pub struct ExchangeError {
+    /// How far the exchange got.
+    pub stage: ExchangeStage,
+    /// Bytes of the request that were handed to the socket.
+    pub bytes_sent: u64,
+    /// What the socket or the decoder reported.
+    pub message: String,
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for ExchangeError {}
+
+/// Time limits of one exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeLimits {
+    /// Limit for making the connection.
+    pub connect: time::Duration,
+    /// Limit from the connection to the response head.
+    pub head: time::Duration,
+}
+
+impl Default for ExchangeLimits {
+    fn default() -> Self {
+        Self {
+            connect: time::Duration::from_millis(500),
+            head: time::Duration::from_secs(5),
+        }
+    }
+}
+
+/// TCP stream that counts the bytes handed to the socket.
+#[derive(Clone, Debug)]
+pub struct CountedStream {
+    stream: net::TcpStream,
+    sent: sync::Arc<atomic::AtomicU64>,
+}
+
+impl io::Read for CountedStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut [u8],
+    ) -> task::Poll<std_io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl io::Write for CountedStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<std_io::Result<usize>> {
+        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let task::Poll::Ready(Ok(count)) = poll {
+            self.sent.fetch_add(count as u64, atomic::Ordering::Relaxed);
+        }
+        poll
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<std_io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<std_io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// Opens a connection with `TCP_NODELAY` set.
+///
+/// # Errors
+/// [`ExchangeStage::Connect`] when no connection was made within `limit`.
+pub async fn connect(address: &str, limit: time::Duration) -> Result<net::TcpStream> {
+    let fail = |message: String| ExchangeError {
+        stage: ExchangeStage::Connect,
+        bytes_sent: 0,
+        message,
+    };
+    let connected = future::timeout(limit, net::TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_elapsed| fail(format!("no connection to {address} within {limit:?}")))?
+        .map_err(|error| fail(format!("no connection to {address}: {error}")))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| fail(format!("{address}: {error}")))?;
+    Ok(stream)
+}
+
+/// Makes a request for `path` at `address` (host and port).
+#[must_use]
+pub fn request(method: http_types::Method, address: &str, path: &str) -> http_types::Request {
+    let url = format!("http://{address}{path}");
+    let fallback = format!("http://{address}/");
+    let url = http_types::Url::parse(&url)
+        .or_else(|_error| http_types::Url::parse(&fallback))
+        .unwrap_or_else(|_error| unreachable_url());
+    http_types::Request::new(method, url)
+}
+
+fn unreachable_url() -> http_types::Url {
+    const UNROUTABLE: &str = "http://0.0.0.0:0/";
+    http_types::Url::parse(UNROUTABLE).expect("the constant is a URL")
+}
+
+/// Sends `request` over a new connection and returns the response with its body unread.
+///
+/// The connection closes when the response is dropped.
+///
+/// # Errors
+/// [`ExchangeError`] with the number of bytes that left, from which the verdict follows.
+pub async fn send(
+    address: &str,
+    mut request: http_types::Request,
+    limits: ExchangeLimits,
+) -> Result<http_types::Response> {
+    let stream = connect(address, limits.connect).await?;
+    let sent = sync::Arc::new(atomic::AtomicU64::new(0));
+    let counted = CountedStream {
+        stream,
+        sent: sync::Arc::clone(&sent),
+    };
+    request.insert_header(headers::CONNECTION, "close");
+    let fail = |stage, message| ExchangeError {
+        stage,
+        bytes_sent: sent.load(atomic::Ordering::Relaxed),
+        message,
+    };
+    let exchange = async_h1::connect(counted, request);
+    match future::timeout(limits.head, exchange).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => Err(fail(
+            ExchangeStage::Exchange,
+            format!("{address} broke off: {error}"),
+        )),
+        Err(_elapsed) => Err(fail(
+            ExchangeStage::Timeout,
+            format!("{address} gave no answer within {:?}", limits.head),
+        )),
+    }
+}
+
+/// Sends a JSON body and returns status and the whole response body, at most `max_bytes`.
+///
+/// # Errors
+/// As [`send`]; a body over the limit or cut short is [`ExchangeStage::Exchange`].
+pub async fn send_json(
+    method: http_types::Method,
+    address: &str,
+    path: &str,
+    body: Option<&serde_json::Value>,
+    limits: ExchangeLimits,
+    max_bytes: usize,
+) -> Result<(u16, Vec<u8>)> {
+    let mut message = request(method, address, path);
+    if let Some(body) = body {
+        message.set_body(body.to_string());
+        message.insert_header(headers::CONTENT_TYPE, "application/json");
+    }
+    let mut response = send(address, message, limits).await?;
+    let bytes = read_body(&mut response.take_body(), limits.head, max_bytes).await?;
+    Ok((u16::from(response.status()), bytes))
+}
+
+/// Reads a whole body of at most `max_bytes` within `limit`.
+///
+/// # Errors
+/// [`ExchangeStage::Exchange`] or [`ExchangeStage::Timeout`]; the request has left by then.
+pub async fn read_body(
+    body: &mut http_types::Body,
+    limit: time::Duration,
+    max_bytes: usize,
+) -> Result<Vec<u8>> {
+    use async_std::io::ReadExt as _;
+    let fail = |stage, message: String| ExchangeError {
+        stage,
+        bytes_sent: 1,
+        message,
+    };
+    let mut bytes = Vec::new();
+    let cap = max_bytes as u64 + 1;
+    let mut limited = body.take(cap);
+    match future::timeout(limit, limited.read_to_end(&mut bytes)).await {
+        Ok(Ok(_count)) if bytes.len() <= max_bytes => Ok(bytes),
+        Ok(Ok(_count)) => Err(fail(
+            ExchangeStage::Exchange,
+            format!("body is larger than {max_bytes} bytes"),
+        )),
+        Ok(Err(error)) => Err(fail(
+            ExchangeStage::Exchange,
+            format!("body broke off: {error}"),
+        )),
+        Err(_elapsed) => Err(fail(
+            ExchangeStage::Timeout,
+            format!("body took over {limit:?}"),
+        )),
+    }
+}
+
+/// Makes a listener with a backlog of [`LISTEN_BACKLOG`] connections.
+///
+/// # Errors
+/// The socket error, for example an address in use.
+pub fn listen(address: std::net::SocketAddr) -> std_io::Result<net::TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    let listener = std::net::TcpListener::from(socket);
+    Ok(net::TcpListener::from(listener))
+}
+
+/// Connections that may wait to be accepted.
+pub const LISTEN_BACKLOG: i32 = 4096;
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,8 @@
+//! What lives as long as one connection: to callers, endpoints, peers and the platform.
+
+pub mod engine_wire;
+pub mod http;
+pub mod peer_wire;
+pub mod platform;
+pub mod platform_wire;
+pub mod sse;
--- /dev/null
+++ b/src/connection/peer_wire.rs
@@ -0,0 +1,208 @@
+//! Bincode messages between routers: one h2 stream carries one query and one reply.
+
+use crate::process::timeline;
+
+/// A query to a peer.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct PeerQuery {
+    /// Clock of the sender.
+    pub stamp: timeline::HybridStamp,
+    /// What is asked.
+    pub body: QueryBody,
+}
+
+/// What is asked of a peer.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum QueryBody {
+    /// Exchange of member, leaving and version facts.
+    Gossip(GossipWire),
+    /// Are you alive?
+    Probe,
+    /// Ask the router at this peer address whether it is alive.
+    ProbeFor {
+        /// Peer address, host and port.
+        address: String,
+    },
+    /// Hand over a generation that another router goes on with.
+    TakeOver {
+        /// Request key.
+        key: String,
+        /// Workspace of the caller.
+        workspace: String,
+        /// The router that takes it.
+        router: String,
+    },
+    /// Run or join a call whose home is the peer.
+    Call(CallWire),
+    /// Configuration newer than this number?
+    NewerVersion {
+        /// Number that the sender has.
+        number: u64,
+    },
+}
+
+/// A reply from a peer.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct PeerReply {
+    /// Clock of the replying router.
+    pub stamp: timeline::HybridStamp,
+    /// The answer.
+    pub body: ReplyBody,
+}
+
+/// An answer to a query.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub enum ReplyBody {
+    /// Facts that the sender lacks.
+    Gossip(GossipWire),
+    /// Whether the probed router is alive.
+    Alive(bool),
+    /// The generation's state; `None` when the peer does not hold it.
+    TakeOver(Option<TakeOverWire>),
+    /// What became of the call.
+    Call(CallOutcomeWire),
+    /// The newer configuration, if any.
+    NewerVersion(Option<VersionWire>),
+    /// The query cannot be answered.
+    Refused(String),
+}
+
+/// Facts exchanged by gossip.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct GossipWire {
+    /// Sender's own router name.
+    pub from: String,
+    /// Digest of all facts that the sender holds after this exchange.
+    pub digest: u64,
+    /// Whether the sender asks for every fact.
+    pub full: bool,
+    /// Member facts.
+    pub members: Vec<MemberWire>,
+    /// Endpoints that take no new work.
+    pub leaving: Vec<LeavingWire>,
+    /// Newest configuration number that the sender has.
+    pub version: u64,
+}
+
+/// One fact about one router.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct MemberWire {
+    /// Router name.
+    pub router: String,
+    /// Incarnation of the router.
+    pub incarnation: u64,
+    /// Rank of its state; see `process::membership`.
+    pub rank: u8,
+    /// Version of the fact within incarnation and rank, made by the router itself.
+    pub version: u64,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for callers, host and port.
+    pub caller_address: String,
+    /// Address for peers, host and port.
+    pub peer_address: String,
+    /// Address for operators, host and port.
+    pub admin_address: String,
+    /// Configuration number in force at the router.
+    pub config: u64,
+    /// Requests in flight, running and waiting, by workspace.
+    pub demand: Vec<DemandWire>,
+}
+
+/// Demand of one workspace at one router.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct DemandWire {
+    /// Workspace name.
+    pub workspace: String,
+    /// Requests running and waiting.
+    pub requests: u32,
+}
+
+/// An endpoint that takes no new work in this incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LeavingWire {
+    /// Endpoint name.
+    pub endpoint: String,
+    /// Incarnation of the endpoint, as it reports it; 0 when it reports none.
+    pub incarnation: u64,
+}
+
+/// State of a generation that is handed over.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct TakeOverWire {
+    /// Generation identifier.
+    pub generation: u64,
+    /// Tokens from position 0.
+    pub tokens: Vec<String>,
+    /// Running attempt.
+    pub attempt: u128,
+    /// Endpoint of the attempt.
+    pub endpoint: String,
+    /// Model version of the answer.
+    pub model_version: String,
+}
+
+/// A call to a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct CallWire {
+    /// Request key.
+    pub key: String,
+    /// Workspace of the caller.
+    pub workspace: String,
+    /// Service name.
+    pub service: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the service.
+    pub path: String,
+    /// `Content-Type` of the body, if any.
+    pub content_type: Option<String>,
+    /// Body bytes.
+    pub body: Vec<u8>,
+    /// The caller states that it has never sent this key before.
+    pub first_send: bool,
+    /// Time that the caller still waits, in milliseconds.
+    pub deadline_millis: u64,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum CallOutcomeWire {
+    /// The service answered.
+    Answered {
+        /// HTTP status code.
+        status: u16,
+        /// `Content-Type` of the body, if any.
+        content_type: Option<String>,
+        /// Body bytes.
+        body: Vec<u8>,
+    },
+    /// The call was refused or failed.
+    Refused(RefusalWire),
+}
+
+/// A refusal in bincode form.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RefusalWire {
+    /// HTTP status code.
+    pub status: u16,
+    /// Machine-readable reason.
+    pub code: crate::request::verdict::RefusalCode,
+    /// Whether the request may have run.
+    pub verdict: crate::request::verdict::RunVerdict,
+    /// One plain sentence with the next step.
+    pub message: String,
+    /// When asking again can help, in milliseconds.
+    pub retry_after_millis: Option<u64>,
+    /// Present home name for a new key.
+    pub home: Option<String>,
+}
+
+/// A configuration version.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct VersionWire {
+    /// Its number.
+    pub number: u64,
+    /// The declarations in YAML.
+    pub yaml: String,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,9 @@
 //! Serving system for long model generations on engines that fail without warning.
+//!
+//! The modules are laid out by life span: [`request`] for one request, [`connection`] for one
+//! connection, [`version`] for one configuration version, [`process`] for one process.
+
+pub mod connection;
+pub mod process;
+pub mod request;
+pub mod version;
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,3 @@
+//! What lives as long as the process.
+
+pub mod timeline;
