Set the borders between parts: peer links, member view, endpoint view, settings

Cause: calls, membership, configuration and the command line are built side by side. Ruled out: concrete types across these borders, which would make each part wait for another. Change: traits for peers, members and endpoints; the settings structure. Conclusion: parts can be tested against small fakes.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod engine_wire;
 pub mod http;
+pub mod peer;
 pub mod peer_wire;
 pub mod platform;
 pub mod platform_wire;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,3 +1,5 @@
 //! What lives as long as the process.
 
+pub mod settings;
 pub mod timeline;
+pub mod view;
