Send a call that must not be repeated only from its home, once

Cause: a reservation sent again by another router would run twice when only the answer was lost. Ruled out: recording every call in the table service, which takes a few hundred writes a second. A refusal is not-run only where no earlier or later copy of the call can have run: at the home, or on a first send.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -6,4 +6,5 @@
 pub mod peer_wire;
 pub mod platform;
 pub mod platform_wire;
+pub mod service;
 pub mod sse;
--- /dev/null
+++ b/src/connection/service.rs
@@ -0,0 +1,246 @@
+//! Exchange with one endpoint of a plain service, with a last check before each byte leaves.
+
+use std::fmt;
+use std::io as std_io;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time;
+
+use async_std::future;
+use async_std::io;
+use async_std::net;
+use http_types::headers;
+
+use crate::connection::http;
+use crate::connection::peer_wire;
+
+/// Outcome of an exchange with a service endpoint.
+pub type Result<T> = http::Result<T>;
+
+/// Request header that carries the idempotency key to the service.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Whether this process may send requests at the moment.
+pub trait SendGate: fmt::Debug + Send + Sync {
+    /// False while the process has to catch up, for example after a pause.
+    fn may_send(&self) -> bool;
+}
+
+/// A gate that is always open.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OpenGate;
+
+impl SendGate for OpenGate {
+    fn may_send(&self) -> bool {
+        true
+    }
+}
+
+/// When a request may leave, and for how long its answer is awaited.
+#[derive(Clone, Debug)]
+pub struct SendTerms {
+    /// No byte leaves at or after this time.
+    pub send_before: time::Instant,
+    /// Asked before each byte leaves.
+    pub gate: sync::Arc<dyn SendGate>,
+    /// Limit for making the connection.
+    pub connect_limit: time::Duration,
+    /// Limit from the connection to the end of the answer.
+    pub answer_limit: time::Duration,
+    /// Longest accepted answer body, in bytes.
+    pub max_answer_bytes: usize,
+}
+
+impl SendTerms {
+    /// Whether a byte may leave now.
+    #[must_use]
+    pub fn allows_send(&self) -> bool {
+        self.allow().is_ok()
+    }
+
+    fn allow(&self) -> std_io::Result<()> {
+        if time::Instant::now() >= self.send_before {
+            return Err(std_io::Error::new(
+                std_io::ErrorKind::TimedOut,
+                "the deadline passed before the request was sent",
+            ));
+        }
+        if !self.gate.may_send() {
+            return Err(std_io::Error::new(
+                std_io::ErrorKind::PermissionDenied,
+                "the router is catching up after a pause",
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Whole answer of a service endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// HTTP status code.
+    pub status: u16,
+    /// `Content-Type` of the body, if any.
+    pub content_type: Option<String>,
+    /// Body bytes.
+    pub body: Vec<u8>,
+}
+
+/// TCP stream that checks the terms before each write and counts the bytes that left.
+#[derive(Clone, Debug)]
+struct GuardedStream {
+    stream: net::TcpStream,
+    terms: SendTerms,
+    sent: sync::Arc<atomic::AtomicU64>,
+}
+
+impl io::Read for GuardedStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut [u8],
+    ) -> task::Poll<std_io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl io::Write for GuardedStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<std_io::Result<usize>> {
+        if let Err(error) = self.terms.allow() {
+            return task::Poll::Ready(Err(error));
+        }
+        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let task::Poll::Ready(Ok(count)) = poll {
+            self.sent.fetch_add(count as u64, atomic::Ordering::Relaxed);
+        }
+        poll
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<std_io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<std_io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// Sends `call` to the endpoint at `address` over a new connection and reads the whole answer.
+///
+/// # Errors
+/// [`http::ExchangeError`]; its `bytes_sent` is 0 only when no byte of the request left.
+pub async fn exchange(
+    address: &str,
+    call: &peer_wire::CallWire,
+    terms: &SendTerms,
+) -> Result<ServiceAnswer> {
+    let request = build_request(address, call)?;
+    let stream = http::connect(address, terms.connect_limit).await?;
+    let sent = sync::Arc::new(atomic::AtomicU64::new(0));
+    let guarded = GuardedStream {
+        stream,
+        terms: terms.clone(),
+        sent: sync::Arc::clone(&sent),
+    };
+    let fail = |stage, message| http::ExchangeError {
+        stage,
+        bytes_sent: sent.load(atomic::Ordering::Relaxed),
+        message,
+    };
+    let answer = exchange_over(guarded, request, terms);
+    match future::timeout(terms.answer_limit, answer).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(message)) => Err(fail(
+            http::ExchangeStage::Exchange,
+            format!("{address} broke off: {message}"),
+        )),
+        Err(_elapsed) => Err(fail(
+            http::ExchangeStage::Timeout,
+            format!("{address} gave no answer within {:?}", terms.answer_limit),
+        )),
+    }
+}
+
+async fn exchange_over(
+    stream: GuardedStream,
+    request: http_types::Request,
+    terms: &SendTerms,
+) -> std::result::Result<ServiceAnswer, String> {
+    let is_head = request.method() == http_types::Method::Head;
+    let connected = async_h1::connect(stream, request).await;
+    let mut response = connected.map_err(|error| error.to_string())?;
+    let status = u16::from(response.status());
+    let length = declared_length(&response, is_head)?;
+    let content_type = response
+        .header(headers::CONTENT_TYPE)
+        .map(|values| values.last().as_str().to_owned());
+    let mut body = response.take_body();
+    let read = http::read_body(&mut body, terms.answer_limit, terms.max_answer_bytes).await;
+    let body = read.map_err(|error| error.message)?;
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(format!("the answer ended after {} bytes", body.len()));
+    }
+    Ok(ServiceAnswer {
+        status,
+        content_type,
+        body,
+    })
+}
+
+/// Bytes that the body must have; `None` when its encoding marks the end or it has no body.
+fn declared_length(
+    response: &http_types::Response,
+    is_head: bool,
+) -> std::result::Result<Option<usize>, String> {
+    let bodiless = [
+        http_types::StatusCode::NoContent,
+        http_types::StatusCode::NotModified,
+    ];
+    if is_head || bodiless.contains(&response.status()) {
+        return Ok(None);
+    }
+    if response.header(headers::TRANSFER_ENCODING).is_some() {
+        return Ok(None);
+    }
+    let header = response.header(headers::CONTENT_LENGTH);
+    let header = header.ok_or("the answer has no length; send Content-Length or chunks")?;
+    let length = header.last().as_str().trim().parse();
+    Ok(Some(length.map_err(|error| format!("length: {error}"))?))
+}
+
+fn build_request(address: &str, call: &peer_wire::CallWire) -> Result<http_types::Request> {
+    let reject = |message: String| http::ExchangeError {
+        stage: http::ExchangeStage::Connect,
+        bytes_sent: 0,
+        message,
+    };
+    let method: http_types::Method = call
+        .method
+        .parse()
+        .map_err(|_error| reject(format!("method {} is not known", call.method)))?;
+    let url = http_types::Url::parse(&format!("http://{address}{}", call.path))
+        .map_err(|error| reject(format!("path {} is not valid: {error}", call.path)))?;
+    let mut request = http_types::Request::new(method, url);
+    request.set_body(call.body.clone());
+    request.remove_header(headers::CONTENT_TYPE);
+    if let Some(content_type) = &call.content_type {
+        request.insert_header(headers::CONTENT_TYPE, content_type.as_str());
+    }
+    if !call.key.is_empty() {
+        request.insert_header(KEY_HEADER, call.key.as_str());
+    }
+    request.insert_header(headers::CONNECTION, "close");
+    Ok(request)
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+pub mod budget;
 pub mod settings;
 pub mod timeline;
 pub mod view;
--- /dev/null
+++ b/src/request/attempt.rs
@@ -0,0 +1,193 @@
+//! Sending of one call to endpoints of its service.
+
+use std::sync;
+use std::time;
+
+use crate::connection::http;
+use crate::connection::peer_wire;
+use crate::connection::service;
+use crate::process::timeline;
+use crate::request::call;
+use crate::request::copy;
+use crate::request::refusal;
+use crate::request::verdict;
+
+/// Sends a call that must not be repeated; after its first byte left there is no other try.
+pub(crate) async fn run_once(
+    state: &call::RunnerState,
+    copy: &copy::CallCopy,
+) -> peer_wire::CallOutcomeWire {
+    let mut excluded = Vec::new();
+    while excluded.len() < state.limits.max_tries {
+        if let Some(refusal) = refuse_send(state, copy.deadline) {
+            return refusal::refused(refusal);
+        }
+        let terms = terms(state, copy.deadline, state.limits.answer);
+        let Some(tried) = try_endpoint(state, &copy.call, &terms, &excluded).await else {
+            break;
+        };
+        match tried {
+            Ok(answer) => return answered(answer),
+            Err(failure) if failure.error.bytes_sent == 0 => excluded.push(failure.endpoint),
+            Err(failure) => return refusal::refused(refuse_failed(&failure.error)),
+        }
+    }
+    refusal::refused(refuse_send(state, copy.deadline).unwrap_or_else(refuse_no_endpoint))
+}
+
+/// Sends an idempotent call to one endpoint after the other within the deadline.
+pub(crate) async fn run_idempotent(
+    state: &sync::Arc<call::RunnerState>,
+    call: peer_wire::CallWire,
+) -> peer_wire::CallOutcomeWire {
+    let started = time::Instant::now();
+    let limit = time::Duration::from_millis(call.deadline_millis);
+    let deadline = started.checked_add(limit).unwrap_or(started);
+    let mut excluded = Vec::new();
+    let mut last = None;
+    while excluded.len() < state.limits.max_tries {
+        if let Some(refusal) = refuse_send(state, deadline) {
+            return refusal::refused(last.unwrap_or(refusal));
+        }
+        if !excluded.is_empty() && !state.budget.withdraw(time::Instant::now()) {
+            break;
+        }
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        let terms = terms(state, deadline, answer_share(left, excluded.len(), state));
+        let Some(tried) = try_endpoint(state, &call, &terms, &excluded).await else {
+            break;
+        };
+        match tried {
+            Ok(answer) => {
+                state.budget.deposit(time::Instant::now());
+                return answered(answer);
+            }
+            Err(failure) => {
+                last = Some(worse(last, &failure.error));
+                excluded.push(failure.endpoint);
+            }
+        }
+    }
+    refusal::refused(last.unwrap_or_else(refuse_no_endpoint))
+}
+
+#[derive(Debug)]
+struct TryFailure {
+    endpoint: String,
+    error: http::ExchangeError,
+}
+
+/// One exchange with a picked endpoint; `None` when there is none left.
+async fn try_endpoint(
+    state: &call::RunnerState,
+    call: &peer_wire::CallWire,
+    terms: &service::SendTerms,
+    excluded: &[String],
+) -> Option<Result<service::ServiceAnswer, TryFailure>> {
+    let lease = state.endpoints.pick(&call.service, excluded)?;
+    let endpoint = lease.name().to_owned();
+    let event = timeline::EventKind::CallSent {
+        endpoint: endpoint.clone(),
+    };
+    state.ring.record(Some(&call.key), event);
+    match service::exchange(lease.address(), call, terms).await {
+        Ok(answer) => {
+            let event = timeline::EventKind::CallAnswered {
+                status: answer.status,
+            };
+            state.ring.record(Some(&call.key), event);
+            Some(Ok(answer))
+        }
+        Err(error) => {
+            // An exchange that this router itself held back says nothing about the endpoint.
+            if error.bytes_sent > 0 || terms.allows_send() {
+                state.endpoints.report_failure(&endpoint);
+            }
+            Some(Err(TryFailure { endpoint, error }))
+        }
+    }
+}
+
+fn terms(
+    state: &call::RunnerState,
+    deadline: time::Instant,
+    answer_limit: time::Duration,
+) -> service::SendTerms {
+    let left = deadline.saturating_duration_since(time::Instant::now());
+    service::SendTerms {
+        send_before: deadline,
+        gate: sync::Arc::clone(&state.gate),
+        connect_limit: state.limits.connect.min(left),
+        answer_limit,
+        max_answer_bytes: state.limits.max_answer_bytes,
+    }
+}
+
+/// Part of the time left that one try may take, so that a silent endpoint leaves time for others.
+fn answer_share(
+    left: time::Duration,
+    failures: usize,
+    state: &call::RunnerState,
+) -> time::Duration {
+    let tries = state.limits.max_tries.saturating_sub(failures).max(1);
+    let tries = u32::try_from(tries).unwrap_or(1);
+    state.limits.answer.min(left / tries)
+}
+
+/// Why nothing may be sent now.
+fn refuse_send(
+    state: &call::RunnerState,
+    deadline: time::Instant,
+) -> Option<verdict::RequestRefusal> {
+    if time::Instant::now() >= deadline {
+        let message = "the deadline passed before the call was sent; allow more time";
+        let code = verdict::RefusalCode::DeadlineExceeded;
+        return Some(verdict::RequestRefusal::not_run(504, code, message));
+    }
+    if !state.gate.may_send() {
+        let message = "the router is catching up after a pause; ask again";
+        let code = verdict::RefusalCode::NotReady;
+        let refusal = verdict::RequestRefusal::not_run(503, code, message);
+        return Some(refusal.retry_after(refusal::RETRY_DELAY));
+    }
+    None
+}
+
+fn refuse_no_endpoint() -> verdict::RequestRefusal {
+    let message = "no endpoint of the service can be reached; ask again";
+    verdict::RequestRefusal::not_run(503, verdict::RefusalCode::NoEndpoint, message)
+        .retry_after(refusal::RETRY_DELAY)
+}
+
+fn refuse_failed(error: &http::ExchangeError) -> verdict::RequestRefusal {
+    let verdict = verdict::RunVerdict::from_bytes_sent(error.bytes_sent);
+    let message = format!("{error}; look up the effect of the call before a new key");
+    let (status, code) = match error.stage {
+        http::ExchangeStage::Timeout => (504, verdict::RefusalCode::DeadlineExceeded),
+        http::ExchangeStage::Connect | http::ExchangeStage::Exchange => {
+            (502, verdict::RefusalCode::EndpointFailed)
+        }
+    };
+    verdict::RequestRefusal::new(status, code, verdict, message)
+}
+
+/// The refusal after one more failed try of an idempotent call.
+fn worse(
+    last: Option<verdict::RequestRefusal>,
+    error: &http::ExchangeError,
+) -> verdict::RequestRefusal {
+    let mut refusal = refuse_failed(error).retry_after(refusal::RETRY_DELAY);
+    refusal.message = format!("{error}; ask again");
+    if last.is_some_and(|last| last.verdict == verdict::RunVerdict::MayHaveRun) {
+        refusal.verdict = verdict::RunVerdict::MayHaveRun;
+    }
+    refusal
+}
+
+fn answered(answer: service::ServiceAnswer) -> peer_wire::CallOutcomeWire {
+    peer_wire::CallOutcomeWire::Answered {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/src/request/refusal.rs
@@ -0,0 +1,81 @@
+//! Refusals of calls, and their wire form.
+
+use std::time;
+
+use crate::connection::peer_wire;
+use crate::request::copy;
+use crate::request::verdict;
+
+/// Time after which a caller may ask again when an endpoint or the platform may be back.
+pub const RETRY_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Turns `not-run` into `may-have-run` unless this is the key's first send.
+///
+/// A router that has not asked the key's home cannot know whether an earlier copy of the call ran.
+#[must_use]
+pub fn qualify_refusal(
+    mut refusal: verdict::RequestRefusal,
+    first_send: bool,
+) -> verdict::RequestRefusal {
+    if !first_send {
+        refusal.verdict = verdict::RunVerdict::MayHaveRun;
+    }
+    refusal
+}
+
+/// The refusal as an outcome.
+pub(crate) fn refused(refusal: verdict::RequestRefusal) -> peer_wire::CallOutcomeWire {
+    peer_wire::CallOutcomeWire::Refused(refusal.into())
+}
+
+/// The key could not be claimed.
+pub(crate) fn refuse_claim(copy: &copy::CallCopy, message: &str) -> verdict::RequestRefusal {
+    let message = format!("{message}; ask again with the same key");
+    copy.refuse(503, verdict::RefusalCode::PlatformUnavailable, &message)
+        .retry_after(RETRY_DELAY)
+}
+
+/// The home does not know what became of the call.
+pub(crate) fn refuse_forgotten() -> verdict::RequestRefusal {
+    verdict::RequestRefusal::may_have_run(
+        409,
+        verdict::RefusalCode::OutcomeForgotten,
+        "the outcome of the key is not known; look up its effect before a new key",
+    )
+}
+
+/// The call was answered, but only its status is left.
+pub(crate) fn refuse_trimmed(status: u16) -> verdict::RequestRefusal {
+    verdict::RequestRefusal::may_have_run(
+        409,
+        verdict::RefusalCode::OutcomeForgotten,
+        format!("the call was answered with {status}, the body is no longer kept; look it up"),
+    )
+}
+
+impl From<verdict::RequestRefusal> for peer_wire::RefusalWire {
+    fn from(refusal: verdict::RequestRefusal) -> Self {
+        let millis = |delay: time::Duration| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            status: refusal.status,
+            code: refusal.code,
+            verdict: refusal.verdict,
+            message: refusal.message,
+            retry_after_millis: refusal.retry_after.map(millis),
+            home: refusal.home,
+        }
+    }
+}
+
+impl From<peer_wire::RefusalWire> for verdict::RequestRefusal {
+    fn from(refusal: peer_wire::RefusalWire) -> Self {
+        Self {
+            status: refusal.status,
+            code: refusal.code,
+            verdict: refusal.verdict,
+            message: refusal.message,
+            retry_after: refusal.retry_after_millis.map(time::Duration::from_millis),
+            home: refusal.home,
+        }
+    }
+}
