Drive a generation over attempts, re-attachment and replacement

Cause: an engine's death must not lose, repeat or mix tokens of an answer. Ruled out: one task that reads and decides, since a silent stream would hold the decision back; every stream has a reading task and one driver decides.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one connection: to callers, endpoints, peers and the platform.
 
+pub mod engine;
 pub mod engine_wire;
 pub mod http;
 pub mod peer;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -140,6 +140,8 @@
     pub endpoint: String,
     /// Model version of the answer.
     pub model_version: String,
+    /// Why the answer ended; `None` while it runs.
+    pub finish_reason: Option<String>,
 }
 
 /// A call to a plain service.
--- /dev/null
+++ b/src/request/driver.rs
@@ -0,0 +1,576 @@
+//! Drives one generation to its end over any number of attempts and streams.
+
+use std::sync;
+use std::time;
+
+use async_std::channel;
+use async_std::future;
+use async_std::task;
+
+use crate::connection::engine;
+use crate::connection::engine_wire;
+use crate::process::timeline;
+use crate::process::view;
+use crate::request::cursor;
+use crate::request::generation;
+use crate::request::recovery;
+use crate::request::sequencer;
+use crate::request::source;
+use crate::request::suspicion;
+use crate::request::verdict;
+
+/// Time without a token after which the caller is told to come back.
+pub const GIVE_UP_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// Time for which a generation without readers is kept running.
+pub const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(10);
+
+/// When a caller whose generation was given up may ask again.
+pub const RETRY_DELAY: time::Duration = time::Duration::from_secs(2);
+
+/// Longest time between two tokens of an engine that shows signs of life.
+const STALL_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Time for a recovery step to reach its engine.
+const STEP_LIMIT: time::Duration = time::Duration::from_millis(800);
+
+/// Pause before the next try when no engine can serve.
+const NO_ENGINE_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Longest step of the orphan clock, so that a pause of the process does not count as absence.
+const ORPHAN_STEP: time::Duration = time::Duration::from_millis(250);
+
+/// Streams of one generation that are open at the same time.
+const MAX_SOURCES: usize = 4;
+
+const CANCEL_TRIES: u32 = 4;
+const CANCEL_PAUSE: time::Duration = time::Duration::from_secs(3);
+
+/// What drivers share.
+#[derive(Clone, Debug)]
+pub struct DriverContext {
+    /// Engines to choose from.
+    pub engines: sync::Arc<dyn view::EngineView>,
+    /// Events of this process.
+    pub ring: sync::Arc<timeline::EventRing>,
+    /// Counters of this process.
+    pub counters: sync::Arc<dyn view::CounterSink>,
+}
+
+/// How a generation begins at this router.
+#[derive(Clone, Debug)]
+pub enum GenerationStart {
+    /// With a new attempt, after the tokens that the record holds.
+    Fresh,
+    /// By attaching to a running attempt, after the tokens that the record holds.
+    Attach {
+        /// The attempt.
+        attempt: cursor::AttemptId,
+        /// Its endpoint.
+        endpoint: String,
+    },
+}
+
+/// One open stream.
+#[derive(Debug)]
+struct OpenSource {
+    id: source::SourceId,
+    attempt: cursor::AttemptId,
+    endpoint: Box<dyn view::EndpointLease>,
+    round: u32,
+    is_opened: bool,
+    /// Stops the stream's task when dropped.
+    _stop: stop_token::StopSource,
+}
+
+/// Drives one generation.
+#[derive(Debug)]
+pub struct GenerationDriver {
+    context: DriverContext,
+    record: sync::Arc<generation::GenerationRecord>,
+    policy: &'static dyn recovery::RecoveryPolicy,
+    receiver: channel::Receiver<source::DriverMessage>,
+    sources: Vec<OpenSource>,
+    next_source: u32,
+    round: u32,
+    excluded: Vec<String>,
+    last_sign: time::Instant,
+    last_token: time::Instant,
+    has_token: bool,
+    orphan_checked: time::Instant,
+    orphaned: time::Duration,
+}
+
+impl GenerationDriver {
+    /// A driver for `record` that has not begun.
+    #[must_use]
+    pub fn new(
+        context: DriverContext,
+        record: sync::Arc<generation::GenerationRecord>,
+        policy: &'static dyn recovery::RecoveryPolicy,
+        receiver: channel::Receiver<source::DriverMessage>,
+    ) -> Self {
+        let now = time::Instant::now();
+        Self {
+            context,
+            record,
+            policy,
+            receiver,
+            sources: Vec::new(),
+            next_source: 0,
+            round: 0,
+            excluded: Vec::new(),
+            last_sign: now,
+            last_token: now,
+            has_token: false,
+            orphan_checked: now,
+            orphaned: time::Duration::ZERO,
+        }
+    }
+
+    /// Runs until the generation ends.
+    pub async fn run(mut self, start: GenerationStart) {
+        self.begin(start);
+        while self.record.phase() == generation::GenerationPhase::Running {
+            let wait = self.wait_limit();
+            match future::timeout(wait, self.receiver.recv()).await {
+                Ok(Ok(message)) => self.on_message(message),
+                Ok(Err(_closed)) => return,
+                Err(_elapsed) => self.on_timeout(),
+            }
+            self.check_readers();
+        }
+    }
+
+    fn begin(&mut self, start: GenerationStart) {
+        match start {
+            GenerationStart::Fresh => self.replace(),
+            GenerationStart::Attach { attempt, endpoint } => {
+                self.record.open(attempt);
+                if !self.attach(attempt, &endpoint) {
+                    self.recover();
+                }
+            }
+        }
+    }
+
+    fn on_message(&mut self, message: source::DriverMessage) {
+        match message {
+            source::DriverMessage::Source(id, event) => self.on_event(id, event),
+            source::DriverMessage::HandOver { router } => {
+                let event = timeline::EventKind::HandedOver {
+                    router: router.clone(),
+                };
+                self.note(event);
+                self.record.end(generation::GenerationPhase::Moved {
+                    router: Some(router),
+                });
+            }
+            source::DriverMessage::Move => {
+                self.record
+                    .end(generation::GenerationPhase::Moved { router: None });
+            }
+        }
+    }
+
+    fn on_event(&mut self, id: source::SourceId, event: source::SourceEvent) {
+        let Some(index) = self.sources.iter().position(|source| source.id == id) else {
+            self.context.counters.count("generation.late_event");
+            return;
+        };
+        match event {
+            source::SourceEvent::Opened => self.on_opened(index),
+            source::SourceEvent::Alive => self.last_sign = time::Instant::now(),
+            source::SourceEvent::Token {
+                index: position,
+                text,
+            } => {
+                self.on_token(index, position, &text);
+            }
+            source::SourceEvent::Finished {
+                count,
+                finish_reason,
+            } => {
+                self.on_finished(index, count, &finish_reason);
+            }
+            source::SourceEvent::Lost(error) => self.on_lost(index, &error),
+        }
+    }
+
+    fn on_opened(&mut self, index: usize) {
+        self.last_sign = time::Instant::now();
+        self.sources[index].is_opened = true;
+    }
+
+    fn on_token(&mut self, index: usize, position: u32, text: &str) {
+        let attempt = self.sources[index].attempt;
+        let endpoint = self.sources[index].endpoint.name().to_owned();
+        match self.record.offer(attempt, &endpoint, position, text) {
+            sequencer::TokenOffer::Accepted(_count) => self.on_accepted(index),
+            sequencer::TokenOffer::Repeated => {
+                self.last_sign = time::Instant::now();
+                self.context.counters.count("generation.token_repeated");
+            }
+            sequencer::TokenOffer::Foreign => {
+                self.context.counters.count("generation.token_foreign");
+            }
+            sequencer::TokenOffer::Gap | sequencer::TokenOffer::Mismatch => {
+                self.context.counters.count("generation.token_out_of_order");
+                let error = engine::EngineError::Malformed("token out of order".to_owned());
+                self.on_lost(index, &error);
+            }
+        }
+    }
+
+    fn on_accepted(&mut self, index: usize) {
+        let now = time::Instant::now();
+        if self.has_token && self.round == 0 {
+            self.sources[index]
+                .endpoint
+                .record_gap(now - self.last_token);
+        } else {
+            let attempt = timeline::attempt_text(self.sources[index].attempt);
+            self.note(timeline::EventKind::FirstToken { attempt });
+        }
+        if self.round > 0 {
+            self.context
+                .counters
+                .time("generation.resume", now - self.last_token);
+        }
+        self.has_token = true;
+        self.last_token = now;
+        self.last_sign = now;
+        self.round = 0;
+        self.excluded.clear();
+        if self.sources.len() > 1 {
+            self.keep_only(index);
+        }
+        self.sources[0].round = 0;
+    }
+
+    /// Closes all streams but the winner's; other attempts are cancelled at their engines.
+    fn keep_only(&mut self, index: usize) {
+        let winner = self.sources.swap_remove(index);
+        for loser in std::mem::take(&mut self.sources) {
+            if loser.attempt != winner.attempt {
+                self.cancel(&loser);
+            }
+        }
+        self.sources.push(winner);
+    }
+
+    fn on_finished(&mut self, index: usize, count: u32, reason: &str) {
+        let attempt = self.sources[index].attempt;
+        match self.record.offer_end(attempt, count, reason) {
+            sequencer::EndOffer::Whole => {
+                self.keep_only(index);
+                self.note(timeline::EventKind::Finished { tokens: count });
+                self.context.counters.count("generation.finished");
+            }
+            sequencer::EndOffer::CountMismatch => {
+                let error = engine::EngineError::Malformed("token count differs".to_owned());
+                self.on_lost(index, &error);
+            }
+            sequencer::EndOffer::Foreign => {}
+        }
+    }
+
+    fn on_lost(&mut self, index: usize, error: &engine::EngineError) {
+        let lost = self.sources.swap_remove(index);
+        let name = lost.endpoint.name().to_owned();
+        self.note(timeline::EventKind::AttemptLost {
+            attempt: timeline::attempt_text(lost.attempt),
+            endpoint: name.clone(),
+            position: self.record.position(),
+            cause: error.to_string(),
+        });
+        self.context.counters.count("generation.stream_lost");
+        if matches!(error, engine::EngineError::Unreachable(_)) {
+            lost.endpoint.report_failure();
+        }
+        if matches!(error, engine::EngineError::Refused(_)) {
+            self.record.retire(lost.attempt);
+        }
+        self.exclude(&name);
+        if self.sources.iter().any(|source| source.round == self.round) {
+            return;
+        }
+        if self.round == 0 && !lost.is_opened {
+            // A stream that was never there cannot be attached to again.
+            self.round = 1;
+        }
+        self.recover_from(lost.attempt, &name);
+    }
+
+    fn on_timeout(&mut self) {
+        let Some(newest) = self.sources.last() else {
+            self.recover();
+            return;
+        };
+        let attempt = newest.attempt;
+        let name = newest.endpoint.name().to_owned();
+        self.context.counters.count("generation.stream_silent");
+        self.note(timeline::EventKind::AttemptLost {
+            attempt: timeline::attempt_text(attempt),
+            endpoint: name.clone(),
+            position: self.record.position(),
+            cause: "silent".to_owned(),
+        });
+        newest.endpoint.report_failure();
+        self.exclude(&name);
+        self.recover_from(attempt, &name);
+    }
+
+    fn exclude(&mut self, endpoint: &str) {
+        if !self.excluded.iter().any(|name| name == endpoint) {
+            self.excluded.push(endpoint.to_owned());
+        }
+    }
+
+    fn recover(&mut self) {
+        let attempt = cursor::AttemptId(0);
+        self.recover_from(attempt, "");
+    }
+
+    /// Takes the next measure after `attempt` at `endpoint` was lost or went silent.
+    fn recover_from(&mut self, attempt: cursor::AttemptId, endpoint: &str) {
+        if self.last_token.elapsed() > GIVE_UP_LIMIT {
+            self.give_up();
+            return;
+        }
+        let step = self.policy.step(self.round);
+        self.round += 1;
+        match step {
+            recovery::RecoveryStep::Probe => {
+                if !self.attach(attempt, endpoint) {
+                    self.replace();
+                }
+            }
+            recovery::RecoveryStep::ProbeAndReplace => {
+                self.attach(attempt, endpoint);
+                self.replace();
+            }
+            recovery::RecoveryStep::Replace => self.replace(),
+            recovery::RecoveryStep::RestartFromZero => {
+                if self.record.position() > 0 {
+                    let version = self.record.need().version;
+                    self.restart(&version, "the engine was lost");
+                }
+                self.replace();
+            }
+        }
+    }
+
+    /// Attaches to an attempt's stream over a new connection; false when that cannot be tried.
+    fn attach(&mut self, attempt: cursor::AttemptId, endpoint: &str) -> bool {
+        let service = &self.record.spec.service;
+        let Some(lease) = self.context.engines.find(service, endpoint) else {
+            return false;
+        };
+        let from = self.record.position();
+        self.note(timeline::EventKind::Reattached {
+            attempt: timeline::attempt_text(attempt),
+            position: from,
+        });
+        self.context.counters.count("generation.reattach");
+        self.open_source(
+            attempt,
+            lease,
+            source::SourceOpening::Attach { attempt, from },
+        );
+        true
+    }
+
+    /// Starts a new attempt after the tokens held, on the same model version.
+    fn replace(&mut self) {
+        let mut need = self.record.need();
+        let mut lease = self.context.engines.pick(&need, &self.excluded);
+        if lease.is_none() && !self.excluded.is_empty() {
+            self.excluded.clear();
+            lease = self.context.engines.pick(&need, &self.excluded);
+        }
+        if lease.is_none() {
+            let declared = self.context.engines.declared_model(&need.service);
+            if let Some(model) = declared.filter(|model| model.version != need.version) {
+                need.version = model.version;
+                lease = self.context.engines.pick(&need, &[]);
+                if lease.is_some() && self.record.position() > 0 {
+                    self.restart(&need.version, "no engine holds the model version any more");
+                }
+            }
+        }
+        let Some(lease) = lease else {
+            self.last_sign = time::Instant::now();
+            self.context.counters.count("generation.no_engine");
+            return;
+        };
+        self.start_attempt(lease, &need);
+    }
+
+    fn start_attempt(&mut self, lease: Box<dyn view::EndpointLease>, need: &view::EngineNeed) {
+        let attempt = cursor::AttemptId::random();
+        let prefix = self.record.tokens();
+        let position = self.record.position();
+        let is_resumed = self.round > 0 || position > 0;
+        let priority = if is_resumed {
+            engine_wire::PRIORITY_RESUMED
+        } else {
+            engine_wire::PRIORITY_NEW
+        };
+        let request = engine_wire::EngineRequest {
+            attempt: attempt.to_string(),
+            model: need.model.clone(),
+            version: need.version.clone(),
+            adapter: need.adapter.clone(),
+            prompt: need.prompt.to_string(),
+            prefix,
+            max_tokens: self.record.spec.max_tokens,
+            priority,
+        };
+        self.note(timeline::EventKind::AttemptStarted {
+            attempt: timeline::attempt_text(attempt),
+            endpoint: lease.name().to_owned(),
+            position,
+        });
+        self.context.counters.count("generation.attempt");
+        self.record.open(attempt);
+        self.open_source(
+            attempt,
+            lease,
+            source::SourceOpening::Start(Box::new(request)),
+        );
+    }
+
+    fn open_source(
+        &mut self,
+        attempt: cursor::AttemptId,
+        endpoint: Box<dyn view::EndpointLease>,
+        opening: source::SourceOpening,
+    ) {
+        if self.sources.len() == MAX_SOURCES {
+            let oldest = self.sources.remove(0);
+            let is_shared = self
+                .sources
+                .iter()
+                .any(|source| source.attempt == oldest.attempt);
+            if !is_shared {
+                self.record.retire(oldest.attempt);
+                self.cancel(&oldest);
+            }
+        }
+        let id = source::SourceId(self.next_source);
+        self.next_source += 1;
+        let stop = stop_token::StopSource::new();
+        let address = endpoint.address().to_owned();
+        source::spawn(id, address, opening, self.record.sender(), stop.token());
+        self.last_sign = time::Instant::now();
+        let round = self.round;
+        let source = OpenSource {
+            id,
+            attempt,
+            endpoint,
+            round,
+            is_opened: false,
+            _stop: stop,
+        };
+        self.sources.push(source);
+    }
+
+    fn restart(&mut self, version: &str, reason: &str) {
+        for lost in std::mem::take(&mut self.sources) {
+            self.cancel(&lost);
+        }
+        self.has_token = false;
+        self.record.restart(version, reason);
+        self.note(timeline::EventKind::Restarted {
+            cause: reason.to_owned(),
+        });
+        self.context.counters.count("generation.restart");
+    }
+
+    fn give_up(&mut self) {
+        let refusal = verdict::RequestRefusal::may_have_run(
+            503,
+            verdict::RefusalCode::NoEndpoint,
+            "no engine can go on with the generation; ask again with the last cursor",
+        )
+        .retry_after(RETRY_DELAY);
+        self.note(timeline::EventKind::Refused {
+            code: "no-endpoint".to_owned(),
+            verdict: refusal.verdict.to_string(),
+        });
+        self.context.counters.count("generation.given_up");
+        self.record
+            .end(generation::GenerationPhase::Failed(refusal));
+        for lost in std::mem::take(&mut self.sources) {
+            self.cancel(&lost);
+        }
+    }
+
+    /// Time to wait for the next message before the next measure is due.
+    fn wait_limit(&self) -> time::Duration {
+        let Some(newest) = self.sources.last() else {
+            return NO_ENGINE_PAUSE;
+        };
+        let is_opened = self.sources.iter().any(|source| source.is_opened);
+        let deadline = if self.round > 0 {
+            let limit = if newest.is_opened {
+                STALL_LIMIT
+            } else {
+                STEP_LIMIT
+            };
+            self.last_sign + limit
+        } else if self.has_token && is_opened {
+            let limit = newest.endpoint.silence_limit();
+            (self.last_sign + limit).min(self.last_token + STALL_LIMIT.max(limit))
+        } else {
+            self.last_sign + suspicion::FIRST_TOKEN_SILENCE
+        };
+        deadline.saturating_duration_since(time::Instant::now())
+    }
+
+    /// Cancels the generation when nobody has read it for a while.
+    fn check_readers(&mut self) {
+        let now = time::Instant::now();
+        let step = (now - self.orphan_checked).min(ORPHAN_STEP);
+        self.orphan_checked = now;
+        if self.record.readers() > 0 {
+            self.orphaned = time::Duration::ZERO;
+            return;
+        }
+        self.orphaned += step;
+        if self.orphaned < ORPHAN_GRACE {
+            return;
+        }
+        self.note(timeline::EventKind::CallerGone {
+            position: self.record.position(),
+        });
+        self.record.end(generation::GenerationPhase::Cancelled);
+        for unread in std::mem::take(&mut self.sources) {
+            self.cancel(&unread);
+        }
+    }
+
+    fn cancel(&self, source: &OpenSource) {
+        self.note(timeline::EventKind::Cancelled {
+            attempt: timeline::attempt_text(source.attempt),
+        });
+        self.context.counters.count("generation.cancel");
+        let address = source.endpoint.address().to_owned();
+        task::spawn(cancel_attempt(address, source.attempt));
+    }
+
+    fn note(&self, kind: timeline::EventKind) {
+        self.context.ring.record(Some(&self.record.spec.key), kind);
+    }
+}
+
+/// Cancels an attempt, also when its engine answers only after a while.
+async fn cancel_attempt(address: String, attempt: cursor::AttemptId) {
+    for _try in 0..CANCEL_TRIES {
+        if engine::cancel(&address, attempt).await.is_ok() {
+            return;
+        }
+        task::sleep(CANCEL_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/request/source.rs
@@ -0,0 +1,129 @@
+//! Tasks that read an engine's stream and pass what it brings to the driver of a generation.
+
+use async_std::channel;
+use async_std::task;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::engine;
+use crate::connection::engine_wire;
+use crate::request::cursor;
+
+/// Identifies one open stream of a generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SourceId(pub u32);
+
+/// What a stream brought.
+#[derive(Clone, Debug)]
+pub enum SourceEvent {
+    /// The engine answered and streams.
+    Opened,
+    /// A sign of life without a token.
+    Alive,
+    /// A token at its position.
+    Token {
+        /// Position in the whole answer, from 0.
+        index: u32,
+        /// The token's text.
+        text: String,
+    },
+    /// The engine announced the end.
+    Finished {
+        /// Tokens of the whole answer.
+        count: u32,
+        /// `stop` or `length`.
+        finish_reason: String,
+    },
+    /// The stream failed; no more events follow.
+    Lost(engine::EngineError),
+}
+
+/// A message to the driver of a generation.
+#[derive(Clone, Debug)]
+pub enum DriverMessage {
+    /// From one of its streams.
+    Source(SourceId, SourceEvent),
+    /// Another router goes on with the generation.
+    HandOver {
+        /// Name of that router.
+        router: String,
+    },
+    /// The process stops; callers go on elsewhere.
+    Move,
+}
+
+/// What a stream is opened with.
+#[derive(Clone, Debug)]
+pub enum SourceOpening {
+    /// Start a generation, or continue one after a prefix.
+    Start(Box<engine_wire::EngineRequest>),
+    /// Attach to a running stream.
+    Attach {
+        /// The stream's attempt.
+        attempt: cursor::AttemptId,
+        /// First position wanted.
+        from: u32,
+    },
+}
+
+/// Reads a stream in a task of its own until it ends or `token` is cancelled.
+pub fn spawn(
+    source: SourceId,
+    address: String,
+    opening: SourceOpening,
+    sender: channel::Sender<DriverMessage>,
+    token: stop_token::StopToken,
+) {
+    task::spawn(async move {
+        let reading = read(source, &address, opening, &sender)
+            .timeout_at(token)
+            .await;
+        let Ok(Err(error)) = reading else { return };
+        // A driver that is gone needs no more messages.
+        let _closed = sender
+            .send(DriverMessage::Source(source, SourceEvent::Lost(error)))
+            .await;
+    });
+}
+
+async fn read(
+    source: SourceId,
+    address: &str,
+    opening: SourceOpening,
+    sender: &channel::Sender<DriverMessage>,
+) -> engine::Result<()> {
+    let mut stream = match opening {
+        SourceOpening::Start(request) => engine::start(address, &request).await?,
+        SourceOpening::Attach { attempt, from } => engine::attach(address, attempt, from).await?,
+    };
+    let mut event = SourceEvent::Opened;
+    loop {
+        let is_end = matches!(event, SourceEvent::Finished { .. });
+        if sender
+            .send(DriverMessage::Source(source, event))
+            .await
+            .is_err()
+            || is_end
+        {
+            return Ok(());
+        }
+        event = SourceEvent::from(stream.next().await?);
+    }
+}
+
+impl From<engine::EngineItem> for SourceEvent {
+    fn from(item: engine::EngineItem) -> Self {
+        match item {
+            engine::EngineItem::Alive => Self::Alive,
+            engine::EngineItem::Event(engine_wire::EngineEvent::Token { index, text }) => {
+                Self::Token { index, text }
+            }
+            engine::EngineItem::Event(engine_wire::EngineEvent::Finished {
+                count,
+                finish_reason,
+            }) => Self::Finished {
+                count,
+                finish_reason,
+            },
+        }
+    }
+}
