--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -61,18 +61,18 @@
     }
 
     fn allow(&self) -> std_io::Result<()> {
-        if time::Instant::now() >= self.send_before {
-            return Err(std_io::Error::new(
-                std_io::ErrorKind::TimedOut,
-                "the deadline passed before the request was sent",
-            ));
-        }
         if !self.gate.may_send() {
             return Err(std_io::Error::new(
                 std_io::ErrorKind::PermissionDenied,
                 "the router is catching up after a pause",
             ));
         }
+        if time::Instant::now() >= self.send_before {
+            return Err(std_io::Error::new(
+                std_io::ErrorKind::TimedOut,
+                "the deadline passed before the request was sent",
+            ));
+        }
         Ok(())
     }
 }
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -199,6 +199,9 @@
                     return vec![rest];
                 }
                 // The answer does not say which condition failed.
+                if count == 1 {
+                    return vec![self.read_back(rest).await];
+                }
                 let half = rest.split_off(count / 2);
                 vec![rest, half]
             }
