--- /dev/null
+++ b/tests/calls/endpoints.rs
@@ -0,0 +1,234 @@
+//! How far the bytes got decides what a failed exchange means.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+use kumquatpulley::connection::service as exchange;
+use kumquatpulley::request::call;
+use kumquatpulley::request::verdict;
+
+use crate::fakes::network;
+use crate::fakes::service;
+
+/// The service fails at one step; there is a second endpoint that must not be tried.
+fn fails_after_send(fault: service::ServiceFault, effects: u32) {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let spare = service::FakeService::start("stock-2").await;
+        let both = [sync::Arc::clone(&bed.stock), sync::Arc::clone(&spare)];
+        bed.network.endpoints.set(&both);
+        bed.stock.set_fault(fault);
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        let refusal = crate::refusal(a.run(crate::first(network::reserve(&key))).await);
+        assert_eq!(refusal.verdict, crate::MAY_HAVE_RUN, "{refusal:?}");
+        bed.stock.set_fault(service::ServiceFault::None);
+        let _ = a.run(network::reserve(&key)).await;
+        assert_eq!(bed.stock.effects(&key), effects);
+        assert_eq!(spare.effects(&key), 0);
+    });
+}
+
+#[test]
+fn connection_closed_before_the_request_was_read() {
+    fails_after_send(service::ServiceFault::DropAtOnce, 0);
+}
+
+#[test]
+fn connection_closed_within_the_request() {
+    fails_after_send(service::ServiceFault::DropInBody, 0);
+}
+
+#[test]
+fn connection_closed_before_the_answer() {
+    fails_after_send(service::ServiceFault::DropAnswer, 1);
+}
+
+#[test]
+fn connection_closed_within_the_answer() {
+    fails_after_send(service::ServiceFault::CutAnswer, 1);
+}
+
+#[test]
+fn service_that_never_answers() {
+    fails_after_send(service::ServiceFault::Silent, 1);
+}
+
+#[test]
+fn late_answer_is_kept_for_who_asks_again() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        bed.stock
+            .set_fault(service::ServiceFault::Late(time::Duration::from_millis(
+                400,
+            )));
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        let mut hurried = network::reserve(&key);
+        hurried.deadline_millis = 100;
+        let refusal = crate::refusal(a.run(hurried).await);
+        assert_eq!(refusal.verdict, crate::MAY_HAVE_RUN);
+        assert!(refusal.retry_after_millis.is_some());
+        let outcome = a.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+#[test]
+fn endpoint_that_refuses_connections_is_passed_over() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let gone = closed_endpoint("gone-1").await;
+        bed.network
+            .endpoints
+            .set(&[gone, sync::Arc::clone(&bed.stock)]);
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        let outcome = a.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+/// An endpoint whose port nobody listens on.
+async fn closed_endpoint(name: &str) -> sync::Arc<service::FakeService> {
+    let listener = async_std::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    drop(listener);
+    service::FakeService::absent(name, address)
+}
+
+/// A gate that stops the thread once, as a pause of the process would.
+#[derive(Debug)]
+struct PausingGate(time::Duration);
+
+impl exchange::SendGate for PausingGate {
+    fn may_send(&self) -> bool {
+        std::thread::sleep(self.0);
+        true
+    }
+}
+
+#[test]
+fn paused_router_sends_nothing_after_the_deadline() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let gate = sync::Arc::new(PausingGate(time::Duration::from_millis(400)));
+        let limits = call::CallLimits::default();
+        let a = bed.network.start_with("a", 1, limits, gate);
+        let key = bed.network.mint("a");
+        let mut hurried = crate::first(network::reserve(&key));
+        hurried.deadline_millis = 200;
+        let _ = a.run(hurried).await;
+        task::sleep(time::Duration::from_secs(1)).await;
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
+#[test]
+fn call_past_its_deadline_is_not_sent() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let mut late = crate::first(network::reserve(&bed.network.mint("a")));
+        late.deadline_millis = 0;
+        let outcome = a.run(late).await;
+        let code = verdict::RefusalCode::DeadlineExceeded;
+        crate::assert_refused(outcome, crate::NOT_RUN, code);
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
+/// A connection was made, but the terms forbid the first byte.
+fn carries_no_byte(left: time::Duration, gate: sync::Arc<dyn exchange::SendGate>) {
+    task::block_on(async {
+        let stock = service::FakeService::start("stock-1").await;
+        let terms = exchange::SendTerms {
+            send_before: time::Instant::now() + left,
+            gate,
+            connect_limit: time::Duration::from_secs(1),
+            answer_limit: time::Duration::from_secs(1),
+            max_answer_bytes: 1024,
+        };
+        let outcome = exchange::exchange(&stock.address, &network::reserve("k"), &terms).await;
+        assert_eq!(outcome.map_err(|error| error.bytes_sent), Err(0));
+        network::settle().await;
+        assert_eq!(stock.all_effects(), 0);
+    });
+}
+
+#[test]
+fn connection_made_too_late() {
+    carries_no_byte(time::Duration::ZERO, sync::Arc::new(exchange::OpenGate));
+}
+
+#[test]
+fn connection_made_before_a_pause() {
+    carries_no_byte(time::Duration::from_secs(9), sync::Arc::new(ClosedGate));
+}
+
+#[derive(Debug)]
+struct ClosedGate;
+
+impl exchange::SendGate for ClosedGate {
+    fn may_send(&self) -> bool {
+        false
+    }
+}
+
+#[test]
+fn router_that_catches_up_sends_nothing() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let limits = call::CallLimits::default();
+        let a = bed
+            .network
+            .start_with("a", 1, limits, sync::Arc::new(ClosedGate));
+        let key = bed.network.mint("a");
+        let outcome = a.run(network::reserve(&key)).await;
+        crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::NotReady);
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
+#[test]
+fn idempotent_call_goes_on_at_the_next_endpoint() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let spare = service::FakeService::start("stock-2").await;
+        let both = [sync::Arc::clone(&bed.stock), sync::Arc::clone(&spare)];
+        bed.network.endpoints.set(&both);
+        let a = bed.router("a");
+        for fault in [
+            service::ServiceFault::DropAnswer,
+            service::ServiceFault::CutAnswer,
+            service::ServiceFault::Silent,
+        ] {
+            bed.stock.set_fault(fault);
+            let outcome = a.run_idempotent(network::reserve("")).await;
+            assert_eq!(crate::answer(&outcome), "stock-2 did 40 covers");
+        }
+    });
+}
+
+#[test]
+fn retries_of_idempotent_calls_draw_on_a_budget() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let spare = service::FakeService::start("stock-2").await;
+        let both = [sync::Arc::clone(&bed.stock), sync::Arc::clone(&spare)];
+        bed.network.endpoints.set(&both);
+        bed.stock.set_fault(service::ServiceFault::DropAnswer);
+        spare.set_fault(service::ServiceFault::DropAnswer);
+        let a = bed.router("a");
+        for _index in 0..200 {
+            let _ = a.run_idempotent(network::reserve("")).await;
+        }
+        let sent = bed.stock.all_effects() + spare.all_effects();
+        assert!((200..=240).contains(&sent), "{sent} requests for 200 calls");
+    });
+}
--- a/tests/call_fakes/network.rs
+++ b/tests/calls/fakes/network.rs
@@ -16,8 +16,8 @@
 use kumquatpulley::request::key;
 use parking_lot::Mutex;
 
-use crate::call_fakes::platform;
-use crate::call_fakes::service;
+use crate::fakes::platform;
+use crate::fakes::service;
 
 /// What happens to messages to one router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/tests/calls/home.rs
@@ -0,0 +1,244 @@
+//! The home of a key sends its call once; other routers ask the home.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+use kumquatpulley::request::verdict;
+
+use crate::fakes::network;
+use crate::fakes::service;
+
+#[test]
+fn same_key_again_gets_the_kept_answer() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let (a, b) = (bed.router("a"), bed.router("b"));
+        let key = bed.network.mint("a");
+        let once = a.run(network::reserve(&key)).await;
+        let again = a.run(network::reserve(&key)).await;
+        let elsewhere = b.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&once), "stock-1 did 40 covers");
+        assert_eq!(once, again);
+        assert_eq!(once, elsewhere);
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+#[test]
+fn copies_at_the_same_time_join_one_run() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        bed.stock
+            .set_fault(service::ServiceFault::Late(time::Duration::from_millis(
+                200,
+            )));
+        let (a, b) = (bed.router("a"), bed.router("b"));
+        let key = bed.network.mint("a");
+        let copies = (0..20).map(|index| {
+            let router = if index % 2 == 0 { &a } else { &b };
+            router.run(network::reserve(&key))
+        });
+        for outcome in futures::future::join_all(copies).await {
+            assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        }
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+#[test]
+fn key_of_another_request_is_refused() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        let _ = a.run(network::reserve(&key)).await;
+        let mut other = network::reserve(&key);
+        other.body = b"50 covers".to_vec();
+        let outcome = a.run(other).await;
+        crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::KeyReused);
+        assert_eq!(bed.stock.all_effects(), 1);
+    });
+}
+
+#[test]
+fn keys_of_two_workspaces_are_apart() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        let mut other = network::reserve(&key);
+        other.workspace = "choirs".to_owned();
+        let _ = a.run(network::reserve(&key)).await;
+        let _ = a.run(other).await;
+        assert_eq!(bed.stock.effects(&key), 2);
+    });
+}
+
+#[test]
+fn call_without_a_key_gets_one() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let outcome = a.run(network::reserve("")).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(""), 0);
+        assert_eq!(bed.stock.all_effects(), 1);
+    });
+}
+
+#[test]
+fn refusal_without_endpoint_holds_for_late_copies() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        bed.network.endpoints.set(&[]);
+        let outcome = a.run(network::reserve(&key)).await;
+        let refusal =
+            crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::NoEndpoint);
+        assert!(refusal.retry_after_millis.is_some());
+        assert_eq!(refusal.home.as_deref(), Some("a-1"));
+        bed.network.endpoints.set(&[sync::Arc::clone(&bed.stock)]);
+        let late = a.run(crate::first(network::reserve(&key))).await;
+        crate::assert_refused(late, crate::NOT_RUN, verdict::RefusalCode::NoEndpoint);
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
+#[test]
+fn refused_first_send_may_use_its_key_again() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let a = bed.router("a");
+        let key = bed.network.mint("a");
+        bed.network.endpoints.set(&[]);
+        let outcome = a.run(crate::first(network::reserve(&key))).await;
+        crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::NoEndpoint);
+        bed.network.endpoints.set(&[sync::Arc::clone(&bed.stock)]);
+        let outcome = a.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+/// The home cannot be asked; only a first send is known not to have run.
+fn home_out_of_reach(cut: fn(&network::FakeNetwork)) {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let (_a, b) = (bed.router("a"), bed.router("b"));
+        cut(&bed.network);
+        let key = bed.network.mint("a");
+        let outcome = b.run(network::reserve(&key)).await;
+        let refusal = crate::assert_refused(
+            outcome,
+            crate::MAY_HAVE_RUN,
+            verdict::RefusalCode::HomeUnreachable,
+        );
+        assert!(refusal.retry_after_millis.is_some());
+        let outcome = b.run(crate::first(network::reserve(&key))).await;
+        let refusal =
+            crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::WrongHome);
+        assert_eq!(
+            (refusal.status, refusal.home.as_deref()),
+            (421, Some("b-1"))
+        );
+        network::settle().await;
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
+#[test]
+fn home_unknown() {
+    home_out_of_reach(|network| network.set_listed("a", false));
+}
+
+#[test]
+fn home_refuses_connections() {
+    home_out_of_reach(|network| network.set_fault("a", network::LinkFault::Refuse));
+}
+
+/// The home got the call, but its answer does not come back.
+fn home_answer_lost(fault: network::LinkFault) {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let (_a, b) = (bed.router("a"), bed.router("b"));
+        bed.network.set_fault("a", fault);
+        let key = bed.network.mint("a");
+        let mut patient = crate::first(network::reserve(&key));
+        patient.deadline_millis = 30_000;
+        let asked = time::Instant::now();
+        let outcome = b.run(patient).await;
+        assert!(asked.elapsed() < time::Duration::from_secs(4));
+        crate::assert_refused(
+            outcome,
+            crate::MAY_HAVE_RUN,
+            verdict::RefusalCode::HomeUnreachable,
+        );
+        bed.network.set_fault("a", network::LinkFault::None);
+        let outcome = b.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+#[test]
+fn home_closes_before_its_answer() {
+    home_answer_lost(network::LinkFault::LoseAnswer);
+}
+
+#[test]
+fn home_goes_silent() {
+    home_answer_lost(network::LinkFault::Silent);
+}
+
+/// The home restarted after the call ran; asked at the home or at another router.
+fn home_restarted(router: &str) {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let (a, _b) = (bed.router("a"), bed.router("b"));
+        let key = bed.network.mint("a");
+        let _ = a.run(network::reserve(&key)).await;
+        let restarted = bed.network.start("a", 2);
+        let asked = if router == "a" {
+            restarted
+        } else {
+            bed.router("b")
+        };
+        let outcome = asked.run(network::reserve(&key)).await;
+        crate::assert_refused(
+            outcome,
+            crate::MAY_HAVE_RUN,
+            verdict::RefusalCode::WrongHome,
+        );
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
+#[test]
+fn restarted_home_is_asked_again() {
+    home_restarted("a");
+}
+
+#[test]
+fn restarted_home_is_asked_through_another() {
+    home_restarted("b");
+}
+
+#[test]
+fn first_send_to_an_earlier_life_names_the_present_home() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let _a = bed.router("a");
+        let key = bed.network.mint("a");
+        let a = bed.network.start("a", 2);
+        let outcome = a.run(crate::first(network::reserve(&key))).await;
+        let refusal =
+            crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::WrongHome);
+        assert_eq!(
+            (refusal.status, refusal.home.as_deref()),
+            (421, Some("a-2"))
+        );
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
