Add the HTTP client of the platform's table service

Cause: the platform was only a trait, so no router or operator could reach a real table service. Ruled out: pooled connections, because a pooled one may have gone silent while a fresh one works. Change: one fresh connection a call; what fails before a byte left, and 503 or 429, is unreachable; any later failure of a write is unknown and has to be read back; a read without an answer had no effect.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,5 +5,6 @@
 pub mod peer;
 pub mod peer_wire;
 pub mod platform;
+pub mod platform_client;
 pub mod platform_wire;
 pub mod sse;
