Check declarations with file, line and field, and compile them for look-ups

Cause: declarations could be read by serde, but nothing refused dangling names, impossible limits or doubled keys, and requests had no look-up. Change: strict reading, rules that collect all faults, and a version compiled into indexed services, workspaces and routes, with the longest prefix on a segment border first and a route that names the workspace before one for all.

--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,3 +1,8 @@
 //! What lives as long as one configuration version: declarations, their checks and builders.
 
+pub mod check;
 pub mod declaration;
+pub mod lines;
+pub mod route;
+pub mod rules;
+pub mod syntax;
