--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -5,4 +5,5 @@
 pub mod lines;
 pub mod route;
 pub mod rules;
+pub mod store;
 pub mod syntax;
