--- /dev/null
+++ b/src/process/config.rs
@@ -0,0 +1,111 @@
+//! The configuration version in force at this router, which only ever moves upward.
+
+use std::fmt;
+use std::sync;
+use std::sync::atomic;
+
+use parking_lot::Mutex;
+
+use crate::version::route;
+
+/// What became of a version that was offered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferOutcome {
+    /// It is in force now.
+    InForce,
+    /// It was in force already.
+    Known,
+    /// A higher one is in force.
+    Older,
+    /// It cannot be read; the version before it stays in force.
+    Unparsable,
+}
+
+type Subscriber = Box<dyn Fn(&sync::Arc<route::ActiveVersion>) + Send + Sync>;
+
+/// Holds the version in force.
+#[derive(Default)]
+pub struct ConfigCell {
+    current: Mutex<Option<sync::Arc<route::ActiveVersion>>>,
+    /// Held during a whole offer, so that subscribers see versions in order.
+    subscribers: Mutex<Vec<Subscriber>>,
+    refused: atomic::AtomicU64,
+    highest_refused: atomic::AtomicU64,
+}
+
+impl fmt::Debug for ConfigCell {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ConfigCell")
+            .field("number", &self.number())
+            .field("refused", &self.refused_count())
+            .finish_non_exhaustive()
+    }
+}
+
+impl ConfigCell {
+    /// A cell with no version in force.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn current(&self) -> Option<sync::Arc<route::ActiveVersion>> {
+        self.current.lock().clone()
+    }
+
+    /// Number of the version in force; 0 when there is none.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        let current = self.current.lock();
+        current.as_ref().map_or(0, |version| version.number())
+    }
+
+    /// Puts the offered version in force if it is higher and readable.
+    ///
+    /// Subscribers are called before this returns; they must not offer versions themselves.
+    pub fn offer(&self, number: u64, yaml: &str) -> OfferOutcome {
+        let subscribers = self.subscribers.lock();
+        let present = self.number();
+        if number == present {
+            return OfferOutcome::Known;
+        }
+        if number < present {
+            return OfferOutcome::Older;
+        }
+        let Ok(version) = route::ActiveVersion::build(number, yaml) else {
+            self.refused.fetch_add(1, atomic::Ordering::Relaxed);
+            self.highest_refused
+                .fetch_max(number, atomic::Ordering::Relaxed);
+            return OfferOutcome::Unparsable;
+        };
+        let version = sync::Arc::new(version);
+        *self.current.lock() = Some(sync::Arc::clone(&version));
+        for subscriber in subscribers.iter() {
+            subscriber(&version);
+        }
+        OfferOutcome::InForce
+    }
+
+    /// Calls `subscriber` with each version that comes into force from now on, in order.
+    pub fn subscribe(
+        &self,
+        subscriber: impl Fn(&sync::Arc<route::ActiveVersion>) + Send + Sync + 'static,
+    ) {
+        self.subscribers.lock().push(Box::new(subscriber));
+    }
+
+    /// Versions that were offered and could not be read.
+    #[must_use]
+    pub fn refused_count(&self) -> u64 {
+        self.refused.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Whether version `number` was in force here or refused before, so that it need not be read.
+    #[must_use]
+    pub fn has_seen(&self, number: u64) -> bool {
+        let refused = self.highest_refused.load(atomic::Ordering::Relaxed);
+        number <= self.number().max(refused)
+    }
+}
