Find, join, take over or attach to a generation; encode its answer

Cause: a caller that comes back at any router must get the rest of its own answer. Ruled out: a lookup service for running generations; the key's home and the cursor name where to ask.

--- /dev/null
+++ b/src/connection/completion.rs
@@ -0,0 +1,311 @@
+//! `POST /v1/completions`: the request's JSON, and the answer as an event stream or as one JSON.
+
+use std::io as std_io;
+use std::sync;
+use std::time;
+
+use async_std::future;
+use futures::TryStreamExt as _;
+use futures::stream;
+
+use crate::connection::peer_wire;
+use crate::connection::refusal;
+use crate::connection::sse;
+use crate::process::view;
+use crate::request::generation;
+use crate::request::verdict;
+
+/// Longest silence of an answer's stream before a comment shows that it is alive.
+pub const KEEP_ALIVE_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Time that the response head waits for a first token or a refusal.
+const HEAD_WAIT: time::Duration = time::Duration::from_millis(900);
+
+/// Tokens of an answer that names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Most tokens that a request may ask for.
+const MAX_MAX_TOKENS: u32 = 1_000_000;
+
+/// The request body.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CompletionRequest {
+    /// Model name.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens of the answer at most.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+    /// Whether the answer is streamed as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// Tokens that the caller holds, for a request that goes on after a cursor.
+    #[serde(default)]
+    pub received: Option<Vec<String>>,
+    /// Name of the caller's own user; not used.
+    #[serde(default)]
+    pub user: Option<String>,
+}
+
+const fn default_max_tokens() -> u32 {
+    DEFAULT_MAX_TOKENS
+}
+
+/// Reads the request body.
+///
+/// # Errors
+/// 400 with the field that is wrong.
+pub fn parse(body: &[u8]) -> verdict::Result<CompletionRequest> {
+    let bad = |message: String| {
+        verdict::RequestRefusal::not_run(400, verdict::RefusalCode::BadRequest, message)
+    };
+    let request: CompletionRequest = serde_json::from_slice(body)
+        .map_err(|error| bad(format!("request body is not a completion request: {error}")))?;
+    if request.max_tokens == 0 || request.max_tokens > MAX_MAX_TOKENS {
+        return Err(bad(format!("max_tokens must be 1 to {MAX_MAX_TOKENS}")));
+    }
+    Ok(request)
+}
+
+/// One `data:` object of the answer.
+#[derive(Debug, serde::Serialize)]
+struct CompletionChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [CompletionChoice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<CompletionUsage>,
+}
+
+#[derive(Debug, serde::Serialize)]
+struct CompletionChoice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Debug, serde::Serialize)]
+struct CompletionUsage {
+    completion_tokens: u32,
+}
+
+fn chunk(id: &str, model: &str, text: &str, end: Option<(&str, u32)>) -> String {
+    let chunk = CompletionChunk {
+        id,
+        object: "text_completion",
+        model,
+        choices: [CompletionChoice {
+            index: 0,
+            text,
+            finish_reason: end.map(|(reason, _count)| reason),
+        }],
+        usage: end.map(|(_reason, completion_tokens)| CompletionUsage { completion_tokens }),
+    };
+    serde_json::to_string(&chunk).unwrap_or_default()
+}
+
+/// State of one answer's stream.
+struct AnswerStream {
+    reader: generation::GenerationReader,
+    members: sync::Arc<dyn view::MemberView>,
+    first: Option<generation::ReaderItem>,
+    key: String,
+    model: String,
+    is_ended: bool,
+}
+
+impl AnswerStream {
+    async fn next_text(&mut self) -> String {
+        if let Some(item) = self.first.take() {
+            return self.encode(item);
+        }
+        match future::timeout(KEEP_ALIVE_TIME, self.reader.next()).await {
+            Ok(item) => self.encode(item),
+            Err(_elapsed) => sse::KEEP_ALIVE.to_owned(),
+        }
+    }
+
+    fn encode(&mut self, item: generation::ReaderItem) -> String {
+        match item {
+            generation::ReaderItem::Token { text, cursor } => {
+                let data = chunk(&self.key, &self.model, &text, None);
+                sse::StreamEvent {
+                    id: Some(cursor.to_string()),
+                    name: None,
+                    data,
+                }
+                .encode()
+            }
+            generation::ReaderItem::Restart { reason } => {
+                let data = serde_json::json!({ "reason": reason }).to_string();
+                named_event("restart", data)
+            }
+            generation::ReaderItem::Ended { phase, count } => self.encode_end(phase, count),
+        }
+    }
+
+    fn encode_end(&mut self, phase: generation::GenerationPhase, count: u32) -> String {
+        self.is_ended = true;
+        match phase {
+            generation::GenerationPhase::Finished { reason } => {
+                let data = chunk(&self.key, &self.model, "", Some((&reason, count)));
+                let last = sse::StreamEvent {
+                    id: None,
+                    name: None,
+                    data,
+                }
+                .encode();
+                format!("{last}data: {}\n\n", sse::DONE)
+            }
+            generation::GenerationPhase::Moved { router } => {
+                let addresses = moved_addresses(&*self.members, router.as_deref());
+                named_event(
+                    "moved",
+                    serde_json::json!({ "addresses": addresses }).to_string(),
+                )
+            }
+            generation::GenerationPhase::Failed(refusal) => {
+                named_event("error", refusal::body(&refusal).to_string())
+            }
+            generation::GenerationPhase::Cancelled | generation::GenerationPhase::Running => {
+                named_event("error", refusal::body(&cancelled()).to_string())
+            }
+        }
+    }
+}
+
+fn cancelled() -> verdict::RequestRefusal {
+    verdict::RequestRefusal::may_have_run(
+        503,
+        verdict::RefusalCode::EndpointFailed,
+        "the generation was cancelled; ask again with the last cursor",
+    )
+    .retry_after(KEEP_ALIVE_TIME)
+}
+
+fn named_event(name: &str, data: String) -> String {
+    sse::StreamEvent {
+        id: None,
+        name: Some(name.to_owned()),
+        data,
+    }
+    .encode()
+}
+
+/// Addresses to go on at: the router that took the generation first.
+fn moved_addresses(members: &dyn view::MemberView, router: Option<&str>) -> Vec<String> {
+    let own = members.home().router;
+    let mut ready: Vec<peer_wire::MemberWire> = members.ready_members();
+    ready.retain(|member| member.router != own);
+    ready.sort_by_key(|member| Some(member.router.as_str()) != router);
+    ready
+        .into_iter()
+        .map(|member| member.caller_address)
+        .collect()
+}
+
+/// What an answer needs besides its reader.
+#[derive(Debug)]
+pub struct AnswerHead {
+    /// Request key, sent back as the answer's id.
+    pub key: String,
+    /// Model name.
+    pub model: String,
+    /// The routers, for callers that have to go on elsewhere.
+    pub members: sync::Arc<dyn view::MemberView>,
+    /// Given back when the answer has been delivered or the caller has gone.
+    pub permit: Box<dyn Send + Sync + std::fmt::Debug>,
+}
+
+/// The answer as an event stream.
+///
+/// # Errors
+/// A refusal when the generation fails before its first token.
+pub async fn stream(
+    mut reader: generation::GenerationReader,
+    head: AnswerHead,
+) -> verdict::Result<tide::Response> {
+    let first = future::timeout(HEAD_WAIT, reader.next()).await.ok();
+    if let Some(generation::ReaderItem::Ended {
+        phase: generation::GenerationPhase::Failed(refusal),
+        ..
+    }) = first
+    {
+        return Err(refusal);
+    }
+    let key = head.key.clone();
+    let answer = AnswerStream {
+        reader,
+        members: head.members,
+        first,
+        key: head.key,
+        model: head.model,
+        is_ended: false,
+    };
+    let permit = head.permit;
+    let texts = stream::unfold((answer, permit), |(mut answer, permit)| async move {
+        if answer.is_ended {
+            return None;
+        }
+        let text = answer.next_text().await;
+        Some((Ok::<_, std_io::Error>(text.into_bytes()), (answer, permit)))
+    });
+    let body = tide::Body::from_reader(Box::pin(texts).into_async_read(), None);
+    Ok(tide::Response::builder(200)
+        .content_type("text/event-stream")
+        .header("cache-control", "no-cache")
+        .header("idempotency-key", key)
+        .body(body)
+        .build())
+}
+
+/// The whole answer as one JSON object.
+///
+/// # Errors
+/// A refusal when the generation fails.
+pub async fn collect(
+    mut reader: generation::GenerationReader,
+    head: AnswerHead,
+) -> verdict::Result<tide::Response> {
+    let mut text = String::new();
+    loop {
+        match reader.next().await {
+            generation::ReaderItem::Token { text: token, .. } => text.push_str(&token),
+            generation::ReaderItem::Restart { .. } => text.clear(),
+            generation::ReaderItem::Ended { phase, count } => {
+                return whole_answer(&head, &text, phase, count);
+            }
+        }
+    }
+}
+
+fn whole_answer(
+    head: &AnswerHead,
+    text: &str,
+    phase: generation::GenerationPhase,
+    count: u32,
+) -> verdict::Result<tide::Response> {
+    match phase {
+        generation::GenerationPhase::Finished { reason } => {
+            let body = chunk(&head.key, &head.model, text, Some((&reason, count)));
+            Ok(tide::Response::builder(200)
+                .content_type("application/json")
+                .header("idempotency-key", head.key.as_str())
+                .body(body)
+                .build())
+        }
+        generation::GenerationPhase::Failed(refusal) => Err(refusal),
+        generation::GenerationPhase::Moved { .. } => Err(verdict::RequestRefusal::may_have_run(
+            503,
+            verdict::RefusalCode::NotReady,
+            "the generation goes on at another router; ask again there with the same key",
+        )
+        .retry_after(KEEP_ALIVE_TIME)),
+        generation::GenerationPhase::Cancelled | generation::GenerationPhase::Running => {
+            Err(cancelled())
+        }
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as one connection: to callers, endpoints, peers and the platform.
 
+pub mod completion;
 pub mod engine;
 pub mod engine_wire;
 pub mod http;
@@ -7,4 +8,5 @@
 pub mod peer_wire;
 pub mod platform;
 pub mod platform_wire;
+pub mod refusal;
 pub mod sse;
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -97,6 +97,8 @@
     last_sign: time::Instant,
     last_token: time::Instant,
     has_token: bool,
+    /// Tokens were delivered that this router does not hold; a new attempt starts the answer again.
+    lacks_prefix: bool,
     orphan_checked: time::Instant,
     orphaned: time::Duration,
 }
@@ -123,6 +125,7 @@
             last_sign: now,
             last_token: now,
             has_token: false,
+            lacks_prefix: false,
             orphan_checked: now,
             orphaned: time::Duration::ZERO,
         }
@@ -130,7 +133,9 @@
 
     /// Runs until the generation ends.
     pub async fn run(mut self, start: GenerationStart) {
-        self.begin(start);
+        if self.record.phase() == generation::GenerationPhase::Running {
+            self.begin(start);
+        }
         while self.record.phase() == generation::GenerationPhase::Running {
             let wait = self.wait_limit();
             match future::timeout(wait, self.receiver.recv()).await {
@@ -146,6 +151,7 @@
         match start {
             GenerationStart::Fresh => self.replace(),
             GenerationStart::Attach { attempt, endpoint } => {
+                self.lacks_prefix = self.record.position() == 0;
                 self.record.open(attempt);
                 if !self.attach(attempt, &endpoint) {
                     self.recover();
@@ -238,6 +244,7 @@
                 .time("generation.resume", now - self.last_token);
         }
         self.has_token = true;
+        self.lacks_prefix = false;
         self.last_token = now;
         self.last_sign = now;
         self.round = 0;
@@ -404,6 +411,13 @@
             self.context.counters.count("generation.no_engine");
             return;
         };
+        if self.lacks_prefix {
+            self.lacks_prefix = false;
+            self.restart(
+                &need.version,
+                "the engine and the tokens before the cursor are lost",
+            );
+        }
         self.start_attempt(lease, &need);
     }
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,6 +3,7 @@
 pub mod cursor;
 pub mod driver;
 pub mod generation;
+pub mod intake;
 pub mod key;
 pub mod recovery;
 pub mod sequencer;
