Take in calls that must not be repeated

Cause: calls, their keys and their claims were built beside the generation path. Ruled out: nothing; the parts meet at traits.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,4 +9,5 @@
 pub mod platform;
 pub mod platform_wire;
 pub mod refusal;
+pub mod service;
 pub mod sse;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoint;
 pub mod registry;
+pub mod budget;
 pub mod settings;
 pub mod timeline;
 pub mod view;
