--- /dev/null
+++ b/src/bin/kumquatpulleyd.rs
@@ -0,0 +1,105 @@
+//! The daemon on each entry VM: arguments, settings, exit codes.
+
+use std::path;
+use std::process as std_process;
+
+use clap::builder;
+use kumquatpulley::process::logging;
+use kumquatpulley::process::node;
+use kumquatpulley::process::settings;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit codes; `docs/OPERATING.md` lists them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+enum ExitCode {
+    /// Stopped as asked, or the settings are sound.
+    Success = 0,
+    /// The arguments are not understood; clap exits with it.
+    #[expect(dead_code, reason = "documents the code with which clap exits")]
+    Usage = 2,
+    /// The process lacks something that the operating system should give.
+    System = 71,
+    /// An address of the settings cannot be listened on.
+    Listen = 73,
+    /// The settings file is at fault.
+    Settings = 78,
+}
+
+impl From<ExitCode> for std_process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        Self::from(code as u8)
+    }
+}
+
+fn main() -> std_process::ExitCode {
+    let matches = command().get_matches();
+    let file = matches
+        .get_one::<path::PathBuf>("config")
+        .expect("clap requires --config");
+    let settings = match settings::load(file) {
+        Ok(settings) => settings,
+        Err(faults) => return report_faults(&faults).into(),
+    };
+    if matches.get_flag("check") {
+        println!("{}: settings are sound", file.display());
+        return ExitCode::Success.into();
+    }
+    run(&settings).into()
+}
+
+fn command() -> clap::Command {
+    clap::Command::new("kumquatpulleyd")
+        .version(clap::crate_version!())
+        .about("Routes long generations and plain calls from callers to endpoints")
+        .after_help("Stop with SIGTERM: the router drains first and cuts no request.")
+        .arg(
+            clap::Arg::new("config")
+                .long("config")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(builder::PathBufValueParser::new())
+                .help("Settings file in YAML")
+                .long_help(
+                    "Settings file in YAML. It is read once, at start: what changes while the \
+                     router runs belongs in the declarations, which `kumquatpulley apply` puts \
+                     in force on all routers.",
+                ),
+        )
+        .arg(
+            clap::Arg::new("check")
+                .long("check")
+                .action(clap::ArgAction::SetTrue)
+                .help("Check the settings file and exit")
+                .long_help(
+                    "Check the settings file and exit without opening any address. All faults \
+                     are told at once, each with file, line and field.",
+                ),
+        )
+}
+
+fn report_faults(faults: &[settings::SettingsFault]) -> ExitCode {
+    for fault in faults {
+        eprintln!("error: {fault}");
+    }
+    ExitCode::Settings
+}
+
+fn run(settings: &settings::RouterSettings) -> ExitCode {
+    if let Err(error) = logging::init(&settings.log) {
+        eprintln!("error: cannot set up logs: {error}");
+        return ExitCode::System;
+    }
+    match node::run(settings) {
+        Ok(()) => ExitCode::Success,
+        Err(error @ node::NodeError::Listen { .. }) => report_error(&error, ExitCode::Listen),
+        Err(error) => report_error(&error, ExitCode::System),
+    }
+}
+
+fn report_error(error: &node::NodeError, code: ExitCode) -> ExitCode {
+    eprintln!("error: {error}");
+    code
+}
--- /dev/null
+++ b/src/process/logging.rs
@@ -0,0 +1,47 @@
+//! Log lines on standard error, as text or as one JSON object a line.
+
+use logforth::append;
+use logforth::layout;
+use logforth::record;
+
+use crate::process::settings;
+
+/// Outcome of setting up logs.
+pub type Result<T> = std::result::Result<T, logforth::Error>;
+
+/// Sets the process's logger.
+///
+/// # Errors
+/// Fails when the process has a logger already.
+pub fn init(settings: &settings::LogSettings) -> Result<()> {
+    let filter = record::LevelFilter::MoreSevereEqual(level(settings.level));
+    let stderr = append::Stderr::default();
+    let stderr = match settings.format {
+        settings::LogFormat::Text => stderr.with_layout(layout::TextLayout::default().no_color()),
+        settings::LogFormat::Json => stderr.with_layout(layout::JsonLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
+        .try_apply()?;
+    // Lines below the level are not even formatted.
+    log::set_max_level(max_level(settings.level));
+    Ok(())
+}
+
+const fn level(level: settings::LogLevel) -> record::Level {
+    match level {
+        settings::LogLevel::Error => record::Level::Error,
+        settings::LogLevel::Warn => record::Level::Warn,
+        settings::LogLevel::Info => record::Level::Info,
+        settings::LogLevel::Debug => record::Level::Debug,
+    }
+}
+
+const fn max_level(level: settings::LogLevel) -> log::LevelFilter {
+    match level {
+        settings::LogLevel::Error => log::LevelFilter::Error,
+        settings::LogLevel::Warn => log::LevelFilter::Warn,
+        settings::LogLevel::Info => log::LevelFilter::Info,
+        settings::LogLevel::Debug => log::LevelFilter::Debug,
+    }
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -1,6 +1,13 @@
 //! Settings of one router process, read from its YAML file.
 
+use std::fmt;
 use std::net;
+use std::path;
+
+use crate::process::settings_file;
+
+/// Outcome of loading settings.
+pub type Result<T> = std::result::Result<T, Vec<SettingsFault>>;
 
 /// Everything a router learns from its settings file.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -80,22 +87,73 @@
     Debug,
 }
 
+/// Time for which callers keep an address answer when the settings give none, in milliseconds.
+pub const DEFAULT_ADDRESS_KEEP_MS: u64 = 5_000;
+
 const fn default_address_keep_ms() -> u64 {
-    5_000
+    DEFAULT_ADDRESS_KEEP_MS
 }
 
+/// Drain timeout when the settings give none, in milliseconds.
+pub const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 30_000;
+
 const fn default_drain_timeout_ms() -> u64 {
-    30_000
+    DEFAULT_DRAIN_TIMEOUT_MS
 }
 
+/// Body limit when the settings give none, in bytes.
+pub const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 const fn default_max_body_bytes() -> usize {
-    4 * 1024 * 1024
+    DEFAULT_MAX_BODY_BYTES
 }
 
+/// Connection limit when the settings give none.
+pub const DEFAULT_MAX_CONNECTIONS: usize = 10_000;
+
 const fn default_max_connections() -> usize {
-    10_000
+    DEFAULT_MAX_CONNECTIONS
 }
 
+/// Idle timeout when the settings give none, in milliseconds.
+pub const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
+
 const fn default_idle_timeout_ms() -> u64 {
-    60_000
+    DEFAULT_IDLE_TIMEOUT_MS
+}
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct SettingsFault {
+    /// The file.
+    pub file: path::PathBuf,
+    /// Line, from 1; 0 when the fault has none.
+    pub line: u64,
+    /// Field name with dots, such as `log.level`; empty when the file as a whole is at fault.
+    pub field: String,
+    /// One plain sentence that says what is allowed.
+    pub message: String,
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.file.display())?;
+        if self.line > 0 {
+            write!(f, "{}:", self.line)?;
+        }
+        if !self.field.is_empty() {
+            write!(f, " {}:", self.field)?;
+        }
+        write!(f, " {}", self.message)
+    }
+}
+
+impl std::error::Error for SettingsFault {}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Every fault that was found, each with file, line, field and what is allowed.
+pub fn load(file: &path::Path) -> Result<RouterSettings> {
+    settings_file::load(file)
 }
