Take in strict settings, logs, metrics and the daemon's shell

Cause: settings, logging and metrics were built beside the request path. Ruled out: nothing; the parts meet at the settings structure. Conclusion: the node can be started from a settings file.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,7 +2,12 @@
 
 pub mod budget;
 pub mod endpoint;
+pub mod logging;
+pub mod metrics;
+pub mod node;
 pub mod registry;
 pub mod settings;
+pub mod settings_file;
+mod settings_tree;
 pub mod timeline;
 pub mod view;
