Add the h2 link between routers

Cause: routers have to ask one another over links that may go silent for good. Ruled out: one connection a query, which costs a handshake each round; sharing a connection after a timeout, which would hang every later query on a lost path. Change: PeerClient keeps one connection a peer in a bounded pool, drops it on any error or timeout, and gives NotSent only before the stream is opened. Queries that may run only once use a kept connection only within a second of its last reply. The server refuses malformed and overlong messages in words and counts them, bounds streams and connections, and closes idle ones. Stamps ahead by more than 60 s are cut to that bound and counted. Gossip messages carry numbered changes, bucket digests and loads of their own. Conclusion: the link is ready to be wired; its behaviour under faults is not shown yet.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,9 @@
 pub mod engine_wire;
 pub mod http;
 pub mod peer;
+pub mod peer_client;
+pub mod peer_server;
+pub mod peer_stream;
 pub mod peer_wire;
 pub mod platform;
 pub mod platform_wire;
--- /dev/null
+++ b/src/connection/peer_client.rs
@@ -0,0 +1,236 @@
+//! Asks peers over h2: one kept connection a peer, one stream a query.
+
+use std::collections;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use async_std::{future as timer, net, task};
+use futures::future;
+use parking_lot::Mutex;
+use stop_token::future::FutureExt as _;
+use tokio_util::compat::FuturesAsyncReadCompatExt as _;
+
+use crate::connection::{peer, peer_stream, peer_wire};
+use crate::process::timeline;
+
+/// Connections kept at most.
+pub const MAX_CONNECTIONS: usize = 128;
+
+/// A connection unused for this long is not used again; shorter than the server's own limit.
+pub const IDLE_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// A query that may run only once uses a kept connection only this soon after its last reply.
+pub const TRUST_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+type Sender = h2::client::SendRequest<bytes::Bytes>;
+
+/// Asks peers over h2.
+#[derive(Debug)]
+pub struct PeerClient {
+    ring: Arc<timeline::EventRing>,
+    meter: Arc<peer_stream::PeerMeter>,
+    pool: Mutex<collections::HashMap<String, Arc<KeptConnection>>>,
+}
+
+/// One connection; its task ends when the pool and all running queries have let go of it.
+struct KeptConnection {
+    sender: Sender,
+    replied: Mutex<time::Instant>,
+    _stop: stop_token::StopSource,
+}
+
+impl fmt::Debug for KeptConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeptConnection").finish_non_exhaustive()
+    }
+}
+
+impl KeptConnection {
+    fn idle_for(&self) -> time::Duration {
+        self.replied.lock().elapsed()
+    }
+}
+
+impl PeerClient {
+    /// A client without connections, whose messages carry the stamps of `ring`.
+    #[must_use]
+    pub fn new(ring: Arc<timeline::EventRing>) -> Self {
+        Self {
+            ring,
+            meter: Arc::default(),
+            pool: Mutex::default(),
+        }
+    }
+
+    /// Counts of bytes and connections.
+    #[must_use]
+    pub fn meter(&self) -> &Arc<peer_stream::PeerMeter> {
+        &self.meter
+    }
+
+    async fn ask_within(
+        &self,
+        address: &str,
+        query: peer_wire::QueryBody,
+        limit: time::Duration,
+    ) -> peer::Result<peer_wire::ReplyBody> {
+        let once_only = runs_once(&query);
+        let query = peer_wire::PeerQuery {
+            stamp: self.ring.stamp(),
+            body: query,
+        };
+        let encoded = peer_stream::encode(&query).map_err(peer::PeerError::NotSent)?;
+        let sent = atomic::AtomicBool::new(false);
+        let exchange = self.exchange(address, encoded, once_only, &sent);
+        if let Ok(outcome) = timer::timeout(limit, exchange).await {
+            return outcome;
+        }
+        self.discard(address);
+        let message = format!("{address} was silent for {} ms", limit.as_millis());
+        if sent.load(atomic::Ordering::Relaxed) {
+            return Err(peer::PeerError::NoReply(message));
+        }
+        Err(peer::PeerError::NotSent(message))
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        encoded: bytes::Bytes,
+        once_only: bool,
+        sent: &atomic::AtomicBool,
+    ) -> peer::Result<peer_wire::ReplyBody> {
+        let connection = self.connection(address, once_only).await?;
+        let sender = self.ready_sender(address, connection).await?;
+        sent.store(true, atomic::Ordering::Relaxed);
+        let outcome = self.converse(address, sender, encoded).await;
+        if outcome.is_err() {
+            self.discard(address);
+        }
+        outcome
+    }
+
+    /// A sender that accepts a query now; connects afresh when the kept connection is closed.
+    async fn ready_sender(
+        &self,
+        address: &str,
+        connection: Arc<KeptConnection>,
+    ) -> peer::Result<(Sender, Arc<KeptConnection>)> {
+        if let Ok(sender) = connection.sender.clone().ready().await {
+            return Ok((sender, connection));
+        }
+        self.discard(address);
+        let connection = self.connect(address).await?;
+        let sender = connection.sender.clone().ready().await;
+        let sender = sender.map_err(|error| not_sent(address, &error))?;
+        Ok((sender, connection))
+    }
+
+    async fn converse(
+        &self,
+        address: &str,
+        (mut sender, connection): (Sender, Arc<KeptConnection>),
+        encoded: bytes::Bytes,
+    ) -> peer::Result<peer_wire::ReplyBody> {
+        let request = http::Request::post("http://peer/")
+            .body(())
+            .map_err(|error| no_reply(address, &error))?;
+        let (response, mut body) = sender
+            .send_request(request, false)
+            .map_err(|error| no_reply(address, &error))?;
+        body.send_data(encoded, true)
+            .map_err(|error| no_reply(address, &error))?;
+        let response = response.await.map_err(|error| no_reply(address, &error))?;
+        let mut body = response.into_body();
+        let bytes = peer_stream::read_body(&mut body)
+            .await
+            .map_err(|error| no_reply(address, &error))?;
+        let reply: peer_wire::PeerReply =
+            peer_stream::decode(&bytes).map_err(|error| no_reply(address, &error))?;
+        self.ring.observe(reply.stamp);
+        *connection.replied.lock() = time::Instant::now();
+        Ok(reply.body)
+    }
+
+    async fn connection(
+        &self,
+        address: &str,
+        once_only: bool,
+    ) -> peer::Result<Arc<KeptConnection>> {
+        let limit = if once_only { TRUST_LIMIT } else { IDLE_LIMIT };
+        let kept = self.pool.lock().get(address).cloned();
+        if let Some(connection) = kept.filter(|connection| connection.idle_for() < limit) {
+            return Ok(connection);
+        }
+        self.connect(address).await
+    }
+
+    async fn connect(&self, address: &str) -> peer::Result<Arc<KeptConnection>> {
+        let stream = net::TcpStream::connect(address)
+            .await
+            .map_err(|error| not_sent(address, &error))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| not_sent(address, &error))?;
+        let stream = peer_stream::MeteredStream::new(stream, Arc::clone(&self.meter));
+        let (sender, connection) = h2::client::Builder::new()
+            .initial_window_size(peer_stream::WINDOW_BYTES)
+            .initial_connection_window_size(peer_stream::WINDOW_BYTES)
+            .enable_push(false)
+            .handshake(stream.compat())
+            .await
+            .map_err(|error| not_sent(address, &error))?;
+        let stop = stop_token::StopSource::new();
+        task::spawn(connection.timeout_at(stop.token()));
+        let connection = Arc::new(KeptConnection {
+            sender,
+            replied: Mutex::new(time::Instant::now()),
+            _stop: stop,
+        });
+        self.keep(address, &connection);
+        Ok(connection)
+    }
+
+    fn keep(&self, address: &str, connection: &Arc<KeptConnection>) {
+        let mut pool = self.pool.lock();
+        pool.retain(|_, kept| kept.idle_for() < IDLE_LIMIT);
+        if pool.len() >= MAX_CONNECTIONS {
+            let idlest = pool.iter().max_by_key(|(_, kept)| kept.idle_for());
+            let idlest = idlest.map(|(address, _)| address.clone());
+            idlest.and_then(|address| pool.remove(&address));
+        }
+        pool.insert(address.to_owned(), Arc::clone(connection));
+    }
+
+    fn discard(&self, address: &str) {
+        self.pool.lock().remove(address);
+    }
+}
+
+impl peer::PeerLink for PeerClient {
+    fn ask<'a>(
+        &'a self,
+        address: &'a str,
+        query: peer_wire::QueryBody,
+        limit: time::Duration,
+    ) -> future::BoxFuture<'a, peer::Result<peer_wire::ReplyBody>> {
+        Box::pin(self.ask_within(address, query, limit))
+    }
+}
+
+const fn runs_once(query: &peer_wire::QueryBody) -> bool {
+    matches!(
+        query,
+        peer_wire::QueryBody::Call(_) | peer_wire::QueryBody::TakeOver { .. }
+    )
+}
+
+fn not_sent(address: &str, error: &dyn fmt::Display) -> peer::PeerError {
+    peer::PeerError::NotSent(format!("{address}: {error}"))
+}
+
+fn no_reply(address: &str, error: &dyn fmt::Display) -> peer::PeerError {
+    peer::PeerError::NoReply(format!("{address}: {error}"))
+}
--- /dev/null
+++ b/src/connection/peer_server.rs
@@ -0,0 +1,162 @@
+//! Answers peers over h2.
+
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use async_std::{future as timer, net, task};
+use stop_token::future::FutureExt as _;
+use tokio_util::compat::FuturesAsyncReadCompatExt as _;
+
+use crate::connection::{peer, peer_stream, peer_wire};
+use crate::process::timeline;
+
+/// Connections from peers at most; further ones are closed at once.
+pub const MAX_CONNECTIONS: usize = 4096;
+
+/// Queries of one connection answered at the same time.
+pub const MAX_STREAMS: u32 = 128;
+
+/// A connection without queries for this long is closed.
+pub const IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+
+/// Time for a peer to complete the h2 handshake, and to send one query.
+pub const RECEIVE_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// Pause after a failed accept, so that a shortage of descriptors does not spin.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+type Connection =
+    h2::server::Connection<tokio_util::compat::Compat<peer_stream::MeteredStream>, bytes::Bytes>;
+
+type Respond = h2::server::SendResponse<bytes::Bytes>;
+
+#[derive(Clone, Debug)]
+struct PeerService {
+    handler: Arc<dyn peer::PeerHandler>,
+    ring: Arc<timeline::EventRing>,
+    meter: Arc<peer_stream::PeerMeter>,
+    token: stop_token::StopToken,
+}
+
+/// Answers peers that connect to `listener` until `token` stops it.
+pub async fn serve(
+    listener: net::TcpListener,
+    handler: Arc<dyn peer::PeerHandler>,
+    ring: Arc<timeline::EventRing>,
+    token: stop_token::StopToken,
+) {
+    serve_metered(listener, handler, ring, token, Arc::default()).await;
+}
+
+/// As [`serve`], with bytes, connections, served and refused queries counted in `meter`.
+pub async fn serve_metered(
+    listener: net::TcpListener,
+    handler: Arc<dyn peer::PeerHandler>,
+    ring: Arc<timeline::EventRing>,
+    token: stop_token::StopToken,
+    meter: Arc<peer_stream::PeerMeter>,
+) {
+    let service = PeerService {
+        handler,
+        ring,
+        meter,
+        token: token.clone(),
+    };
+    let open = Arc::new(());
+    while let Ok(accepted) = listener.accept().timeout_at(token.clone()).await {
+        let Ok((stream, _)) = accepted else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if Arc::strong_count(&open) > MAX_CONNECTIONS {
+            continue;
+        }
+        let slot = Arc::clone(&open);
+        let service = service.clone();
+        task::spawn(async move {
+            let token = service.token.clone();
+            let _outcome = service.run(stream).timeout_at(token).await;
+            drop(slot);
+        });
+    }
+}
+
+impl PeerService {
+    async fn run(self, stream: net::TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let stream = peer_stream::MeteredStream::new(stream, Arc::clone(&self.meter));
+        let mut builder = h2::server::Builder::new();
+        builder
+            .initial_window_size(peer_stream::WINDOW_BYTES)
+            .initial_connection_window_size(peer_stream::WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS);
+        let handshake = builder.handshake(stream.compat());
+        let Ok(Ok(connection)) = timer::timeout(RECEIVE_LIMIT, handshake).await else {
+            return;
+        };
+        self.answer_all(connection).await;
+    }
+
+    async fn answer_all(&self, mut connection: Connection) {
+        let running = Arc::new(());
+        loop {
+            let Ok(accepted) = timer::timeout(IDLE_LIMIT, connection.accept()).await else {
+                if Arc::strong_count(&running) > 1 {
+                    continue;
+                }
+                return;
+            };
+            let Some(Ok((request, respond))) = accepted else {
+                return;
+            };
+            let slot = Arc::clone(&running);
+            let service = self.clone();
+            task::spawn(async move {
+                service.answer(request.into_body(), respond).await;
+                drop(slot);
+            });
+        }
+    }
+
+    async fn answer(self, mut body: h2::RecvStream, mut respond: Respond) {
+        let received = timer::timeout(RECEIVE_LIMIT, peer_stream::read_body(&mut body)).await;
+        let received = received.unwrap_or_else(|_| Err("query did not arrive in time".to_owned()));
+        let query = received.and_then(|bytes| peer_stream::decode::<peer_wire::PeerQuery>(&bytes));
+        let reply = match query {
+            Ok(query) => self.reply_to(query).await,
+            Err(message) => self.refuse(message),
+        };
+        let stamped = |body| peer_wire::PeerReply {
+            stamp: self.ring.stamp(),
+            body,
+        };
+        let encoded = peer_stream::encode(&stamped(reply))
+            .or_else(|message| peer_stream::encode(&stamped(self.refuse(message))));
+        let Ok(encoded) = encoded else {
+            return;
+        };
+        let Ok(mut body) = respond.send_response(http::Response::new(()), false) else {
+            return;
+        };
+        // The peer that went away meanwhile needs no reply.
+        drop(body.send_data(encoded, true));
+    }
+
+    async fn reply_to(&self, query: peer_wire::PeerQuery) -> peer_wire::ReplyBody {
+        self.ring.observe(query.stamp);
+        let handling = self.handler.handle(query.body);
+        let Ok(reply) = handling.timeout_at(self.token.clone()).await else {
+            return peer_wire::ReplyBody::Refused("router stops; ask another router".to_owned());
+        };
+        self.meter.served.fetch_add(1, atomic::Ordering::Relaxed);
+        reply
+    }
+
+    fn refuse(&self, message: String) -> peer_wire::ReplyBody {
+        self.meter.refused.fetch_add(1, atomic::Ordering::Relaxed);
+        peer_wire::ReplyBody::Refused(message)
+    }
+}
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -16,10 +16,15 @@
 pub enum QueryBody {
     /// Exchange of member, leaving and version facts.
     Gossip(GossipWire),
-    /// Are you alive?
-    Probe,
-    /// Ask the router at this peer address whether it is alive.
+    /// Are you this router?
+    Probe {
+        /// Router name that the sender expects at the address.
+        router: String,
+    },
+    /// Ask whether this router answers at this peer address.
     ProbeFor {
+        /// Router name that the sender expects at the address.
+        router: String,
         /// Peer address, host and port.
         address: String,
     },
@@ -67,21 +72,49 @@
     Refused(String),
 }
 
-/// Facts exchanged by gossip.
+/// Facts exchanged by gossip; the reply to one is another.
+///
+/// Each side numbers its own changes. `have` asks for the changes after that number, and `upto` says
+/// which number the facts of this message bring the receiver to.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct GossipWire {
     /// Sender's own router name.
     pub from: String,
-    /// Digest of all facts that the sender holds after this exchange.
+    /// Sender's own incarnation.
+    pub incarnation: u64,
+    /// Digest of all state facts that the sender holds after this exchange.
     pub digest: u64,
-    /// Whether the sender asks for every fact.
-    pub full: bool,
-    /// Member facts.
+    /// Newest configuration number that the sender has.
+    pub version: u64,
+    /// Number of the receiver's changes that the sender has seen; `None` when it has seen none.
+    pub have: Option<u64>,
+    /// Number of the sender's changes that this message completes.
+    pub upto: u64,
+    /// Digests by bucket, to find the buckets that differ; empty when they are not compared.
+    pub buckets: Vec<u64>,
+    /// Bit set of buckets whose facts the sender wants.
+    pub wanted: u64,
+    /// State facts of members.
     pub members: Vec<MemberWire>,
     /// Endpoints that take no new work.
     pub leaving: Vec<LeavingWire>,
-    /// Newest configuration number that the sender has.
-    pub version: u64,
+    /// Loads of members, newest first as far as the byte budget goes.
+    pub loads: Vec<LoadWire>,
+}
+
+/// Load of one router; on the way its member fact carries none.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct LoadWire {
+    /// Router name.
+    pub router: String,
+    /// Incarnation of the router.
+    pub incarnation: u64,
+    /// Grows with each load that the incarnation tells.
+    pub sequence: u64,
+    /// Configuration number in force at the router.
+    pub config: u64,
+    /// Requests running and waiting, by workspace.
+    pub demand: Vec<DemandWire>,
 }
 
 /// One fact about one router.
@@ -91,9 +124,10 @@
     pub router: String,
     /// Incarnation of the router.
     pub incarnation: u64,
-    /// Rank of its state; see `process::membership`.
+    /// Life stage in the low four bits, verdict of peers in the high four; see
+    /// `process::membership::MemberRank`.
     pub rank: u8,
-    /// Version of the fact within incarnation and rank, made by the router itself.
+    /// Version of the fact within the incarnation, made by the router itself.
     pub version: u64,
     /// Availability zone.
     pub zone: String,
@@ -125,6 +159,8 @@
     pub endpoint: String,
     /// Incarnation of the endpoint, as it reports it; 0 when it reports none.
     pub incarnation: u64,
+    /// When the fact was first told, in microseconds since the Unix epoch.
+    pub since: u64,
 }
 
 /// State of a generation that is handed over.
--- a/src/process/timeline.rs
+++ b/src/process/timeline.rs
@@ -10,6 +10,9 @@
 /// Events kept by one process.
 pub const RING_CAPACITY: usize = 8192;
 
+/// How far a stamp from elsewhere may be ahead of the wall clock.
+pub const MAX_SKEW: time::Duration = time::Duration::from_secs(60);
+
 /// Hybrid logical clock reading: wall time, then a counter that orders equal times.
 #[derive(
     Clone,
@@ -193,6 +196,7 @@
 #[derive(Debug, Default)]
 struct RingState {
     last: HybridStamp,
+    skewed: u64,
     events: collections::VecDeque<TimelineEvent>,
 }
 
@@ -232,9 +236,19 @@
     }
 
     /// Takes note of a stamp that came with a message, so that later events follow it.
+    ///
+    /// A stamp further ahead than [`MAX_SKEW`] is cut to that bound and counted, so that one wrong
+    /// clock does not run away with all others.
     pub fn observe(&self, seen: HybridStamp) {
+        let bounded = clamp(seen, wall_micros());
         let mut state = self.state.lock();
-        state.last = state.last.max(seen);
+        state.last = state.last.max(bounded);
+        state.skewed += u64::from(bounded != seen);
+    }
+
+    /// Stamps so far that were ahead of this process by more than [`MAX_SKEW`].
+    pub fn skewed(&self) -> u64 {
+        self.state.lock().skewed
     }
 
     /// The kept events, oldest first; only those of `request` when it is given.
@@ -256,9 +270,29 @@
             counter: 0,
         };
     }
+    let Some(counter) = last.counter.checked_add(1) else {
+        return HybridStamp {
+            micros: last.micros.saturating_add(1),
+            counter: 0,
+        };
+    };
     HybridStamp {
         micros: last.micros,
-        counter: last.counter + 1,
+        counter,
+    }
+}
+
+/// `seen`, or the latest acceptable stamp at wall time `now_micros` when it is beyond that.
+#[must_use]
+pub fn clamp(seen: HybridStamp, now_micros: u64) -> HybridStamp {
+    let skew = u64::try_from(MAX_SKEW.as_micros()).unwrap_or(u64::MAX);
+    let latest = now_micros.saturating_add(skew);
+    if seen.micros <= latest {
+        return seen;
+    }
+    HybridStamp {
+        micros: latest,
+        counter: 0,
     }
 }
 
