--- /dev/null
+++ b/src/process/admission_queue.rs
@@ -0,0 +1,172 @@
+//! Queue of one workspace at one router: a pure state machine that takes time as an argument.
+
+use std::collections;
+use std::time;
+
+use futures::channel::oneshot;
+
+use crate::process::admission;
+use crate::request::verdict;
+
+/// Weight of the newest service time in the moving average.
+const SERVICE_TIME_WEIGHT: f64 = 0.2;
+
+/// Time for which refused requests count as demand.
+const REFUSED_DEMAND_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// When to ask again if nothing is known of service times.
+const DEFAULT_RETRY_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Longest delay named to a refused caller.
+const MAX_RETRY_DELAY: time::Duration = time::Duration::from_secs(600);
+
+#[derive(Debug, Default)]
+/// Slots and queue of one workspace.
+pub(crate) struct WorkspaceState {
+    pub(crate) share: u32,
+    pub(crate) running: u32,
+    pub(crate) resumed: collections::VecDeque<QueueEntry>,
+    pub(crate) fresh: collections::VecDeque<QueueEntry>,
+    service_seconds: Option<f64>,
+    refused: u32,
+    refused_at: Option<time::Instant>,
+}
+
+#[derive(Debug)]
+/// A waiting request.
+pub(crate) struct QueueEntry {
+    pub(crate) id: u64,
+    pub(crate) reply: oneshot::Sender<admission::Result<admission::AdmissionPermit>>,
+}
+
+#[derive(Debug)]
+/// What happens to an arriving request.
+pub(crate) enum QueueDecision {
+    Run,
+    Wait { displace: bool },
+    Refuse(verdict::RequestRefusal),
+}
+
+impl WorkspaceState {
+    pub(crate) fn decide(
+        &self,
+        limit: admission::WorkspaceLimit,
+        priority: admission::Priority,
+        deadline: time::Instant,
+        now: time::Instant,
+    ) -> QueueDecision {
+        if self.running < self.share && self.queue_len() == 0 {
+            return QueueDecision::Run;
+        }
+        let wait = self.expected_wait(priority);
+        if self.share == 0 {
+            return QueueDecision::Refuse(refuse_limit(wait));
+        }
+        if wait > deadline.saturating_duration_since(now) {
+            return QueueDecision::Refuse(refuse_overload(wait));
+        }
+        if self.queue_len() < limit.max_queue as usize {
+            return QueueDecision::Wait { displace: false };
+        }
+        if priority == admission::Priority::Resumed && !self.fresh.is_empty() {
+            return QueueDecision::Wait { displace: true };
+        }
+        QueueDecision::Refuse(refuse_limit(wait))
+    }
+
+    fn queue_len(&self) -> usize {
+        self.resumed.len() + self.fresh.len()
+    }
+
+    /// Expected wait of a request that arrives now.
+    pub(crate) fn expected_wait(&self, priority: admission::Priority) -> time::Duration {
+        let ahead = match priority {
+            admission::Priority::Resumed => self.resumed.len(),
+            admission::Priority::New => self.queue_len(),
+        };
+        let Some(seconds) = self.service_seconds else {
+            return time::Duration::ZERO;
+        };
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        let rounds = f64::from(ahead) / f64::from(self.share.max(1));
+        let wait = time::Duration::try_from_secs_f64(seconds * rounds);
+        wait.unwrap_or(MAX_RETRY_DELAY).min(MAX_RETRY_DELAY)
+    }
+
+    pub(crate) fn enqueue(
+        &mut self,
+        id: u64,
+        priority: admission::Priority,
+    ) -> oneshot::Receiver<admission::Result<admission::AdmissionPermit>> {
+        let (reply, receiver) = oneshot::channel();
+        let queue = match priority {
+            admission::Priority::Resumed => &mut self.resumed,
+            admission::Priority::New => &mut self.fresh,
+        };
+        queue.push_back(QueueEntry { id, reply });
+        receiver
+    }
+
+    /// Takes the entries that may run now out of the queue and counts them as running.
+    pub(crate) fn take_next(&mut self) -> Vec<QueueEntry> {
+        let mut entries = Vec::new();
+        while self.running < self.share {
+            let next = self.resumed.pop_front();
+            let Some(entry) = next.or_else(|| self.fresh.pop_front()) else {
+                break;
+            };
+            self.running += 1;
+            entries.push(entry);
+        }
+        entries
+    }
+
+    pub(crate) fn note_service_time(&mut self, service_time: time::Duration) {
+        let newest = service_time.as_secs_f64();
+        let average = self.service_seconds.unwrap_or(newest);
+        self.service_seconds = Some(average + SERVICE_TIME_WEIGHT * (newest - average));
+    }
+
+    pub(crate) fn note_refusal(&mut self, now: time::Instant) {
+        if !self.refused_lately(now) {
+            self.refused = 0;
+            self.refused_at = Some(now);
+        }
+        self.refused = self.refused.saturating_add(1);
+    }
+
+    fn refused_lately(&self, now: time::Instant) -> bool {
+        self.refused_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REFUSED_DEMAND_TIME)
+    }
+
+    pub(crate) fn demand(&self, now: time::Instant) -> u32 {
+        let waiting = u32::try_from(self.queue_len()).unwrap_or(u32::MAX);
+        let refused = if self.refused_lately(now) {
+            self.refused
+        } else {
+            0
+        };
+        self.running.saturating_add(waiting).saturating_add(refused)
+    }
+}
+
+fn retry_delay(wait: time::Duration) -> time::Duration {
+    if wait.is_zero() {
+        return DEFAULT_RETRY_DELAY;
+    }
+    wait
+}
+
+fn refuse_limit(wait: time::Duration) -> verdict::RequestRefusal {
+    let message = "the workspace uses its whole share and queue; ask again later";
+    verdict::RequestRefusal::not_run(429, verdict::RefusalCode::WorkspaceLimit, message)
+        .retry_after(retry_delay(wait))
+}
+
+/// The expected wait exceeds the deadline.
+pub(crate) fn refuse_overload(wait: time::Duration) -> verdict::RequestRefusal {
+    let message = "the expected wait exceeds the deadline; ask again later or allow more time";
+    verdict::RequestRefusal::not_run(503, verdict::RefusalCode::Overloaded, message)
+        .retry_after(retry_delay(wait))
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,7 +1,10 @@
 //! What lives as long as the process.
 
+pub mod admission;
+pub(crate) mod admission_queue;
 pub mod budget;
 pub mod endpoint;
+pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod node;
