--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,10 +1,17 @@
 //! What lives as long as one connection: to callers, endpoints, peers and the platform.
 
+pub mod completion;
+pub mod engine;
 pub mod engine_wire;
 pub mod http;
 pub mod peer;
+pub mod peer_client;
+pub mod peer_server;
+pub mod peer_stream;
 pub mod peer_wire;
 pub mod platform;
 pub mod platform_client;
 pub mod platform_wire;
+pub mod refusal;
+pub mod service;
 pub mod sse;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,17 @@
 
 pub mod config;
 pub mod poll;
+pub mod admission;
+pub(crate) mod admission_queue;
+pub mod budget;
+pub mod endpoint;
+pub mod limit;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod registry;
 pub mod settings;
+pub mod settings_file;
+mod settings_tree;
 pub mod timeline;
 pub mod view;
