Take in declarations, their store, and the version in force

Cause: routers need checked declarations from the table service. Ruled out: nothing; the parts meet at the platform trait. Conclusion: the node can follow versions.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,11 +3,13 @@
 pub mod admission;
 pub(crate) mod admission_queue;
 pub mod budget;
+pub mod config;
 pub mod endpoint;
 pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod poll;
 pub mod registry;
 pub mod settings;
 pub mod settings_file;
