Add a caller that goes on at another router

Cause: nothing spoke for the caller, who holds the tokens and the cursor and therefore decides whether an answer survives the death of its router. Ruled out: sending the held tokens only after a router has said that the stream is lost, because a router that finds neither stream nor prefix begins the answer again at once; the tokens go along with every resume up to 1 MiB. Change: an address book that keeps the answer as long as it says, one stream with a silence limit, a progress record that checks each cursor's position and generation, and retry decisions that take failures and randomness as arguments. Conclusion: the library part of generate stands, its proof is still to come.

--- /dev/null
+++ b/src/connection/caller_run.rs
@@ -0,0 +1,237 @@
+//! One generation of a caller: reads from router after router until the answer is whole.
+
+use std::collections;
+use std::fmt;
+use std::time;
+
+use async_std::task;
+
+use crate::connection::caller_address;
+use crate::connection::caller_client;
+use crate::connection::caller_progress;
+use crate::connection::caller_retry;
+use crate::connection::caller_stream;
+
+/// Largest total of held tokens that is sent along when an answer goes on, in bytes.
+pub const MAX_RECEIVED_BYTES: usize = 1024 * 1024;
+
+/// One generation in progress.
+pub struct GenerationRun<'a> {
+    settings: &'a caller_client::CallerSettings,
+    request: &'a caller_client::GenerationRequest,
+    key: String,
+    progress: caller_progress::AnswerProgress,
+    queue: collections::VecDeque<String>,
+    observe: &'a mut (dyn FnMut(caller_client::CallerEvent) + Send),
+    fruitless: u32,
+}
+
+impl<'a> GenerationRun<'a> {
+    /// A generation that has not been asked for yet; `key` names it at every router.
+    pub fn new(
+        settings: &'a caller_client::CallerSettings,
+        request: &'a caller_client::GenerationRequest,
+        key: String,
+        observe: &'a mut (dyn FnMut(caller_client::CallerEvent) + Send),
+    ) -> Self {
+        Self {
+            settings,
+            request,
+            key,
+            progress: caller_progress::AnswerProgress::new(time::Instant::now()),
+            queue: collections::VecDeque::new(),
+            observe,
+            fruitless: 0,
+        }
+    }
+
+    /// Reads the answer to its end, from as many routers as it takes.
+    ///
+    /// # Errors
+    /// [`caller_client::CallerError`] when no router brings the answer on.
+    pub async fn drive(
+        mut self,
+        addresses: Vec<String>,
+        book: &caller_address::AddressBook,
+    ) -> caller_client::Result<caller_client::CallerAnswer> {
+        self.queue = addresses.into();
+        loop {
+            if self.queue.is_empty() {
+                self.queue = book.all().into();
+            }
+            let Some(address) = self.queue.pop_front() else {
+                let end = caller_stream::StreamEnd::Broken("no router is known".to_owned());
+                return Err(self.give_up(end));
+            };
+            let received = self.progress.received();
+            let end = match self.read_from(&address).await {
+                Ok(answer) => return Ok(answer),
+                Err(end) => end,
+            };
+            if self.progress.received() > received {
+                self.fruitless = 0;
+            }
+            self.note_loss(&address, &end);
+            let pause = self.plan_next(&address, end)?;
+            task::sleep(pause).await;
+        }
+    }
+
+    /// Reads as much of the answer as the router at `address` gives.
+    async fn read_from(
+        &mut self,
+        address: &str,
+    ) -> std::result::Result<caller_client::CallerAnswer, caller_stream::StreamEnd> {
+        let mut stream = caller_stream::open(address, &self.answer_request()).await?;
+        self.progress.connected();
+        self.report(caller_client::CallerEventKind::Connected {
+            address: address.to_owned(),
+            held: self.progress.tokens().len(),
+        });
+        loop {
+            match stream.next().await? {
+                caller_stream::AnswerItem::Token { text, id } => self.take_token(text, id)?,
+                caller_stream::AnswerItem::Restart { reason } => {
+                    self.progress.restart();
+                    self.report(caller_client::CallerEventKind::Restarted { reason });
+                }
+                caller_stream::AnswerItem::Finished { reason, count } => {
+                    return self.finish(reason, count);
+                }
+            }
+        }
+    }
+
+    fn answer_request(&self) -> caller_stream::AnswerRequest {
+        let mut body = serde_json::json!({
+            "model": self.request.model,
+            "prompt": self.request.prompt,
+            "max_tokens": self.request.max_tokens,
+            "stream": true,
+        });
+        let cursor = self.progress.cursor().map(str::to_owned);
+        if cursor.is_some() && self.progress.bytes() <= MAX_RECEIVED_BYTES {
+            // With the tokens, the answer can go on even if router and engine died together.
+            body["received"] = self.progress.tokens().into();
+        }
+        caller_stream::AnswerRequest {
+            key: self.key.clone(),
+            bearer: self.settings.bearer.clone(),
+            body,
+            cursor,
+            deadline: self.settings.deadline,
+            silence: self.settings.silence,
+        }
+    }
+
+    fn take_token(
+        &mut self,
+        text: String,
+        id: Option<String>,
+    ) -> std::result::Result<(), caller_stream::StreamEnd> {
+        let now = time::Instant::now();
+        self.progress
+            .push(now, text.clone(), id)
+            .map_err(caller_stream::StreamEnd::Broken)?;
+        let index = self.progress.tokens().len() - 1;
+        self.report(caller_client::CallerEventKind::Token { index, text });
+        Ok(())
+    }
+
+    fn finish(
+        &mut self,
+        reason: String,
+        count: u32,
+    ) -> std::result::Result<caller_client::CallerAnswer, caller_stream::StreamEnd> {
+        let held = self.progress.tokens().len();
+        if held != count as usize {
+            let cause = format!("{held} tokens held, {count} generated");
+            return Err(caller_stream::StreamEnd::Broken(cause));
+        }
+        Ok(self.progress.answer(self.key.clone(), reason))
+    }
+
+    fn note_loss(&mut self, address: &str, end: &caller_stream::StreamEnd) {
+        let cause = end.to_string();
+        self.report(caller_client::CallerEventKind::Lost {
+            address: address.to_owned(),
+            cause,
+        });
+    }
+
+    /// The pause before the next address is tried, or the final error.
+    fn plan_next(
+        &mut self,
+        address: &str,
+        end: caller_stream::StreamEnd,
+    ) -> caller_client::Result<time::Duration> {
+        self.fruitless += 1;
+        self.queue.retain(|other| other != address);
+        let pause = match &end {
+            caller_stream::StreamEnd::Broken(_) => self.round_pause(None),
+            caller_stream::StreamEnd::Moved(addresses) => {
+                self.prefer(addresses);
+                self.round_pause(None)
+            }
+            caller_stream::StreamEnd::Refused(refusal) => match caller_retry::advice(refusal) {
+                caller_retry::RetryAdvice::Never => {
+                    return Err(caller_client::CallerError::Refused(refusal.clone()));
+                }
+                caller_retry::RetryAdvice::Elsewhere => self.round_pause(refusal.retry_after),
+                caller_retry::RetryAdvice::Later => self.full_pause(refusal.retry_after),
+            },
+        };
+        let idle = self.progress.idle(time::Instant::now());
+        let is_over = idle + pause > self.settings.deadline;
+        if is_over || self.fruitless >= caller_retry::MAX_FRUITLESS_TRIES {
+            return Err(self.give_up(end));
+        }
+        Ok(pause)
+    }
+
+    /// Another router may serve at once; only a whole round of failures is worth a pause.
+    fn round_pause(&self, retry_after: Option<time::Duration>) -> time::Duration {
+        if self.queue.is_empty() {
+            return self.full_pause(retry_after);
+        }
+        time::Duration::ZERO
+    }
+
+    fn full_pause(&self, retry_after: Option<time::Duration>) -> time::Duration {
+        caller_retry::pause(self.fruitless, retry_after, &mut fastrand::Rng::new())
+    }
+
+    fn prefer(&mut self, addresses: &[String]) {
+        self.queue.retain(|address| !addresses.contains(address));
+        for address in addresses.iter().rev() {
+            self.queue.push_front(address.clone());
+        }
+    }
+
+    fn give_up(&self, end: caller_stream::StreamEnd) -> caller_client::CallerError {
+        let held = self.progress.tokens().len();
+        match end {
+            caller_stream::StreamEnd::Refused(refusal) if held == 0 => {
+                caller_client::CallerError::Refused(refusal)
+            }
+            end => caller_client::CallerError::GaveUp {
+                held,
+                cause: end.to_string(),
+            },
+        }
+    }
+
+    fn report(&mut self, kind: caller_client::CallerEventKind) {
+        let at = time::Instant::now();
+        (self.observe)(caller_client::CallerEvent { at, kind });
+    }
+}
+
+impl fmt::Debug for GenerationRun<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GenerationRun")
+            .field("key", &self.key)
+            .field("progress", &self.progress)
+            .finish_non_exhaustive()
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,12 @@
 //! What lives as long as one connection: to callers, endpoints, peers and the platform.
 
+pub mod caller_address;
+pub mod caller_client;
+pub mod caller_progress;
+pub mod caller_retry;
+pub mod caller_run;
+pub mod caller_stream;
+pub mod caller_wire;
 pub mod engine_wire;
 pub mod http;
 pub mod peer;
