--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,8 +1,14 @@
 //! What lives as long as the process.
 
+pub mod admission;
+pub(crate) mod admission_queue;
+pub mod budget;
+pub mod endpoint;
+pub mod limit;
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod registry;
 pub mod settings;
 pub mod settings_file;
 mod settings_tree;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,5 +1,20 @@
 //! What lives as long as one request: its key, verdict, cursor and the state of its attempts.
 
+pub(crate) mod attempt;
+pub mod call;
+pub mod claim;
+pub(crate) mod copy;
 pub mod cursor;
+pub mod digest;
+pub mod driver;
+pub(crate) mod forward;
+pub mod generation;
+pub mod intake;
 pub mod key;
+pub mod outcome;
+pub mod recovery;
+pub mod refusal;
+pub mod sequencer;
+pub mod source;
+pub mod suspicion;
 pub mod verdict;
