--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -17,6 +17,7 @@
 pub mod peer_stream;
 pub mod peer_wire;
 pub mod platform;
+pub mod platform_client;
 pub mod platform_wire;
 pub mod refusal;
 pub mod service;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! What lives as long as the process.
 
+pub mod config;
+pub mod poll;
 pub mod admission;
 pub(crate) mod admission_queue;
 pub mod budget;
