Add membership by gossip

Cause: routers have to know one another, dead ones included, without a coordination service. Ruled out: full tables each round, which grow with the square of the routers; a random peer each round, which needs a new connection almost every time at 2,800 routers; a dead verdict that needs a new incarnation, which would void every request key of a router that was merely paused. Change: facts are ordered by incarnation, life stage, version and verdict. Each router exchanges with its successors at distances 1, 2, 4, ... in hashed order, sends what changed since the number that the peer has seen, and compares bucket digests when a fact seems lost. Urgent facts are pushed at once; loads are passed on five times within a byte budget. A verdict is refuted by the router's next version; facts of an earlier process of the same name raise the incarnation. Conclusion: ready to be wired; cost at many routers is not measured yet.

--- /dev/null
+++ b/src/process/gossip_exchange.rs
@@ -0,0 +1,261 @@
+//! What one exchange of facts says and does: queries, answers and what they change.
+//!
+//! The module does no I/O and takes time as an argument.
+
+use std::collections;
+use std::time;
+
+use crate::connection::peer_wire;
+use crate::process::{member_delta, member_rank, membership};
+
+/// State facts in one message at most, unless whole buckets were asked for.
+pub const MAX_DELTA_FACTS: usize = 64;
+
+/// State facts of whole buckets in one message at most.
+pub const MAX_BUCKET_FACTS: usize = 8192;
+
+/// Bytes of loads in one message, about.
+pub const LOAD_BUDGET_BYTES: usize = 256;
+
+/// Times that a router passes on a load.
+pub const LOAD_FORWARDS: u32 = 5;
+
+/// Peers whose progress is kept; more than a router exchanges facts with.
+pub const MAX_PROGRESS: usize = 64;
+
+/// Time without changes after which differing digests mean a lost fact, not one on its way.
+pub const QUIET_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// How far a peer and this router have told each other their changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerProgress {
+    incarnation: u64,
+    have: Option<u64>,
+    acked: Option<u64>,
+    version: u64,
+    used: u64,
+}
+
+/// What an exchange changed.
+#[derive(Debug, Default)]
+pub struct ExchangeEffect {
+    /// Members whose rank changed.
+    pub changed: Vec<(String, member_rank::MemberRank)>,
+    /// Whether others should hear of it at once.
+    pub is_urgent: bool,
+    /// Own incarnation after the own fact had to be raised.
+    pub refuted: Option<u64>,
+    /// Whether the peer has a newer configuration.
+    pub is_version_newer: bool,
+    /// Whether the buckets should be compared with the peer now.
+    pub needs_buckets: bool,
+    /// Buckets whose facts the peer wants.
+    pub wanted: u64,
+}
+
+/// When something happened, on both clocks.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeTime {
+    /// Monotonic time.
+    pub now: time::Instant,
+    /// Microseconds since the Unix epoch.
+    pub micros: u64,
+}
+
+/// The facts of one router and its progress with its peers.
+#[derive(Debug)]
+pub struct ExchangeState {
+    /// The facts.
+    pub table: membership::MemberTable,
+    /// Number of the configuration in force.
+    pub version: u64,
+    progress: collections::HashMap<String, PeerProgress>,
+    uses: u64,
+    is_synced: bool,
+}
+
+impl ExchangeState {
+    /// State with the given table, without progress.
+    #[must_use]
+    pub fn new(table: membership::MemberTable) -> Self {
+        Self {
+            table,
+            version: 0,
+            progress: collections::HashMap::new(),
+            uses: 0,
+            is_synced: false,
+        }
+    }
+
+    /// A query to `peer`, or to an address whose router is not known.
+    pub fn query(&mut self, peer: Option<&str>, with_buckets: bool) -> peer_wire::GossipWire {
+        let progress = peer.and_then(|peer| self.progress.get(peer).copied());
+        let progress = progress.unwrap_or_default();
+        let mut batch = self.batch_since(progress.acked, peer.unwrap_or_default());
+        let accused = peer.and_then(|peer| self.table.get(peer));
+        let accused =
+            accused.filter(|record| record.rank.verdict > member_rank::PeerVerdict::Alive);
+        if let Some(record) = accused {
+            batch.members.push(record.fact.clone());
+        }
+        let mut query = self.message(batch);
+        query.have = progress.have;
+        if with_buckets {
+            query.buckets = self.table.digest().buckets().to_vec();
+        }
+        query
+    }
+
+    /// A query that brings the facts of the buckets that a peer wants.
+    pub fn bucket_query(&mut self, wanted: u64) -> peer_wire::GossipWire {
+        let mut batch = self.table.facts_in(wanted);
+        batch.members.truncate(MAX_BUCKET_FACTS);
+        batch.leaving.truncate(MAX_BUCKET_FACTS);
+        self.message(batch)
+    }
+
+    /// Whether `peer` lacks a state fact or the configuration number.
+    #[must_use]
+    pub fn is_behind(&self, peer: &str) -> bool {
+        let Some(progress) = self.progress.get(peer) else {
+            return true;
+        };
+        if progress.version < self.version {
+            return true;
+        }
+        let Some(acked) = progress.acked else {
+            return true;
+        };
+        let batch = self.table.delta(acked, peer, 1);
+        !batch.members.is_empty() || !batch.leaving.is_empty()
+    }
+
+    /// Takes a query in and answers it.
+    pub fn answer(
+        &mut self,
+        query: peer_wire::GossipWire,
+        at: ExchangeTime,
+    ) -> (peer_wire::GossipWire, ExchangeEffect) {
+        let have = query.have;
+        let from = query.from.clone();
+        let differing = match query.buckets.as_slice() {
+            [] => 0,
+            theirs => self.table.digest().differing(theirs),
+        };
+        let wanted = query.wanted | differing;
+        let effect = self.take_in(query, at);
+        let mut batch = self.batch_since(have, &from);
+        if wanted != 0 {
+            let facts = self.table.facts_in(wanted);
+            batch.members = facts.members;
+            batch.leaving = facts.leaving;
+            batch.members.truncate(MAX_BUCKET_FACTS);
+            batch.leaving.truncate(MAX_BUCKET_FACTS);
+        }
+        let mut reply = self.message(batch);
+        reply.wanted = differing;
+        (reply, effect)
+    }
+
+    /// Takes in the reply to a query that brought the peer up to `sent_upto`.
+    pub fn absorb(
+        &mut self,
+        sent_upto: u64,
+        reply: peer_wire::GossipWire,
+        at: ExchangeTime,
+    ) -> ExchangeEffect {
+        self.note_progress(sent_upto, &reply);
+        let digest = reply.digest;
+        let mut effect = self.take_in(reply, at);
+        let quiet = |changed| at.now.duration_since(changed) >= QUIET_LIMIT;
+        let is_quiet = self.table.last_changed().is_none_or(quiet);
+        let differs = digest != self.table.digest().total();
+        effect.needs_buckets = differs && (is_quiet || !self.is_synced);
+        effect
+    }
+
+    /// Notes that the buckets were compared with a peer.
+    pub const fn note_synced(&mut self) {
+        self.is_synced = true;
+    }
+
+    fn batch_since(&self, since: Option<u64>, peer: &str) -> member_delta::FactBatch {
+        if let Some(since) = since {
+            return self.table.delta(since, peer, MAX_DELTA_FACTS);
+        }
+        // A peer without progress compares digests; it only has to learn whom it talks to.
+        member_delta::FactBatch {
+            members: vec![self.table.own().clone()],
+            leaving: Vec::new(),
+            upto: self.table.sequence(),
+        }
+    }
+
+    fn message(&mut self, batch: member_delta::FactBatch) -> peer_wire::GossipWire {
+        let own = self.table.own();
+        peer_wire::GossipWire {
+            from: own.router.clone(),
+            incarnation: own.incarnation,
+            digest: self.table.digest().total(),
+            version: self.version,
+            have: None,
+            upto: batch.upto,
+            buckets: Vec::new(),
+            wanted: 0,
+            members: batch.members,
+            leaving: batch.leaving,
+            loads: self.table.loads_mut().take(LOAD_BUDGET_BYTES),
+        }
+    }
+
+    fn note_progress(&mut self, sent_upto: u64, reply: &peer_wire::GossipWire) {
+        self.uses += 1;
+        if self.progress.len() >= MAX_PROGRESS && !self.progress.contains_key(&reply.from) {
+            let oldest = self.progress.iter().min_by_key(|(_, kept)| kept.used);
+            let oldest = oldest.map(|(peer, _)| peer.clone());
+            oldest.and_then(|peer| self.progress.remove(&peer));
+        }
+        let progress = PeerProgress {
+            incarnation: reply.incarnation,
+            have: Some(reply.upto),
+            acked: Some(sent_upto),
+            version: reply.version,
+            used: self.uses,
+        };
+        let earlier = self.progress.insert(reply.from.clone(), progress);
+        // Another process answered under the name, so that its numbers start again.
+        if earlier.is_some_and(|earlier| earlier.incarnation != reply.incarnation) {
+            self.progress.remove(&reply.from);
+        }
+    }
+
+    fn take_in(&mut self, message: peer_wire::GossipWire, at: ExchangeTime) -> ExchangeEffect {
+        let mut effect = ExchangeEffect {
+            wanted: message.wanted,
+            is_version_newer: message.version > self.version,
+            ..ExchangeEffect::default()
+        };
+        for fact in message.members {
+            let router = fact.router.clone();
+            match self.table.merge(fact, &message.from, at.now) {
+                membership::MergeOutcome::Known => {}
+                membership::MergeOutcome::Refuted => {
+                    effect.refuted = Some(self.table.own().incarnation);
+                    effect.is_urgent = true;
+                }
+                membership::MergeOutcome::Changed(rank) => {
+                    effect.is_urgent |= !rank.is_serving();
+                    effect.changed.push((router, rank));
+                }
+            }
+        }
+        for fact in &message.leaving {
+            effect.is_urgent |= self.table.mark_leaving(fact, at.now, at.micros);
+        }
+        for load in message.loads {
+            self.table.merge_load(load, LOAD_FORWARDS);
+        }
+        self.table.note_config(&message.from, message.version);
+        effect
+    }
+}
--- /dev/null
+++ b/src/process/gossip_target.rs
@@ -0,0 +1,148 @@
+//! Whom a gossip node asks next, and who probes on its behalf.
+
+use std::collections;
+
+use crate::connection::peer_wire;
+use crate::process::{gossip, member_rank, member_ring, membership};
+
+/// Every so many rounds ask somebody other than the usual peers, so that separated groups meet again.
+const HEAL_ROUNDS: u64 = 8;
+
+/// Members that probe another on behalf of this one.
+const HELPERS: usize = 3;
+
+/// Rounds in a row without word from any helper after which a member is suspected all the same.
+const MAX_INCONCLUSIVE: u32 = 3;
+
+/// The peers that a node takes its turns with.
+#[derive(Debug, Default)]
+pub struct TargetList {
+    epoch: Option<u64>,
+    fingers: Vec<String>,
+    turn: usize,
+    rounds: u64,
+    inconclusive: collections::HashMap<String, u32>,
+}
+
+/// One peer to ask.
+#[derive(Clone, Debug)]
+pub(super) struct RoundTarget {
+    pub(super) address: String,
+    /// The fact to judge when there is no answer; `None` for an address tried at random.
+    pub(super) expected: Option<peer_wire::MemberWire>,
+}
+
+impl TargetList {
+    /// Notes a probe without word from any helper; `true` when there were too many for the member.
+    pub(super) fn note_inconclusive(&mut self, router: &str) -> bool {
+        let misses = self.inconclusive.entry(router.to_owned()).or_default();
+        *misses += 1;
+        if *misses < MAX_INCONCLUSIVE {
+            return false;
+        }
+        self.inconclusive.remove(router);
+        true
+    }
+}
+
+impl gossip::GossipNode {
+    /// Peer addresses of members that can probe, those of zones other than both ends first.
+    pub(super) fn helpers(&self, fact: &peer_wire::MemberWire) -> Vec<String> {
+        let state = self.state.lock();
+        let can_help = |record: &&membership::MemberRecord| {
+            record.rank.is_live()
+                && record.rank.verdict == member_rank::PeerVerdict::Alive
+                && record.fact.router != self.router
+                && record.fact.router != fact.router
+        };
+        let helpers = state.table.records().filter(can_help);
+        let mut helpers: Vec<(bool, u32, &str)> = helpers
+            .map(|record| {
+                let zone = &record.fact.zone;
+                let is_near = *zone == fact.zone || *zone == self.zone;
+                (
+                    is_near,
+                    fastrand::u32(..),
+                    record.fact.peer_address.as_str(),
+                )
+            })
+            .collect();
+        helpers.sort_unstable();
+        let helpers = helpers.iter().take(HELPERS);
+        helpers
+            .map(|(_, _, address)| (*address).to_owned())
+            .collect()
+    }
+
+    pub(super) fn next_target(&self) -> Option<RoundTarget> {
+        let fingers = self.fingers();
+        let mut targets = self.targets.lock();
+        targets.rounds += 1;
+        let is_healing = targets.rounds.is_multiple_of(HEAL_ROUNDS);
+        if fingers.is_empty() || is_healing {
+            drop(targets);
+            return self.stranger();
+        }
+        if targets.turn >= targets.fingers.len() {
+            targets.turn = 0;
+            fastrand::shuffle(&mut targets.fingers);
+        }
+        let router = targets.fingers[targets.turn].clone();
+        targets.turn += 1;
+        drop(targets);
+        let state = self.state.lock();
+        state.table.get(&router).map(target_of)
+    }
+
+    /// Somebody other than the usual peers: a dead member, a seed or any live member.
+    fn stranger(&self) -> Option<RoundTarget> {
+        let state = self.state.lock();
+        let own = state.table.own().peer_address.clone();
+        let others = state.table.records();
+        let others = others.filter(|record| record.fact.router != self.router);
+        let mut dead = Vec::new();
+        let mut live = Vec::new();
+        for record in others {
+            match (record.rank.is_live(), record.rank.stage) {
+                (true, _) => live.push(target_of(record)),
+                (false, member_rank::LifeStage::Left) => {}
+                (false, _) => dead.push(at_random(&record.fact.peer_address)),
+            }
+        }
+        drop(state);
+        let seeds = self.seeds.addresses();
+        let seeds = seeds.iter().filter(|address| **address != own);
+        let seeds: Vec<RoundTarget> = seeds.map(|address| at_random(address)).collect();
+        let mut kinds = [dead, live, seeds];
+        fastrand::shuffle(&mut kinds);
+        let kind = kinds.iter().find(|kind| !kind.is_empty())?;
+        fastrand::choice(kind).cloned()
+    }
+
+    pub(super) fn fingers(&self) -> Vec<String> {
+        let state = self.state.lock();
+        let mut targets = self.targets.lock();
+        if targets.epoch != Some(state.table.epoch()) {
+            let live = state.table.records().filter(|record| record.rank.is_live());
+            let live: Vec<&str> = live.map(|record| record.fact.router.as_str()).collect();
+            targets.fingers = member_ring::fingers(&self.router, &live);
+            targets.epoch = Some(state.table.epoch());
+            targets.turn = targets.fingers.len();
+        }
+        targets.fingers.clone()
+    }
+}
+
+pub(super) fn target_of(record: &membership::MemberRecord) -> RoundTarget {
+    RoundTarget {
+        address: record.fact.peer_address.clone(),
+        expected: Some(record.fact.clone()),
+    }
+}
+
+fn at_random(address: &str) -> RoundTarget {
+    RoundTarget {
+        address: address.to_owned(),
+        expected: None,
+    }
+}
--- /dev/null
+++ b/src/process/gossip_view.rs
@@ -0,0 +1,93 @@
+//! What the rest of the process asks a gossip node about the routers.
+
+use std::sync::atomic;
+
+use crate::connection::peer_wire;
+use crate::process::{gossip, member_rank, member_ring, membership, view};
+use crate::request::key;
+
+impl gossip::GossipNode {
+    /// Whether this router polls the table service for its availability zone.
+    #[must_use]
+    pub fn is_poller(&self) -> bool {
+        let state = self.state.lock();
+        let may_poll = |record: &&membership::MemberRecord| {
+            record.fact.zone == self.zone
+                && record.rank.stage <= member_rank::LifeStage::Ready
+                && record.rank.verdict == member_rank::PeerVerdict::Alive
+        };
+        let zone = state.table.records().filter(may_poll);
+        let zone: Vec<&str> = zone.map(|record| record.fact.router.as_str()).collect();
+        member_ring::is_poller(&self.router, &zone)
+    }
+
+    /// A live peer that has a configuration above `above`; the highest known.
+    #[must_use]
+    pub fn newest_config_peer(&self, above: u64) -> Option<peer_wire::MemberWire> {
+        let state = self.state.lock();
+        let has_newer = |record: &&membership::MemberRecord| {
+            record.rank.is_live() && record.config > above && record.fact.router != self.router
+        };
+        let newer = state.table.records().filter(has_newer);
+        let newest = newer.max_by_key(|record| (record.config, fastrand::u32(..)));
+        newest.map(|record| with_load(&state.table, record))
+    }
+
+    /// The newest facts about all routers, dead and left ones included.
+    #[must_use]
+    pub fn members(&self) -> Vec<peer_wire::MemberWire> {
+        let state = self.state.lock();
+        let records = state.table.records();
+        records
+            .map(|record| with_load(&state.table, record))
+            .collect()
+    }
+}
+
+impl view::MemberView for gossip::GossipNode {
+    fn home(&self) -> key::HomeName {
+        let state = self.state.lock();
+        let own = state.table.own();
+        key::HomeName {
+            router: own.router.clone(),
+            incarnation: own.incarnation,
+        }
+    }
+
+    fn owns(&self, home: &key::HomeName) -> bool {
+        home.router == self.router && self.lives.lock().contains(&home.incarnation)
+    }
+
+    fn find(&self, router: &str) -> Option<peer_wire::MemberWire> {
+        let state = self.state.lock();
+        let record = state.table.get(router)?;
+        record
+            .rank
+            .is_live()
+            .then(|| with_load(&state.table, record))
+    }
+
+    fn ready_members(&self) -> Vec<peer_wire::MemberWire> {
+        let is_available = self.is_available.load(atomic::Ordering::Relaxed);
+        let state = self.state.lock();
+        let is_ready = |record: &&membership::MemberRecord| {
+            record.rank.is_serving() && (is_available || record.fact.router != self.router)
+        };
+        let ready = state.table.records().filter(is_ready);
+        ready
+            .map(|record| with_load(&state.table, record))
+            .collect()
+    }
+}
+
+fn with_load(
+    table: &membership::MemberTable,
+    record: &membership::MemberRecord,
+) -> peer_wire::MemberWire {
+    let mut fact = record.fact.clone();
+    fact.config = record.config;
+    if let Some(load) = table.loads().get(&fact.router, fact.incarnation) {
+        fact.demand.clone_from(&load.demand);
+    }
+    fact
+}
--- /dev/null
+++ b/src/process/leaving.rs
@@ -0,0 +1,133 @@
+//! Endpoints that take no new work, by endpoint incarnation.
+//!
+//! A fact never goes back while it is kept: a new incarnation of the endpoint is another entry. Facts
+//! expire by their own age, so that memory is bounded and all routers drop them at the same time.
+
+use std::collections;
+use std::time;
+
+use xxhash_rust::xxh3;
+
+use crate::connection::peer_wire;
+use crate::process::timeline;
+
+/// Time for which a fact is kept.
+pub const RETENTION: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
+/// Facts kept at most; the oldest go first.
+pub const MAX_FACTS: usize = 32_768;
+
+/// One endpoint in one of its incarnations.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EndpointLife {
+    /// Endpoint name.
+    pub endpoint: String,
+    /// Incarnation of the endpoint; 0 when it reports none.
+    pub incarnation: u64,
+}
+
+/// The endpoints known to be leaving.
+#[derive(Debug, Default)]
+pub struct LeavingSet {
+    since: collections::HashMap<EndpointLife, u64>,
+}
+
+impl LeavingSet {
+    /// Adds a fact; gives its key when it is new.
+    pub fn insert(
+        &mut self,
+        fact: &peer_wire::LeavingWire,
+        now_micros: u64,
+    ) -> Option<EndpointLife> {
+        if fact.since < oldest_kept(now_micros) {
+            return None;
+        }
+        let life = EndpointLife {
+            endpoint: fact.endpoint.clone(),
+            incarnation: fact.incarnation,
+        };
+        if self.since.contains_key(&life) {
+            return None;
+        }
+        let latest = timeline::HybridStamp {
+            micros: fact.since,
+            counter: 0,
+        };
+        let since = timeline::clamp(latest, now_micros).micros;
+        self.since.insert(life.clone(), since);
+        Some(life)
+    }
+
+    /// Whether the endpoint is leaving in this incarnation.
+    #[must_use]
+    pub fn contains(&self, endpoint: &str, incarnation: u64) -> bool {
+        let life = EndpointLife {
+            endpoint: endpoint.to_owned(),
+            incarnation,
+        };
+        self.since.contains_key(&life)
+    }
+
+    /// Drops facts past their age, and the oldest above [`MAX_FACTS`]; gives what was dropped.
+    pub fn expire(&mut self, now_micros: u64) -> Vec<EndpointLife> {
+        let oldest = oldest_kept(now_micros).max(self.since_of_surplus());
+        let mut dropped = Vec::new();
+        self.since.retain(|life, since| {
+            if *since >= oldest {
+                return true;
+            }
+            dropped.push(life.clone());
+            false
+        });
+        dropped
+    }
+
+    fn since_of_surplus(&self) -> u64 {
+        let surplus = self.since.len().saturating_sub(MAX_FACTS);
+        if surplus == 0 {
+            return 0;
+        }
+        let mut ages: Vec<u64> = self.since.values().copied().collect();
+        ages.sort_unstable();
+        ages[surplus]
+    }
+
+    /// The endpoint lives in the set.
+    pub fn lives(&self) -> impl Iterator<Item = &EndpointLife> {
+        self.since.keys()
+    }
+
+    /// The fact about one endpoint life.
+    #[must_use]
+    pub fn get(&self, life: &EndpointLife) -> Option<peer_wire::LeavingWire> {
+        let since = *self.since.get(life)?;
+        Some(peer_wire::LeavingWire {
+            endpoint: life.endpoint.clone(),
+            incarnation: life.incarnation,
+            since,
+        })
+    }
+
+    /// Number of facts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.since.len()
+    }
+
+    /// Whether there is no fact.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.since.is_empty()
+    }
+}
+
+/// Hash of one fact, for digests.
+#[must_use]
+pub fn fact_hash(endpoint: &str, incarnation: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(endpoint.as_bytes(), incarnation)
+}
+
+fn oldest_kept(now_micros: u64) -> u64 {
+    let retention = u64::try_from(RETENTION.as_micros()).unwrap_or(u64::MAX);
+    now_micros.saturating_sub(retention)
+}
--- /dev/null
+++ b/src/process/member_expiry.rs
@@ -0,0 +1,71 @@
+//! What time alone does to a member table.
+
+use std::time;
+
+use crate::connection::peer_wire;
+use crate::process::{member_digest, member_rank, membership};
+
+/// Time for which facts about dead and left members are kept; longer than regions are cut.
+pub const DEAD_RETENTION: time::Duration = time::Duration::from_secs(2 * 60 * 60);
+
+impl membership::MemberTable {
+    /// Declares members dead that have been suspected for `suspicion`, and gives their facts.
+    pub fn expire_suspects(
+        &mut self,
+        suspicion: time::Duration,
+        now: time::Instant,
+    ) -> Vec<peer_wire::MemberWire> {
+        let records = &self.records;
+        let is_due = |key: &&membership::MemberKey| {
+            let record = records.get(**key);
+            record.is_some_and(|record| now.duration_since(record.changed) >= suspicion)
+        };
+        let due: Vec<membership::MemberKey> =
+            self.suspects.iter().filter(is_due).copied().collect();
+        for key in &due {
+            let fact = self.records[*key].fact.clone();
+            self.judge(&fact, member_rank::PeerVerdict::Dead, now);
+        }
+        due.iter()
+            .map(|key| self.records[*key].fact.clone())
+            .collect()
+    }
+
+    /// Restarts all suspicions, after a time in which this router could not hear refutations.
+    pub fn restart_suspicions(&mut self, now: time::Instant) {
+        for key in &self.suspects {
+            if let Some(record) = self.records.get_mut(*key) {
+                record.changed = now;
+            }
+        }
+    }
+
+    /// Forgets dead and left members after [`DEAD_RETENTION`], and leaving endpoints past their age.
+    pub fn forget(&mut self, now: time::Instant, now_micros: u64) {
+        let is_old = |record: &membership::MemberRecord| {
+            !record.rank.is_live() && now.duration_since(record.changed) >= DEAD_RETENTION
+        };
+        let own = self.own;
+        let old = self
+            .records
+            .iter()
+            .filter(|(key, record)| *key != own && is_old(record));
+        let old: Vec<membership::MemberKey> = old.map(|(key, _)| key).collect();
+        for key in old {
+            let Some(record) = self.records.remove(key) else {
+                continue;
+            };
+            self.index.remove(&record.fact.router);
+            self.loads.remove(&record.fact.router);
+            self.changes.remove(record.sequence);
+        }
+        for life in self.leaving.expire(now_micros) {
+            self.toggle_leaving(&life);
+        }
+        let leaving = &self.leaving;
+        self.changes.retain(|change| match change {
+            member_digest::ChangeKey::Member(_) => true,
+            member_digest::ChangeKey::Leaving(life) => leaving.get(life).is_some(),
+        });
+    }
+}
--- /dev/null
+++ b/src/process/member_ring.rs
@@ -0,0 +1,43 @@
+//! Who exchanges facts with whom, and who polls: decisions that all routers make alike.
+
+use xxhash_rust::xxh3;
+
+/// Routers in an availability zone that poll the table service.
+pub const POLLERS_PER_ZONE: usize = 2;
+
+const POLLER_SEED: u64 = 1;
+
+/// The routers that `own` exchanges facts with: its successors at distances 1, 2, 4, … in the order of
+/// hashed names.
+///
+/// Every router then also has as many predecessors, so each is probed by about log2 of their number,
+/// and a fact crosses all routers in about as many steps. `own` itself is left out.
+#[must_use]
+pub fn fingers(own: &str, routers: &[&str]) -> Vec<String> {
+    let own_hash = xxh3::xxh3_64(own.as_bytes());
+    let others = routers.iter().filter(|router| **router != own);
+    let mut others: Vec<(u64, &str)> = others
+        .map(|router| (xxh3::xxh3_64(router.as_bytes()), *router))
+        .collect();
+    others.sort_unstable();
+    let start = others.partition_point(|(hash, _)| *hash <= own_hash);
+    let distances = (0..usize::BITS).map(|power| 1 << power);
+    let distances = distances.take_while(|distance| *distance <= others.len());
+    distances
+        .map(|distance: usize| others[(start + distance - 1) % others.len()].1.to_owned())
+        .collect()
+}
+
+/// Whether `own` is one of the pollers among the routers of its availability zone.
+#[must_use]
+pub fn is_poller(own: &str, zone_routers: &[&str]) -> bool {
+    let own_score = poller_score(own);
+    let ahead = zone_routers
+        .iter()
+        .filter(|router| **router != own && poller_score(router) > own_score);
+    ahead.count() < POLLERS_PER_ZONE
+}
+
+fn poller_score(router: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(router.as_bytes(), POLLER_SEED)
+}
