Add the operator library that prints YAML, and differences by name

Cause: operators had to write YAML by hand, and the loser of a race saw two texts rather than what differs. Ruled out: a text difference, which tells of order and quoting that mean nothing. Change: builders whose to_yaml checks what it prints, so that faults name the printed line, and diff::compare over services, endpoints, workspaces and routes. Conclusion: the library and the command line can share it.

--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod check;
 pub mod declaration;
+pub mod declare;
+pub mod diff;
 pub mod lines;
 pub mod route;
 pub mod rules;
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -5,7 +5,6 @@
     reason = "expect-test writes its snapshots with hashes"
 )]
 
-use expect_test::Expect;
 use expect_test::expect;
 use kumquatpulley::version::check;
 use kumquatpulley::version::route;
@@ -47,7 +46,7 @@
 }
 
 /// Checks what is told when `from` in the valid declarations becomes `to`.
-fn assert_fault(from: &str, to: &str, expected: &Expect) {
+fn assert_fault(from: &str, to: &str, expected: &expect_test::Expect) {
     assert!(VALID.contains(from), "{from} is in the declarations");
     expected.assert_eq(&told(&VALID.replacen(from, to, 1)));
 }
