Wire the node: callers, peers, operators, readiness, drain

Cause: the parts need one process that serves callers from them. Ruled out: one large node type; state, start, drain and watch are files of their own. Change: HTTP front with bounds on head, body, number and idle time, operator interface, endpoint watch, shares of limits, planned stop. Conclusion: the daemon can be started.

--- a/src/bin/kumquatpulleyd.rs
+++ b/src/bin/kumquatpulleyd.rs
@@ -5,8 +5,8 @@
 
 use clap::builder;
 use kumquatpulley::process::logging;
-use kumquatpulley::process::node;
 use kumquatpulley::process::settings;
+use kumquatpulley::process::start;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -92,14 +92,14 @@
         eprintln!("error: cannot set up logs: {error}");
         return ExitCode::System;
     }
-    match node::run(settings) {
+    match start::run(settings.clone()) {
         Ok(()) => ExitCode::Success,
-        Err(error @ node::NodeError::Listen { .. }) => report_error(&error, ExitCode::Listen),
+        Err(error @ start::NodeError::Listen { .. }) => report_error(&error, ExitCode::Listen),
         Err(error) => report_error(&error, ExitCode::System),
     }
 }
 
-fn report_error(error: &node::NodeError, code: ExitCode) -> ExitCode {
+fn report_error(error: &start::NodeError, code: ExitCode) -> ExitCode {
     eprintln!("error: {error}");
     code
 }
--- /dev/null
+++ b/src/connection/accept.rs
@@ -0,0 +1,148 @@
+//! Accepts HTTP connections for a tide application, with bounds on number, head and idle time.
+
+use std::net as std_net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_std::io::WriteExt as _;
+use async_std::net;
+use async_std::task;
+use futures::future;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::idle;
+use crate::connection::refusal;
+use crate::process::view;
+use crate::request::verdict;
+
+/// Bounds of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct AcceptLimits {
+    /// Connections at the same time.
+    pub connections: usize,
+    /// Time within which the next request's head has to arrive.
+    pub idle: time::Duration,
+}
+
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// When a caller that found no room may come back.
+const ROOM_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Serves `application` until `token` is cancelled; open connections are left to end.
+pub async fn serve<State>(
+    listener: net::TcpListener,
+    application: tide::Server<State>,
+    limits: AcceptLimits,
+    counters: sync::Arc<dyn view::CounterSink>,
+    token: stop_token::StopToken,
+) where
+    State: Clone + Send + Sync + 'static,
+{
+    let open = sync::Arc::new(atomic::AtomicUsize::new(0));
+    while let Ok(accepted) = listener.accept().timeout_at(token.clone()).await {
+        let Ok((stream, _peer)) = accepted else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Without this option each token would wait for the peer's acknowledgement.
+        let _unsupported = stream.set_nodelay(true);
+        if open.load(atomic::Ordering::Relaxed) >= limits.connections {
+            counters.count("caller.connection_refused");
+            task::spawn(refuse(stream, no_room()));
+            continue;
+        }
+        let permit = OpenConnection::new(&open);
+        let application = application.clone();
+        task::spawn(async move {
+            serve_one(stream, application, limits).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_one<State>(
+    stream: net::TcpStream,
+    application: tide::Server<State>,
+    limits: AcceptLimits,
+) where
+    State: Clone + Send + Sync + 'static,
+{
+    let watched = idle::WatchedStream::new(stream.clone());
+    let activity = watched.activity();
+    let respond = |request| {
+        let application = application.clone();
+        let busy = activity.begin();
+        async move {
+            let response = application.respond(request).await;
+            drop(busy);
+            response
+        }
+    };
+    let serving = pin::pin!(async_h1::accept(watched, respond));
+    let expiring = pin::pin!(activity.expired(limits.idle));
+    let served = future::select(serving, expiring).await;
+    match served {
+        future::Either::Left((Err(error), _expired)) => {
+            refuse(stream, bad_head(&error.to_string())).await;
+        }
+        future::Either::Left((Ok(()), _expired)) => {}
+        future::Either::Right(((), _serving)) => {
+            // The peer may have closed the connection already.
+            let _closed = stream.shutdown(std_net::Shutdown::Both);
+        }
+    }
+}
+
+fn no_room() -> verdict::RequestRefusal {
+    let message = "the router has no room for another connection; use another address";
+    verdict::RequestRefusal::not_run(503, verdict::RefusalCode::Overloaded, message)
+        .retry_after(ROOM_DELAY)
+}
+
+fn bad_head(message: &str) -> verdict::RequestRefusal {
+    let status = if message.contains("8kb") { 431 } else { 400 };
+    let message = format!("the request head cannot be read: {message}");
+    verdict::RequestRefusal::not_run(status, verdict::RefusalCode::BadRequest, message)
+}
+
+/// Writes a refusal without reading a request and closes the connection.
+async fn refuse(mut stream: net::TcpStream, refusal: verdict::RequestRefusal) {
+    let body = refusal::body(&refusal).to_string();
+    let retry = refusal
+        .retry_after_seconds()
+        .map_or_else(String::new, |seconds| format!("retry-after: {seconds}\r\n"));
+    let head = format!(
+        "HTTP/1.1 {} Refused\r\ncontent-type: application/json\r\ncontent-length: {}\r\n{}: {}\r\n\
+         {retry}connection: close\r\n\r\n",
+        refusal.status,
+        body.len(),
+        verdict::VERDICT_HEADER,
+        refusal.verdict,
+    );
+    // A peer that has gone needs no refusal.
+    let _gone = stream.write_all(format!("{head}{body}").as_bytes()).await;
+}
+
+/// Counts one open connection until it is dropped.
+struct OpenConnection {
+    open: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl OpenConnection {
+    fn new(open: &sync::Arc<atomic::AtomicUsize>) -> Self {
+        open.fetch_add(1, atomic::Ordering::Relaxed);
+        Self {
+            open: sync::Arc::clone(open),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -27,7 +27,9 @@
 /// Why an engine did not serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineError {
-    /// No connection, or it broke off, or it gave no answer in time.
+    /// No byte of the request left this router.
+    NotSent(String),
+    /// The connection broke off or gave no answer in time.
     Unreachable(String),
     /// The engine answered with this HTTP status.
     Refused(u16),
@@ -38,7 +40,9 @@
 impl fmt::Display for EngineError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unreachable(message) | Self::Malformed(message) => f.write_str(message),
+            Self::NotSent(message) | Self::Unreachable(message) | Self::Malformed(message) => {
+                f.write_str(message)
+            }
             Self::Refused(status) => write!(f, "engine refused with status {status}"),
         }
     }
@@ -48,6 +52,9 @@
 
 impl From<http::ExchangeError> for EngineError {
     fn from(error: http::ExchangeError) -> Self {
+        if error.bytes_sent == 0 {
+            return Self::NotSent(error.message);
+        }
         Self::Unreachable(error.message)
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,8 @@
 //! What lives as long as one connection: to callers, endpoints, peers and the platform.
 
+pub mod accept;
+pub mod admin;
+pub mod caller;
 pub mod caller_address;
 pub mod caller_client;
 pub mod caller_progress;
@@ -11,6 +14,7 @@
 pub mod engine;
 pub mod engine_wire;
 pub mod http;
+pub mod idle;
 pub mod peer;
 pub mod peer_client;
 pub mod peer_server;
--- /dev/null
+++ b/src/process/drain.rs
@@ -0,0 +1,57 @@
+//! A planned stop that cuts no request.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+
+use crate::process::node;
+use crate::process::timeline;
+use crate::request::source;
+
+/// Time between two looks at what still runs.
+const DRAIN_STEP: time::Duration = time::Duration::from_millis(50);
+
+/// Time for callers to read that they are moved.
+const MOVE_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Time for the last facts to reach other routers.
+const FAREWELL_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Leaves the address answers, waits until they have expired, and then until nothing runs.
+///
+/// `accepting` is dropped when kept answers have expired, which ends accepting.
+pub async fn drain(node: sync::Arc<node::RouterNode>, accepting: stop_token::StopSource) {
+    log::info!("draining");
+    node.ring.record(None, timeline::EventKind::Draining);
+    node.readiness.set_draining();
+    node.gossip.set_draining();
+    let started = time::Instant::now();
+    let keep = time::Duration::from_millis(node.settings.address_keep_ms);
+    task::sleep(keep).await;
+    drop(accepting);
+    let limit = time::Duration::from_millis(node.settings.drain_timeout_ms);
+    while node.registry.readers() > 0 && started.elapsed() < limit {
+        task::sleep(DRAIN_STEP).await;
+    }
+    node.readiness.close();
+    move_generations(&node).await;
+    while node.calls_running.running() > 0 {
+        task::sleep(DRAIN_STEP).await;
+    }
+    node.gossip.set_left();
+    task::sleep(FAREWELL_TIME).await;
+    log::info!("drained");
+}
+
+/// Tells callers that still read a generation to go on elsewhere; engines go on generating.
+async fn move_generations(node: &node::RouterNode) {
+    for record in node.registry.running() {
+        // A driver that has ended needs no message.
+        let _ended = record.sender().send(source::DriverMessage::Move).await;
+    }
+    let started = time::Instant::now();
+    while node.registry.readers() > 0 && started.elapsed() < MOVE_LIMIT {
+        task::sleep(DRAIN_STEP).await;
+    }
+}
--- a/src/process/gossip_view.rs
+++ b/src/process/gossip_view.rs
@@ -91,3 +91,13 @@
     }
     fact
 }
+
+impl view::LeavingView for gossip::GossipNode {
+    fn is_leaving(&self, endpoint: &str, incarnation: u64) -> bool {
+        Self::is_leaving(self, endpoint, incarnation)
+    }
+
+    fn mark_leaving(&self, endpoint: &str, incarnation: u64) {
+        Self::mark_leaving(self, endpoint, incarnation);
+    }
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -11,6 +11,8 @@
 use cadence::Timed as _;
 use parking_lot::Mutex;
 
+use crate::process::view;
+
 /// Outcome of setting up metrics.
 pub type Result<T> = std::result::Result<T, io::Error>;
 
@@ -103,3 +105,13 @@
     let queue = cadence::QueuingMetricSink::with_capacity(sink, QUEUE_CAPACITY);
     Ok(cadence::StatsdClient::from_sink(METRIC_PREFIX, queue))
 }
+
+impl view::CounterSink for RouterMetrics {
+    fn count(&self, name: &'static str) {
+        self.count_by(name, 1);
+    }
+
+    fn time(&self, name: &'static str, duration: time::Duration) {
+        Self::time(self, name, duration);
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,9 +1,11 @@
 //! What lives as long as the process.
 
+pub mod address;
 pub mod admission;
 pub(crate) mod admission_queue;
 pub mod budget;
 pub mod config;
+pub mod drain;
 pub mod endpoint;
 pub mod gossip;
 pub mod gossip_exchange;
@@ -24,9 +26,15 @@
 pub mod metrics;
 pub mod node;
 pub mod poll;
+pub mod readiness;
 pub mod registry;
+pub mod seed;
 pub mod settings;
 pub mod settings_file;
 mod settings_tree;
+pub mod share;
+pub mod start;
+pub mod status;
 pub mod timeline;
 pub mod view;
+pub mod watch;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -1,66 +1,240 @@
-//! One router: wires the parts together and runs them until a stop is asked for.
+//! One router: the parts that its requests share, and what it answers to peers and operators.
 
-use std::fmt;
-use std::io;
-use std::net;
+use std::sync;
+use std::time;
 
-use crate::process::settings;
+use async_std::channel;
+use futures::FutureExt as _;
+use futures::future;
 
-/// Outcome of running a router.
-pub type Result<T> = std::result::Result<T, NodeError>;
+use crate::connection::peer;
+use crate::connection::peer_wire;
+use crate::process::address;
+use crate::process::admission;
+use crate::process::config;
+use crate::process::endpoint;
+use crate::process::gossip;
+use crate::process::metrics;
+use crate::process::readiness;
+use crate::process::registry;
+use crate::process::seed;
+use crate::process::settings;
+use crate::process::share;
+use crate::process::status;
+use crate::process::timeline;
+use crate::process::view;
+use crate::request::call;
+use crate::request::intake;
+use crate::request::key;
+use crate::request::verdict;
+use crate::version::route;
 
-/// Why a router could not run.
+/// One router.
 #[derive(Debug)]
-pub enum NodeError {
-    /// An address of the settings cannot be listened on.
-    Listen {
-        /// Settings field of the address.
-        field: &'static str,
-        /// The address.
-        address: net::SocketAddr,
-        /// What the socket reported.
-        error: io::Error,
-    },
-    /// Anything else that the process cannot go on without.
-    Setup(io::Error),
+pub struct RouterNode {
+    /// Settings of the process.
+    pub settings: settings::RouterSettings,
+    /// Events of the process.
+    pub ring: sync::Arc<timeline::EventRing>,
+    /// Counters of the process.
+    pub metrics: sync::Arc<metrics::RouterMetrics>,
+    /// The configuration version in force.
+    pub config: sync::Arc<config::ConfigCell>,
+    /// Membership.
+    pub gossip: sync::Arc<gossip::GossipNode>,
+    /// Membership as requests see it.
+    pub members: sync::Arc<dyn view::MemberView>,
+    /// Endpoints of the version in force.
+    pub endpoints: sync::Arc<endpoint::EndpointTable>,
+    /// Generations of the process.
+    pub registry: sync::Arc<registry::GenerationRegistry>,
+    /// Finds or starts generations.
+    pub intake: intake::GenerationIntake,
+    /// Runs calls to plain services.
+    pub calls: call::CallRunner,
+    /// Admits requests by workspace.
+    pub gate: sync::Arc<admission::AdmissionGate>,
+    /// Shares of the workspaces' limits.
+    pub shares: share::WorkspaceShares,
+    /// Calls that run now.
+    pub calls_running: readiness::CallCounter,
+    /// Whether the router may take and send work.
+    pub readiness: sync::Arc<readiness::RouterReadiness>,
+    /// Peer addresses from settings and the VM list.
+    pub seeds: sync::Arc<seed::SeedList>,
+    /// Where a stop is asked for.
+    pub drain_sender: channel::Sender<()>,
 }
 
-impl fmt::Display for NodeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Listen {
-                field,
-                address,
-                error,
-            } => write!(
-                f,
-                "{field}: cannot listen on {address}: {error}; free the address or set another one"
-            ),
-            Self::Setup(error) => write!(f, "cannot start: {error}"),
+impl RouterNode {
+    /// Home name for new keys.
+    #[must_use]
+    pub fn home(&self) -> key::HomeName {
+        self.members.home()
+    }
+
+    /// The version to serve under; `None` while the router is not ready.
+    #[must_use]
+    pub fn serving_version(&self) -> Option<sync::Arc<route::ActiveVersion>> {
+        if !self.readiness.may_serve() {
+            return None;
+        }
+        self.config.current()
+    }
+
+    /// Addresses for a caller, optionally in an availability zone.
+    #[must_use]
+    pub fn address_answer(&self, zone: Option<&str>) -> address::AddressAnswer {
+        let own = self.home().router;
+        let mut ready = self.members.ready_members();
+        if !self.readiness.may_be_named() {
+            ready.retain(|member| member.router != own);
+        }
+        let addresses = address::preferred(ready, zone, &mut fastrand::Rng::new());
+        address::AddressAnswer {
+            addresses,
+            keep_ms: self.settings.address_keep_ms,
+        }
+    }
+
+    /// Waits until the workspace's share admits one more request.
+    ///
+    /// # Errors
+    /// A refusal when the wait would be too long.
+    pub async fn admit(
+        &self,
+        workspace: &str,
+        priority: admission::Priority,
+        deadline: time::Duration,
+    ) -> verdict::Result<admission::AdmissionPermit> {
+        let limit = self.shares.limit(workspace);
+        let deadline = time::Instant::now() + deadline;
+        self.gate.admit(workspace, limit, priority, deadline).await
+    }
+
+    /// Divides the workspaces' limits anew by the demand of all routers.
+    pub fn divide_shares(&self) {
+        let own = self.gate.demand(time::Instant::now());
+        let demand = own.iter().map(|demand| peer_wire::DemandWire {
+            workspace: demand.workspace.clone(),
+            requests: demand.requests,
+        });
+        self.gossip.set_demand(demand.collect());
+        let Some(version) = self.config.current() else {
+            return;
+        };
+        let router = &self.settings.router;
+        let others = self.members.ready_members();
+        self.shares
+            .divide(&version, router, &own, &others, &self.gate);
+    }
+
+    /// Counts a refusal and records it.
+    pub fn note_refusal(&self, refusal: &verdict::RequestRefusal) {
+        self.metrics.count("request.refused");
+        let code = serde_json::to_value(refusal.code).unwrap_or_default();
+        self.ring.record(
+            None,
+            timeline::EventKind::Refused {
+                code: code.as_str().unwrap_or_default().to_owned(),
+                verdict: refusal.verdict.to_string(),
+            },
+        );
+    }
+
+    /// Asks the process to drain and stop; asking again has no effect.
+    pub fn ask_to_drain(&self) {
+        // A full channel means that a stop is asked for already.
+        let _asked_before = self.drain_sender.try_send(());
+    }
+
+    /// State for operators.
+    #[must_use]
+    pub fn status(&self) -> status::RouterStatus {
+        let endpoints = self.endpoints.all();
+        let endpoints = endpoints
+            .iter()
+            .map(|entry| status::EndpointStatus::new(entry, self.endpoints.state(entry)));
+        let counters = self.metrics.snapshot();
+        status::RouterStatus {
+            router: self.settings.router.clone(),
+            home: self.home().to_string(),
+            zone: self.settings.zone.clone(),
+            state: self.readiness.name().to_owned(),
+            config: self.config.number(),
+            members: self
+                .gossip
+                .members()
+                .into_iter()
+                .map(status::MemberStatus::from)
+                .collect(),
+            endpoints: endpoints.collect(),
+            workspaces: self.workspace_statuses(),
+            counters: counters
+                .into_iter()
+                .map(|(name, count)| (name.to_owned(), count))
+                .collect(),
+        }
+    }
+
+    fn workspace_statuses(&self) -> Vec<status::WorkspaceStatus> {
+        let Some(version) = self.config.current() else {
+            return Vec::new();
+        };
+        let demand = self.gate.demand(time::Instant::now());
+        let status = |workspace: &route::ServedWorkspace| {
+            let own = demand
+                .iter()
+                .find(|demand| demand.workspace == workspace.name);
+            status::WorkspaceStatus {
+                name: workspace.name.clone(),
+                max_in_flight: workspace.max_in_flight,
+                share: self.shares.limit(&workspace.name).share,
+                demand: own.map_or(0, |demand| demand.requests),
+            }
+        };
+        version.workspaces().iter().map(status).collect()
+    }
+
+    async fn reply(&self, query: peer_wire::QueryBody) -> peer_wire::ReplyBody {
+        if let Some(reply) = self.gossip.handle_query(&query).await {
+            return reply;
+        }
+        match query {
+            peer_wire::QueryBody::TakeOver {
+                key,
+                workspace,
+                router,
+            } => {
+                let handed = self.intake.hand_over(workspace, key, router).await;
+                peer_wire::ReplyBody::TakeOver(handed)
+            }
+            peer_wire::QueryBody::Call(wire) => {
+                let _running = self.calls_running.enter();
+                peer_wire::ReplyBody::Call(self.calls.run_at_home(wire).await)
+            }
+            peer_wire::QueryBody::NewerVersion { number } => {
+                peer_wire::ReplyBody::NewerVersion(self.newer_version(number))
+            }
+            _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
+        }
+    }
+
+    fn newer_version(&self, number: u64) -> Option<peer_wire::VersionWire> {
+        let version = self.config.current()?;
+        if version.number() <= number {
+            return None;
         }
+        let yaml = version.yaml().to_owned();
+        Some(peer_wire::VersionWire {
+            number: version.number(),
+            yaml,
+        })
     }
 }
 
-impl std::error::Error for NodeError {}
-
-/// Runs a router until it has drained.
-///
-/// # Errors
-/// [`NodeError`] when an address cannot be listened on or the process lacks what it needs.
-pub fn run(settings: &settings::RouterSettings) -> Result<()> {
-    let addresses = [
-        ("listen", settings.listen),
-        ("peer_listen", settings.peer_listen),
-        ("admin_listen", settings.admin_listen),
-    ];
-    for (field, address) in addresses {
-        net::TcpListener::bind(address).map_err(|error| NodeError::Listen {
-            field,
-            address,
-            error,
-        })?;
+impl peer::PeerHandler for RouterNode {
+    fn handle(&self, query: peer_wire::QueryBody) -> future::BoxFuture<'_, peer_wire::ReplyBody> {
+        self.reply(query).boxed()
     }
-    Err(NodeError::Setup(io::Error::from(
-        io::ErrorKind::Unsupported,
-    )))
 }
--- /dev/null
+++ b/src/process/share.rs
@@ -0,0 +1,81 @@
+//! This router's shares of the workspaces' limits, kept up to date from the demand of all routers.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use parking_lot::RwLock;
+
+use crate::connection::peer_wire;
+use crate::process::admission;
+use crate::process::limit;
+use crate::version::route;
+
+/// Time between two divisions of the limits.
+pub const SHARE_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+/// Shares of this router by workspace name.
+#[derive(Debug, Default)]
+pub struct WorkspaceShares {
+    limits: RwLock<collections::HashMap<String, admission::WorkspaceLimit>>,
+}
+
+impl WorkspaceShares {
+    /// The share of a workspace; nothing for one that is not declared.
+    #[must_use]
+    pub fn limit(&self, workspace: &str) -> admission::WorkspaceLimit {
+        let limits = self.limits.read();
+        let limit = limits.get(workspace).copied();
+        limit.unwrap_or(admission::WorkspaceLimit {
+            share: 0,
+            max_queue: 0,
+        })
+    }
+
+    /// Divides the limits of `version` among `router` and the `others` that take callers.
+    pub fn divide(
+        &self,
+        version: &route::ActiveVersion,
+        router: &str,
+        own: &[admission::WorkspaceDemand],
+        others: &[peer_wire::MemberWire],
+        gate: &sync::Arc<admission::AdmissionGate>,
+    ) {
+        let mut limits = collections::HashMap::new();
+        for workspace in version.workspaces() {
+            let name = workspace.name.as_str();
+            let own_demand = own.iter().find(|demand| demand.workspace == name);
+            let own_demand = limit::RouterDemand {
+                router,
+                requests: own_demand.map_or(0, |demand| demand.requests),
+            };
+            let others: Vec<_> = others
+                .iter()
+                .map(|member| member_demand(member, name))
+                .collect();
+            let share = limit::split_limit(workspace.max_in_flight, name, own_demand, &others);
+            let limit = admission::WorkspaceLimit {
+                share,
+                max_queue: workspace.max_queue,
+            };
+            gate.update_share(name, limit);
+            limits.insert(name.to_owned(), limit);
+        }
+        *self.limits.write() = limits;
+    }
+}
+
+fn member_demand<'a>(
+    member: &'a peer_wire::MemberWire,
+    workspace: &str,
+) -> limit::RouterDemand<'a> {
+    let demand = member
+        .demand
+        .iter()
+        .find(|demand| demand.workspace == workspace);
+    let requests = demand.map_or(0, |demand| demand.requests);
+    limit::RouterDemand {
+        router: &member.router,
+        requests,
+    }
+}
--- /dev/null
+++ b/src/process/start.rs
@@ -0,0 +1,386 @@
+//! Starts a router: listens, joins the others, gets a version, serves, and stops as asked.
+
+use std::fmt;
+use std::io as std_io;
+use std::net as std_net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use async_std::channel;
+use async_std::net;
+use async_std::task;
+use signal_hook::consts;
+use signal_hook::iterator;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::accept;
+use crate::connection::admin;
+use crate::connection::caller;
+use crate::connection::http;
+use crate::connection::peer;
+use crate::connection::peer_client;
+use crate::connection::peer_server;
+use crate::connection::peer_wire;
+use crate::connection::platform;
+use crate::connection::platform_client;
+use crate::process::admission;
+use crate::process::config;
+use crate::process::drain;
+use crate::process::endpoint;
+use crate::process::gossip;
+use crate::process::metrics;
+use crate::process::node;
+use crate::process::poll;
+use crate::process::readiness;
+use crate::process::registry;
+use crate::process::seed;
+use crate::process::settings;
+use crate::process::share;
+use crate::process::timeline;
+use crate::process::view;
+use crate::process::watch;
+use crate::request::call;
+use crate::request::driver;
+use crate::request::intake;
+use crate::version::check;
+use crate::version::route;
+use crate::version::store;
+
+/// Outcome of running a router.
+pub type Result<T> = std::result::Result<T, NodeError>;
+
+/// Time between two looks at whether a peer has a newer version.
+const VERSION_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// Time for which a peer is asked for its version.
+const VERSION_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Connections of operators at the same time.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// Why a router could not run.
+#[derive(Debug)]
+pub enum NodeError {
+    /// An address of the settings cannot be listened on.
+    Listen {
+        /// Settings field of the address.
+        field: &'static str,
+        /// The address.
+        address: std_net::SocketAddr,
+        /// What the socket reported.
+        error: std_io::Error,
+    },
+    /// Anything else that the process cannot go on without.
+    Setup(std_io::Error),
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen {
+                field,
+                address,
+                error,
+            } => write!(
+                f,
+                "{field}: cannot listen on {address}: {error}; free the address or set another one"
+            ),
+            Self::Setup(error) => write!(f, "cannot start: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for NodeError {}
+
+/// The listeners of one router.
+struct RouterListeners {
+    caller: net::TcpListener,
+    peer: net::TcpListener,
+    admin: net::TcpListener,
+}
+
+/// Runs a router until it has drained.
+///
+/// # Errors
+/// [`NodeError`] when an address cannot be listened on or signals cannot be handled.
+pub fn run(settings: settings::RouterSettings) -> Result<()> {
+    let listeners = RouterListeners {
+        caller: listen("listen", settings.listen)?,
+        peer: listen("peer_listen", settings.peer_listen)?,
+        admin: listen("admin_listen", settings.admin_listen)?,
+    };
+    let (drain_sender, drain_receiver) = channel::bounded(1);
+    forward_signals(drain_sender.clone()).map_err(NodeError::Setup)?;
+    let metrics = metrics::RouterMetrics::new(settings.statsd).map_err(metrics_error)?;
+    task::block_on(serve(
+        settings,
+        sync::Arc::new(metrics),
+        listeners,
+        drain_sender,
+        drain_receiver,
+    ));
+    Ok(())
+}
+
+fn metrics_error(error: impl fmt::Display) -> NodeError {
+    NodeError::Setup(std_io::Error::other(error.to_string()))
+}
+
+fn listen(field: &'static str, address: std_net::SocketAddr) -> Result<net::TcpListener> {
+    http::listen(address).map_err(|error| NodeError::Listen {
+        field,
+        address,
+        error,
+    })
+}
+
+/// Turns SIGTERM and SIGINT into requests to drain.
+fn forward_signals(sender: channel::Sender<()>) -> std_io::Result<()> {
+    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _signal in signals.forever() {
+                // A full channel means that a stop is asked for already.
+                let _asked_before = sender.try_send(());
+            }
+        })?;
+    Ok(())
+}
+
+async fn serve(
+    settings: settings::RouterSettings,
+    metrics: sync::Arc<metrics::RouterMetrics>,
+    listeners: RouterListeners,
+    drain_sender: channel::Sender<()>,
+    drain_receiver: channel::Receiver<()>,
+) {
+    let process = stop_token::StopSource::new();
+    let accepting = stop_token::StopSource::new();
+    let platform: sync::Arc<dyn platform::PlatformService> = sync::Arc::new(
+        platform_client::PlatformClient::new(settings.platform.clone()),
+    );
+    let node = assemble(settings, metrics, sync::Arc::clone(&platform), drain_sender);
+    node.ring.record(None, timeline::EventKind::ProcessStarted);
+    follow_versions(&node);
+    spawn_listeners(&node, listeners, &accepting, &process);
+    spawn_background(&node, platform, &process);
+    let stopped = drain_receiver.recv();
+    task::spawn(announce_ready(sync::Arc::clone(&node), process.token()));
+    // The channel lives as long as the node, so that only a message ends the wait.
+    let _message = stopped.await;
+    drain::drain(node, accepting).await;
+}
+
+fn assemble(
+    settings: settings::RouterSettings,
+    metrics: sync::Arc<metrics::RouterMetrics>,
+    platform: sync::Arc<dyn platform::PlatformService>,
+    drain_sender: channel::Sender<()>,
+) -> sync::Arc<node::RouterNode> {
+    let ring = sync::Arc::new(timeline::EventRing::new(settings.router.clone()));
+    let link: sync::Arc<dyn peer::PeerLink> =
+        sync::Arc::new(peer_client::PeerClient::new(sync::Arc::clone(&ring)));
+    let seeds = sync::Arc::new(seed::SeedList::new(settings.seeds.clone()));
+    let gossip = sync::Arc::new(gossip::GossipNode::new(
+        identity(&settings),
+        gossip::GossipSettings::default(),
+        sync::Arc::clone(&seeds) as _,
+        sync::Arc::clone(&link),
+        sync::Arc::clone(&ring),
+    ));
+    let members: sync::Arc<dyn view::MemberView> = sync::Arc::clone(&gossip) as _;
+    let leaving: sync::Arc<dyn view::LeavingView> = sync::Arc::clone(&gossip) as _;
+    let endpoints = sync::Arc::new(endpoint::EndpointTable::new(settings.zone.clone(), leaving));
+    let registry = sync::Arc::new(registry::GenerationRegistry::default());
+    let readiness = sync::Arc::new(readiness::RouterReadiness::default());
+    let context = driver::DriverContext {
+        engines: sync::Arc::clone(&endpoints) as _,
+        ring: sync::Arc::clone(&ring),
+        counters: sync::Arc::clone(&metrics) as _,
+    };
+    let intake = intake::GenerationIntake {
+        context,
+        registry: sync::Arc::clone(&registry),
+        link: sync::Arc::clone(&link),
+        members: sync::Arc::clone(&members),
+    };
+    let calls = call::CallRunner::with_gate(
+        link,
+        sync::Arc::clone(&members),
+        sync::Arc::clone(&endpoints) as _,
+        platform,
+        sync::Arc::clone(&ring),
+        call::CallLimits::default(),
+        sync::Arc::clone(&readiness) as _,
+    );
+    sync::Arc::new(node::RouterNode {
+        settings,
+        ring,
+        metrics,
+        config: sync::Arc::new(config::ConfigCell::new()),
+        gossip,
+        members,
+        endpoints,
+        registry,
+        intake,
+        calls,
+        gate: admission::AdmissionGate::new(),
+        shares: share::WorkspaceShares::default(),
+        calls_running: readiness::CallCounter::default(),
+        readiness,
+        seeds,
+        drain_sender,
+    })
+}
+
+fn identity(settings: &settings::RouterSettings) -> gossip::MemberIdentity {
+    gossip::MemberIdentity {
+        router: settings.router.clone(),
+        incarnation: timeline::wall_micros(),
+        zone: settings.zone.clone(),
+        caller_address: settings.listen.to_string(),
+        peer_address: settings.peer_listen.to_string(),
+        admin_address: settings.admin_listen.to_string(),
+    }
+}
+
+/// Puts each version that the cell takes in force at the other parts.
+fn follow_versions(node: &sync::Arc<node::RouterNode>) {
+    let follower = sync::Arc::downgrade(node);
+    node.config.subscribe(move |version| {
+        if let Some(node) = follower.upgrade() {
+            put_in_force(&node, version);
+        }
+    });
+}
+
+fn put_in_force(node: &sync::Arc<node::RouterNode>, version: &route::ActiveVersion) {
+    let number = version.number();
+    if let Ok(set) = check::parse("version", version.yaml()) {
+        node.endpoints.replace(&set.services);
+    }
+    node.gossip.set_config(number);
+    node.divide_shares();
+    node.readiness.set_version();
+    node.ring
+        .record(None, timeline::EventKind::VersionInForce { number });
+    log::info!("version {number} is in force");
+}
+
+fn spawn_listeners(
+    node: &sync::Arc<node::RouterNode>,
+    listeners: RouterListeners,
+    accepting: &stop_token::StopSource,
+    process: &stop_token::StopSource,
+) {
+    let limits = accept::AcceptLimits {
+        connections: node.settings.max_connections,
+        idle: time::Duration::from_millis(node.settings.idle_timeout_ms),
+    };
+    let counters: sync::Arc<dyn view::CounterSink> = sync::Arc::clone(&node.metrics) as _;
+    let application = caller::application(sync::Arc::clone(node));
+    task::spawn(accept::serve(
+        listeners.caller,
+        application,
+        limits,
+        sync::Arc::clone(&counters),
+        accepting.token(),
+    ));
+    let limits = accept::AcceptLimits {
+        connections: ADMIN_CONNECTIONS,
+        ..limits
+    };
+    let application = admin::application(sync::Arc::clone(node));
+    task::spawn(accept::serve(
+        listeners.admin,
+        application,
+        limits,
+        counters,
+        process.token(),
+    ));
+    let handler: sync::Arc<dyn peer::PeerHandler> = sync::Arc::clone(node) as _;
+    let ring = sync::Arc::clone(&node.ring);
+    task::spawn(peer_server::serve(
+        listeners.peer,
+        handler,
+        ring,
+        process.token(),
+    ));
+}
+
+fn spawn_background(
+    node: &sync::Arc<node::RouterNode>,
+    platform: sync::Arc<dyn platform::PlatformService>,
+    process: &stop_token::StopSource,
+) {
+    let gossip = sync::Arc::clone(&node.gossip);
+    let token = process.token();
+    task::spawn(async move { gossip.run(token).await });
+    let gossip = sync::Arc::clone(&node.gossip);
+    let readiness = sync::Arc::clone(&node.readiness);
+    // A router without a version reads the table service itself, whoever the pollers are.
+    let is_poller = move || !readiness.may_serve() || gossip.is_poller();
+    let store = store::VersionStore::new(sync::Arc::clone(&platform));
+    let cell = sync::Arc::clone(&node.config);
+    task::spawn(poll::run(cell, store, Box::new(is_poller), process.token()));
+    task::spawn(follow_peers(sync::Arc::clone(node), process.token()));
+    let watcher = watch::EndpointWatcher {
+        endpoints: sync::Arc::clone(&node.endpoints),
+        leaving: sync::Arc::clone(&node.gossip) as _,
+        seeds: sync::Arc::clone(&node.seeds),
+        platform: sync::Arc::clone(&platform),
+        ring: sync::Arc::clone(&node.ring),
+    };
+    task::spawn(watcher.clone().watch_reports(process.token()));
+    task::spawn(watcher.watch_vms(process.token()));
+    task::spawn(keep_shares(sync::Arc::clone(node), process.token()));
+}
+
+/// Takes newer versions from peers that have one.
+async fn follow_peers(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    while task::sleep(VERSION_PERIOD)
+        .timeout_at(token.clone())
+        .await
+        .is_ok()
+    {
+        let number = node.config.number();
+        let Some(member) = node.gossip.newest_config_peer(number) else {
+            continue;
+        };
+        let query = peer_wire::QueryBody::NewerVersion { number };
+        let link = sync::Arc::clone(&node.intake.link);
+        let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
+        if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
+            node.config.offer(version.number, &version.yaml);
+        }
+    }
+}
+
+/// Tells the other routers once this one can serve.
+async fn announce_ready(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    while !node.readiness.may_serve() {
+        if task::sleep(VERSION_PERIOD)
+            .timeout_at(token.clone())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+    node.gossip.set_ready();
+    node.ring.record(None, timeline::EventKind::Ready);
+    log::info!("ready");
+}
+
+/// Keeps the shares of the workspaces' limits up to date.
+async fn keep_shares(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    while task::sleep(share::SHARE_PERIOD)
+        .timeout_at(token.clone())
+        .await
+        .is_ok()
+    {
+        node.divide_shares();
+    }
+}
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -19,9 +19,12 @@
 use crate::request::suspicion;
 use crate::request::verdict;
 
-/// Time without a token after which the caller is told to come back.
+/// Time without a token after a loss until the caller is told to come back.
 pub const GIVE_UP_LIMIT: time::Duration = time::Duration::from_secs(10);
 
+/// Time for a new generation to find an engine that can be reached.
+pub const NEW_LIMIT: time::Duration = time::Duration::from_millis(700);
+
 /// Time for which a generation without readers is kept running.
 pub const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(10);
 
@@ -99,6 +102,10 @@
     has_token: bool,
     /// Tokens were delivered that this router does not hold; a new attempt starts the answer again.
     lacks_prefix: bool,
+    /// An engine may have begun to generate.
+    may_have_run: bool,
+    /// When the present trouble began.
+    lost_since: Option<time::Instant>,
     orphan_checked: time::Instant,
     orphaned: time::Duration,
 }
@@ -126,6 +133,8 @@
             last_token: now,
             has_token: false,
             lacks_prefix: false,
+            may_have_run: false,
+            lost_since: None,
             orphan_checked: now,
             orphaned: time::Duration::ZERO,
         }
@@ -152,6 +161,7 @@
             GenerationStart::Fresh => self.replace(),
             GenerationStart::Attach { attempt, endpoint } => {
                 self.lacks_prefix = self.record.position() == 0;
+                self.may_have_run = true;
                 self.record.open(attempt);
                 if !self.attach(attempt, &endpoint) {
                     self.recover();
@@ -206,6 +216,7 @@
     fn on_opened(&mut self, index: usize) {
         self.last_sign = time::Instant::now();
         self.sources[index].is_opened = true;
+        self.may_have_run = true;
     }
 
     fn on_token(&mut self, index: usize, position: u32, text: &str) {
@@ -248,6 +259,7 @@
         self.last_token = now;
         self.last_sign = now;
         self.round = 0;
+        self.lost_since = None;
         self.excluded.clear();
         if self.sources.len() > 1 {
             self.keep_only(index);
@@ -292,8 +304,13 @@
             cause: error.to_string(),
         });
         self.context.counters.count("generation.stream_lost");
-        if matches!(error, engine::EngineError::Unreachable(_)) {
-            lost.endpoint.report_failure();
+        match error {
+            engine::EngineError::NotSent(_) => lost.endpoint.report_failure(),
+            engine::EngineError::Unreachable(_) => {
+                self.may_have_run = true;
+                lost.endpoint.report_failure();
+            }
+            engine::EngineError::Refused(_) | engine::EngineError::Malformed(_) => {}
         }
         if matches!(error, engine::EngineError::Refused(_)) {
             self.record.retire(lost.attempt);
@@ -324,6 +341,7 @@
             cause: "silent".to_owned(),
         });
         newest.endpoint.report_failure();
+        self.may_have_run = true;
         self.exclude(&name);
         self.recover_from(attempt, &name);
     }
@@ -341,7 +359,13 @@
 
     /// Takes the next measure after `attempt` at `endpoint` was lost or went silent.
     fn recover_from(&mut self, attempt: cursor::AttemptId, endpoint: &str) {
-        if self.last_token.elapsed() > GIVE_UP_LIMIT {
+        let lost_since = *self.lost_since.get_or_insert_with(time::Instant::now);
+        let limit = if self.may_have_run {
+            GIVE_UP_LIMIT
+        } else {
+            NEW_LIMIT
+        };
+        if lost_since.elapsed() > limit {
             self.give_up();
             return;
         }
@@ -503,12 +527,18 @@
     }
 
     fn give_up(&mut self) {
-        let refusal = verdict::RequestRefusal::may_have_run(
-            503,
-            verdict::RefusalCode::NoEndpoint,
-            "no engine can go on with the generation; ask again with the last cursor",
-        )
-        .retry_after(RETRY_DELAY);
+        let (verdict, message) = if self.may_have_run {
+            let message = "no engine can go on with the generation; ask again with the last cursor";
+            (verdict::RunVerdict::MayHaveRun, message)
+        } else {
+            (
+                verdict::RunVerdict::NotRun,
+                "no engine can serve the model now; ask again later",
+            )
+        };
+        let code = verdict::RefusalCode::NoEndpoint;
+        let refusal =
+            verdict::RequestRefusal::new(503, code, verdict, message).retry_after(RETRY_DELAY);
         self.note(timeline::EventKind::Refused {
             code: "no-endpoint".to_owned(),
             verdict: refusal.verdict.to_string(),
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -49,7 +49,7 @@
         home: home.to_string(),
     };
     state.ring.record(Some(&copy.call.key), event);
-    match ask(state, copy, &member.peer_address).await {
+    match ask(state, copy, &member.peer_address, home).await {
         Ok(peer_wire::ReplyBody::Call(outcome)) => outcome,
         Ok(_reply) => refusal::refused(refuse_silent(home)),
         Err(peer::PeerError::NotSent(_message)) => {
@@ -64,13 +64,14 @@
     state: &call::RunnerState,
     copy: &copy::CallCopy,
     address: &str,
+    home: &key::HomeName,
 ) -> peer::Result<peer_wire::ReplyBody> {
     let remaining = copy.remaining();
     let mut message = copy.call.clone();
     message.deadline_millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
     let query = peer_wire::QueryBody::Call(message);
     let answer = state.link.ask(address, query, remaining + FORWARD_GRACE);
-    let silence = notice_silence(state, address).boxed();
+    let silence = notice_silence(state, address, home).boxed();
     match future::select(answer, silence).await {
         future::Either::Left((answer, _silence)) => answer,
         future::Either::Right((error, _answer)) => Err(error),
@@ -78,10 +79,16 @@
 }
 
 /// Ends when a probe of `address` goes unanswered.
-async fn notice_silence(state: &call::RunnerState, address: &str) -> peer::PeerError {
+async fn notice_silence(
+    state: &call::RunnerState,
+    address: &str,
+    home: &key::HomeName,
+) -> peer::PeerError {
     loop {
         async_std::task::sleep(PROBE_INTERVAL).await;
-        let probe = peer_wire::QueryBody::Probe;
+        let probe = peer_wire::QueryBody::Probe {
+            router: home.router.clone(),
+        };
         let reply = state.link.ask(address, probe, PROBE_LIMIT).await;
         if let Err(error) = reply {
             return peer::PeerError::NoReply(error.to_string());
