--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -12,7 +12,7 @@
 
 use crate::connection::{peer, peer_wire};
 use crate::process::{
-    gossip_exchange, gossip_load, gossip_target, member_rank, membership, timeline,
+    gossip_exchange, gossip_load, gossip_target, member_rank, membership, pause, timeline,
 };
 
 /// Times of the rounds.
@@ -103,7 +103,7 @@
     pub(super) wake: (channel::Sender<()>, channel::Receiver<()>),
     ring: Arc<timeline::EventRing>,
     pub(super) lives: Mutex<Vec<u64>>,
-    pub(super) is_available: atomic::AtomicBool,
+    pub(super) gate: Arc<pause::PauseGate>,
     news: (channel::Sender<()>, channel::Receiver<()>),
 }
 
@@ -144,7 +144,7 @@
             wake: channel::bounded(1),
             ring,
             lives: Mutex::new(vec![identity.incarnation]),
-            is_available: atomic::AtomicBool::new(true),
+            gate: Arc::default(),
             news: channel::bounded(1),
         }
     }
@@ -230,10 +230,10 @@
         self.advance(member_rank::LifeStage::Left);
     }
 
-    /// Whether this router may be named to callers; `false` after a pause until it is up to date.
-    pub fn set_available(&self, is_available: bool) {
-        self.is_available
-            .store(is_available, atomic::Ordering::Relaxed);
+    /// Opens when an exchange succeeds; while closed, this router is not named to callers.
+    #[must_use]
+    pub const fn gate(&self) -> &Arc<pause::PauseGate> {
+        &self.gate
     }
 
     /// Waits until a peer has shown a newer configuration than this router's.
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -240,12 +240,14 @@
         address: &str,
         query: peer_wire::GossipWire,
     ) -> Option<(String, gossip_exchange::ExchangeEffect)> {
+        let began = time::Instant::now();
         let upto = query.upto;
         let query = peer_wire::QueryBody::Gossip(query);
         let reply = self.link.ask(address, query, self.settings.probe_limit);
         let Ok(peer_wire::ReplyBody::Gossip(reply)) = reply.await else {
             return None;
         };
+        self.gate.note_contact(began);
         let from = reply.from.clone();
         let at = gossip::exchange_time();
         let effect = self.state.lock().absorb(upto, reply, at);
--- a/src/process/gossip_view.rs
+++ b/src/process/gossip_view.rs
@@ -1,7 +1,5 @@
 //! What the rest of the process asks a gossip node about the routers.
 
-use std::sync::atomic;
-
 use crate::connection::peer_wire;
 use crate::process::{gossip, member_rank, member_ring, membership, view};
 use crate::request::key;
@@ -68,10 +66,10 @@
     }
 
     fn ready_members(&self) -> Vec<peer_wire::MemberWire> {
-        let is_available = self.is_available.load(atomic::Ordering::Relaxed);
+        let is_open = self.gate.is_open();
         let state = self.state.lock();
         let is_ready = |record: &&membership::MemberRecord| {
-            record.rank.is_serving() && (is_available || record.fact.router != self.router)
+            record.rank.is_serving() && (is_open || record.fact.router != self.router)
         };
         let ready = state.table.records().filter(is_ready);
         ready
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod member_rank;
 pub mod member_ring;
 pub mod membership;
+pub mod pause;
 pub mod settings;
 pub mod timeline;
 pub mod view;
