--- /dev/null
+++ b/src/process/admission.rs
@@ -0,0 +1,271 @@
+//! Admission of requests: per-workspace concurrency with a queue, resumed work first.
+//!
+//! A request whose expected wait exceeds its deadline is refused at once. Refused and waiting
+//! requests count as demand, from which the routers divide the workspace's limit.
+
+use std::collections;
+use std::fmt;
+use std::sync;
+use std::time;
+
+use futures::channel::oneshot;
+use parking_lot::Mutex;
+use xxhash_rust::xxh3;
+
+use crate::process::admission_queue;
+use crate::request::verdict;
+
+/// Outcome of admission.
+pub type Result<T> = verdict::Result<T>;
+
+const SHARD_COUNT: usize = 16;
+
+/// Part of a workspace's limit that this router may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkspaceLimit {
+    /// Requests running at this router at most.
+    pub share: u32,
+    /// Requests waiting at this router at most.
+    pub max_queue: u32,
+}
+
+/// Order of admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Priority {
+    /// Work that begins.
+    New,
+    /// Work that was lost elsewhere and goes on.
+    Resumed,
+}
+
+/// Demand of one workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkspaceDemand {
+    /// Workspace name.
+    pub workspace: String,
+    /// Requests running, waiting and lately refused.
+    pub requests: u32,
+}
+
+/// Admits requests up to the share of their workspace.
+#[derive(Debug)]
+pub struct AdmissionGate {
+    shards: Vec<Mutex<GateShard>>,
+}
+
+#[derive(Debug, Default)]
+struct GateShard {
+    workspaces: collections::HashMap<String, admission_queue::WorkspaceState>,
+    next_waiter: u64,
+}
+
+/// A running request; its slot is given back when this is dropped.
+pub struct AdmissionPermit {
+    gate: sync::Arc<AdmissionGate>,
+    workspace: String,
+    started: time::Instant,
+}
+
+impl fmt::Debug for AdmissionPermit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AdmissionPermit")
+            .field("workspace", &self.workspace)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for AdmissionPermit {
+    fn drop(&mut self) {
+        self.gate.release(&self.workspace, self.started.elapsed());
+    }
+}
+
+/// Takes a waiting request out of the queue when its future is dropped.
+#[derive(Debug)]
+struct QueueGuard {
+    gate: sync::Arc<AdmissionGate>,
+    workspace: String,
+    id: u64,
+}
+
+impl Drop for QueueGuard {
+    fn drop(&mut self) {
+        let mut shard = self.gate.shard(&self.workspace).lock();
+        if let Some(state) = shard.workspaces.get_mut(&self.workspace) {
+            state.resumed.retain(|entry| entry.id != self.id);
+            state.fresh.retain(|entry| entry.id != self.id);
+        }
+    }
+}
+
+/// What happens to an arriving request.
+#[derive(Debug)]
+enum Arrival {
+    Run,
+    Wait(QueueGuard, oneshot::Receiver<Result<AdmissionPermit>>),
+    Refuse(verdict::RequestRefusal),
+}
+
+impl AdmissionGate {
+    /// A gate that nothing has passed yet.
+    #[must_use]
+    pub fn new() -> sync::Arc<Self> {
+        let shards = (0..SHARD_COUNT).map(|_index| Mutex::default()).collect();
+        sync::Arc::new(Self { shards })
+    }
+
+    /// Waits for a slot of `workspace` until `deadline`.
+    ///
+    /// # Errors
+    /// A refusal as not run with `Retry-After`, at once when the expected wait is too long.
+    pub fn admit(
+        self: &sync::Arc<Self>,
+        workspace: &str,
+        limit: WorkspaceLimit,
+        priority: Priority,
+        deadline: time::Instant,
+    ) -> impl Future<Output = Result<AdmissionPermit>> + Send + use<> {
+        let gate = sync::Arc::clone(self);
+        let workspace = workspace.to_owned();
+        async move {
+            let now = time::Instant::now();
+            match gate.arrive(&workspace, limit, priority, deadline, now) {
+                Arrival::Run => Ok(gate.permit(&workspace)),
+                Arrival::Refuse(refusal) => Err(refusal),
+                Arrival::Wait(guard, receiver) => {
+                    let left = deadline.saturating_duration_since(now);
+                    let granted = async_std::future::timeout(left, receiver).await;
+                    drop(guard);
+                    let Ok(Ok(permit)) = granted else {
+                        return Err(gate.refuse_late(&workspace));
+                    };
+                    permit
+                }
+            }
+        }
+    }
+
+    /// Sets the share of a workspace and lets waiting requests in if it grew.
+    pub fn update_share(self: &sync::Arc<Self>, workspace: &str, limit: WorkspaceLimit) {
+        let granted = {
+            let mut shard = self.shard(workspace).lock();
+            let Some(state) = shard.workspaces.get_mut(workspace) else {
+                return;
+            };
+            state.share = limit.share;
+            state.take_next()
+        };
+        self.grant(workspace, granted);
+    }
+
+    /// Requests running, waiting and lately refused, for each workspace that has any.
+    #[must_use]
+    pub fn demand(&self, now: time::Instant) -> Vec<WorkspaceDemand> {
+        let mut demands = Vec::new();
+        for shard in &self.shards {
+            let shard = shard.lock();
+            for (workspace, state) in &shard.workspaces {
+                let requests = state.demand(now);
+                if requests > 0 {
+                    let workspace = workspace.clone();
+                    demands.push(WorkspaceDemand {
+                        workspace,
+                        requests,
+                    });
+                }
+            }
+        }
+        demands.sort_unstable_by(|left, right| left.workspace.cmp(&right.workspace));
+        demands
+    }
+
+    fn shard(&self, workspace: &str) -> &Mutex<GateShard> {
+        let hash = xxh3::xxh3_64(workspace.as_bytes());
+        let index = hash % SHARD_COUNT as u64;
+        &self.shards[usize::try_from(index).unwrap_or_default()]
+    }
+
+    fn permit(self: &sync::Arc<Self>, workspace: &str) -> AdmissionPermit {
+        AdmissionPermit {
+            gate: sync::Arc::clone(self),
+            workspace: workspace.to_owned(),
+            started: time::Instant::now(),
+        }
+    }
+
+    fn arrive(
+        self: &sync::Arc<Self>,
+        workspace: &str,
+        limit: WorkspaceLimit,
+        priority: Priority,
+        deadline: time::Instant,
+        now: time::Instant,
+    ) -> Arrival {
+        let mut displaced = None;
+        let (arrival, granted) = {
+            let mut shard = self.shard(workspace).lock();
+            shard.next_waiter += 1;
+            let id = shard.next_waiter;
+            let state = shard.workspaces.entry(workspace.to_owned()).or_default();
+            state.share = limit.share;
+            let granted = state.take_next();
+            let arrival = match state.decide(limit, priority, deadline, now) {
+                admission_queue::QueueDecision::Run => {
+                    state.running += 1;
+                    Arrival::Run
+                }
+                admission_queue::QueueDecision::Refuse(refusal) => {
+                    state.note_refusal(now);
+                    Arrival::Refuse(refusal)
+                }
+                admission_queue::QueueDecision::Wait { displace } => {
+                    if displace {
+                        displaced = state.fresh.pop_back();
+                    }
+                    let receiver = state.enqueue(id, priority);
+                    let guard = QueueGuard {
+                        gate: sync::Arc::clone(self),
+                        workspace: workspace.to_owned(),
+                        id,
+                    };
+                    Arrival::Wait(guard, receiver)
+                }
+            };
+            (arrival, granted)
+        };
+        self.grant(workspace, granted);
+        if let Some(entry) = displaced {
+            // The displaced request may have given up.
+            drop(entry.reply.send(Err(self.refuse_late(workspace))));
+        }
+        arrival
+    }
+
+    fn release(self: &sync::Arc<Self>, workspace: &str, service_time: time::Duration) {
+        let granted = {
+            let mut shard = self.shard(workspace).lock();
+            let Some(state) = shard.workspaces.get_mut(workspace) else {
+                return;
+            };
+            state.running = state.running.saturating_sub(1);
+            state.note_service_time(service_time);
+            state.take_next()
+        };
+        self.grant(workspace, granted);
+    }
+
+    /// Lets queue entries run whose slots are counted already.
+    fn grant(self: &sync::Arc<Self>, workspace: &str, entries: Vec<admission_queue::QueueEntry>) {
+        for entry in entries {
+            // A request that gave up drops the permit, which gives the slot back.
+            drop(entry.reply.send(Ok(self.permit(workspace))));
+        }
+    }
+
+    fn refuse_late(&self, workspace: &str) -> verdict::RequestRefusal {
+        let mut shard = self.shard(workspace).lock();
+        let state = shard.workspaces.entry(workspace.to_owned()).or_default();
+        state.note_refusal(time::Instant::now());
+        admission_queue::refuse_overload(state.expected_wait(Priority::New))
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,10 @@
 //! What lives as long as the process.
 
+pub mod admission;
+pub(crate) mod admission_queue;
+pub mod budget;
+pub mod config;
+pub mod endpoint;
 pub mod gossip;
 pub mod gossip_exchange;
 pub mod gossip_load;
@@ -7,6 +12,8 @@
 pub mod gossip_target;
 pub mod gossip_view;
 pub mod leaving;
+pub mod limit;
+pub mod logging;
 pub mod member_delta;
 pub mod member_digest;
 pub mod member_expiry;
@@ -15,6 +22,12 @@
 pub mod member_ring;
 pub mod membership;
 pub mod pause;
+pub mod metrics;
+pub mod node;
+pub mod poll;
+pub mod registry;
 pub mod settings;
+pub mod settings_file;
+mod settings_tree;
 pub mod timeline;
 pub mod view;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,3 +1,11 @@
 //! What lives as long as one configuration version: declarations, their checks and builders.
 
+pub mod check;
 pub mod declaration;
+pub mod declare;
+pub mod diff;
+pub mod lines;
+pub mod route;
+pub mod rules;
+pub mod store;
+pub mod syntax;
