--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -25,6 +25,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod node;
+pub mod pause;
 pub mod poll;
 pub mod readiness;
 pub mod registry;
