--- /dev/null
+++ b/src/bin/kumquatpulley/wait.rs
@@ -0,0 +1,100 @@
+//! Waits until all ready routers report a version.
+
+use std::collections;
+use std::fmt;
+use std::time;
+
+use async_std::task;
+use futures::future;
+
+use crate::admin;
+use crate::source;
+
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const READY: &str = "ready";
+
+/// Which routers have the version.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct WaitReport {
+    /// Routers at which the version is in force.
+    pub in_force: Vec<String>,
+    /// Ready routers that did not report it in time.
+    pub behind: Vec<String>,
+    /// Operator addresses that gave no answer.
+    pub silent: Vec<String>,
+    /// Time waited, in milliseconds.
+    pub waited_ms: u64,
+}
+
+impl WaitReport {
+    /// Whether the version is not known to be in force everywhere.
+    pub const fn is_behind(&self) -> bool {
+        !self.behind.is_empty() || !self.silent.is_empty() || self.in_force.is_empty()
+    }
+}
+
+impl fmt::Display for WaitReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "in force at {} routers after {} ms",
+            self.in_force.len(),
+            self.waited_ms
+        )?;
+        if !self.behind.is_empty() {
+            write!(f, "; behind: {}", self.behind.join(", "))?;
+        }
+        if !self.silent.is_empty() {
+            write!(f, "; no answer from {}", self.silent.join(", "))?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks the routers given and all members that they name until the time is up.
+pub async fn until_in_force(matches: &clap::ArgMatches, version: u64) -> WaitReport {
+    let limit = time::Duration::from_millis(*source::required::<u64>(matches, "wait-ms"));
+    let given = source::routers(matches);
+    let started = time::Instant::now();
+    loop {
+        let mut report = look(&given, version).await;
+        report.waited_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if !report.is_behind() || started.elapsed() + POLL_INTERVAL > limit {
+            return report;
+        }
+        task::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn look(given: &[String], version: u64) -> WaitReport {
+    let mut report = WaitReport {
+        in_force: Vec::new(),
+        behind: Vec::new(),
+        silent: Vec::new(),
+        waited_ms: 0,
+    };
+    let mut seen = collections::BTreeSet::new();
+    let mut next: collections::BTreeSet<String> = given.iter().cloned().collect();
+    // Members of members are asked too, so that one stale answer hides no router.
+    while !next.is_empty() {
+        seen.extend(next.iter().cloned());
+        let asked = next.iter().map(|address| admin::status(address));
+        let answers = future::join_all(asked).await;
+        let mut named = collections::BTreeSet::new();
+        for (address, answer) in next.iter().zip(answers) {
+            let Ok(status) = answer else {
+                report.silent.push(address.clone());
+                continue;
+            };
+            let ready = status.members.iter().filter(|member| member.state == READY);
+            named.extend(ready.map(|member| member.admin_address.clone()));
+            if status.config >= version {
+                report.in_force.push(status.router);
+            } else if status.state == READY {
+                report.behind.push(status.router);
+            }
+        }
+        next = named.difference(&seen).cloned().collect();
+    }
+    report
+}
