Serve the whole path: readiness after pauses, reports read at once

Cause: routers refused the first requests after a version came into force, because engines had not reported yet; a woken router could act on old facts. Ruled out: taking declared models as loaded, which would send requests to engines without them. Change: reports are read when a version comes into force; a pause closes the router until one exchange with a peer or the table service that began after it.

--- /dev/null
+++ b/src/process/catch_up.rs
@@ -0,0 +1,91 @@
+//! After a pause of the process: no work until one exchange shows what the others know now.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::peer_wire;
+use crate::connection::platform;
+use crate::process::node;
+use crate::process::timeline;
+use crate::version::store;
+
+/// Time between two looks at the clocks.
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// Peers asked after a pause.
+const PEER_COUNT: usize = 3;
+
+/// Time for a peer to answer.
+const PEER_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Watches for pauses and catches up after each, until `token` is cancelled.
+pub async fn watch(
+    node: sync::Arc<node::RouterNode>,
+    platform: sync::Arc<dyn platform::PlatformService>,
+    token: stop_token::StopToken,
+) {
+    let store = store::VersionStore::new(platform);
+    while task::sleep(TICK).timeout_at(token.clone()).await.is_ok() {
+        node.readiness.look_for_pause();
+        if let Some(gap) = node.readiness.take_pause() {
+            note_pause(&node, gap);
+        }
+        if node.readiness.is_caught_up() {
+            continue;
+        }
+        let began = time::Instant::now();
+        if catch_up(&node, &store).await && node.readiness.note_contact(began) {
+            log::info!("caught up after a pause");
+        }
+    }
+}
+
+fn note_pause(node: &node::RouterNode, gap: time::Duration) {
+    let millis = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+    node.ring
+        .record(None, timeline::EventKind::PauseNoticed { millis });
+    node.metrics.count("process.pause");
+    log::warn!("the process was paused for {millis} ms");
+}
+
+/// Brings version and facts up to date from a peer or the table service; false when none answers.
+async fn catch_up(node: &node::RouterNode, store: &store::VersionStore) -> bool {
+    if ask_peers(node).await {
+        node.gossip.round().await;
+        return true;
+    }
+    let Ok(newest) = store.newest().await else {
+        return false;
+    };
+    if let Some((number, yaml)) = newest {
+        node.config.offer(number, &yaml);
+    }
+    true
+}
+
+async fn ask_peers(node: &node::RouterNode) -> bool {
+    let number = node.config.number();
+    let own = &node.settings.router;
+    let mut peers = node.members.ready_members();
+    peers.retain(|member| member.router != *own);
+    fastrand::shuffle(&mut peers);
+    for member in peers.iter().take(PEER_COUNT) {
+        let query = peer_wire::QueryBody::NewerVersion { number };
+        let reply = node
+            .intake
+            .link
+            .ask(&member.peer_address, query, PEER_LIMIT)
+            .await;
+        let Ok(peer_wire::ReplyBody::NewerVersion(version)) = reply else {
+            continue;
+        };
+        if let Some(version) = version {
+            node.config.offer(version.number, &version.yaml);
+        }
+        return true;
+    }
+    false
+}
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -159,7 +159,8 @@
         self.settings.round.mul_f64(factor)
     }
 
-    async fn round(&self) {
+    /// Exchanges facts with one peer, and with a seed when no member is known.
+    pub async fn round(&self) {
         self.tell_load();
         let Some(target) = self.next_target() else {
             return;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub(crate) mod admission_queue;
 pub mod budget;
+pub mod catch_up;
 pub mod config;
 pub mod drain;
 pub mod endpoint;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -17,12 +17,12 @@
 use crate::process::metrics;
 use crate::process::readiness;
 use crate::process::registry;
-use crate::process::seed;
 use crate::process::settings;
 use crate::process::share;
 use crate::process::status;
 use crate::process::timeline;
 use crate::process::view;
+use crate::process::watch;
 use crate::request::call;
 use crate::request::intake;
 use crate::request::key;
@@ -60,8 +60,8 @@
     pub calls_running: readiness::CallCounter,
     /// Whether the router may take and send work.
     pub readiness: sync::Arc<readiness::RouterReadiness>,
-    /// Peer addresses from settings and the VM list.
-    pub seeds: sync::Arc<seed::SeedList>,
+    /// Reads load reports and the VM list.
+    pub watcher: watch::EndpointWatcher,
     /// Where a stop is asked for.
     pub drain_sender: channel::Sender<()>,
 }
--- a/src/process/readiness.rs
+++ b/src/process/readiness.rs
@@ -1,27 +1,71 @@
 //! Whether this router may take and send work.
 
 use std::sync::atomic;
+use std::time;
+
+use parking_lot::Mutex;
 
 use crate::connection::service;
+use crate::process::pause;
+use crate::process::timeline;
 
 /// Readiness of one router.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RouterReadiness {
+    detector: Mutex<pause::PauseDetector>,
+    pause: Mutex<Option<time::Duration>>,
+    pause_gate: pause::PauseGate,
     has_version: atomic::AtomicBool,
-    is_behind: atomic::AtomicBool,
     is_draining: atomic::AtomicBool,
     is_closed: atomic::AtomicBool,
 }
 
+impl Default for RouterReadiness {
+    fn default() -> Self {
+        let now = time::Instant::now();
+        let micros = timeline::wall_micros();
+        let detector = pause::PauseDetector::new(pause::PAUSE_THRESHOLD, now, micros);
+        Self {
+            detector: Mutex::new(detector),
+            pause: Mutex::default(),
+            pause_gate: pause::PauseGate::default(),
+            has_version: atomic::AtomicBool::default(),
+            is_draining: atomic::AtomicBool::default(),
+            is_closed: atomic::AtomicBool::default(),
+        }
+    }
+}
+
 impl RouterReadiness {
     /// Takes note that a configuration version is in force.
     pub fn set_version(&self) {
         self.has_version.store(true, atomic::Ordering::SeqCst);
     }
 
-    /// Takes note that the process was paused and has not caught up yet, or has.
-    pub fn set_behind(&self, is_behind: bool) {
-        self.is_behind.store(is_behind, atomic::Ordering::SeqCst);
+    /// Closes the router to work when the process was paused since the last look.
+    pub fn look_for_pause(&self) {
+        let now = time::Instant::now();
+        let Some(gap) = self.detector.lock().tick(now, timeline::wall_micros()) else {
+            return;
+        };
+        self.pause_gate.close(now);
+        *self.pause.lock() = Some(gap);
+    }
+
+    /// The pause found last, once.
+    pub fn take_pause(&self) -> Option<time::Duration> {
+        self.pause.lock().take()
+    }
+
+    /// Takes note of an exchange that began at `began`; true when it opens the router again.
+    pub fn note_contact(&self, began: time::Instant) -> bool {
+        self.pause_gate.note_contact(began)
+    }
+
+    /// Whether nothing has to be caught up after a pause.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        self.pause_gate.is_open()
     }
 
     /// Takes note that the router is leaving.
@@ -38,7 +82,7 @@
     #[must_use]
     pub fn may_serve(&self) -> bool {
         self.has_version.load(atomic::Ordering::SeqCst)
-            && !self.is_behind.load(atomic::Ordering::SeqCst)
+            && self.is_caught_up()
             && !self.is_closed.load(atomic::Ordering::SeqCst)
     }
 
@@ -66,7 +110,9 @@
 
 impl service::SendGate for RouterReadiness {
     fn may_send(&self) -> bool {
-        !self.is_behind.load(atomic::Ordering::SeqCst)
+        // The process may have woken a moment ago, before the next regular look.
+        self.look_for_pause();
+        self.is_caught_up()
     }
 }
 
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -25,6 +25,7 @@
 use crate::connection::platform;
 use crate::connection::platform_client;
 use crate::process::admission;
+use crate::process::catch_up;
 use crate::process::config;
 use crate::process::drain;
 use crate::process::endpoint;
@@ -210,11 +211,18 @@
         link,
         sync::Arc::clone(&members),
         sync::Arc::clone(&endpoints) as _,
-        platform,
+        sync::Arc::clone(&platform),
         sync::Arc::clone(&ring),
         call::CallLimits::default(),
         sync::Arc::clone(&readiness) as _,
     );
+    let watcher = watch::EndpointWatcher {
+        endpoints: sync::Arc::clone(&endpoints),
+        leaving: sync::Arc::clone(&gossip) as _,
+        seeds,
+        platform,
+        ring: sync::Arc::clone(&ring),
+    };
     sync::Arc::new(node::RouterNode {
         settings,
         ring,
@@ -230,7 +238,7 @@
         shares: share::WorkspaceShares::default(),
         calls_running: readiness::CallCounter::default(),
         readiness,
-        seeds,
+        watcher,
         drain_sender,
     })
 }
@@ -262,6 +270,8 @@
         node.endpoints.replace(&set.services);
     }
     node.gossip.set_config(number);
+    // Engines take work only once they have reported what they hold.
+    task::spawn(node.watcher.clone().read_reports_now());
     node.divide_shares();
     node.readiness.set_version();
     node.ring
@@ -326,15 +336,13 @@
     let cell = sync::Arc::clone(&node.config);
     task::spawn(poll::run(cell, store, Box::new(is_poller), process.token()));
     task::spawn(follow_peers(sync::Arc::clone(node), process.token()));
-    let watcher = watch::EndpointWatcher {
-        endpoints: sync::Arc::clone(&node.endpoints),
-        leaving: sync::Arc::clone(&node.gossip) as _,
-        seeds: sync::Arc::clone(&node.seeds),
-        platform: sync::Arc::clone(&platform),
-        ring: sync::Arc::clone(&node.ring),
-    };
-    task::spawn(watcher.clone().watch_reports(process.token()));
-    task::spawn(watcher.watch_vms(process.token()));
+    task::spawn(node.watcher.clone().watch_reports(process.token()));
+    task::spawn(node.watcher.clone().watch_vms(process.token()));
+    task::spawn(catch_up::watch(
+        sync::Arc::clone(node),
+        platform,
+        process.token(),
+    ));
     task::spawn(keep_shares(sync::Arc::clone(node), process.token()));
 }
 
--- a/src/process/watch.rs
+++ b/src/process/watch.rs
@@ -58,8 +58,12 @@
         }
     }
 
-    /// Reads every engine's report once.
-    pub async fn read_reports(&self) {
+    /// Reads every engine's report once, as a task of its own.
+    pub async fn read_reports_now(self) {
+        self.read_reports().await;
+    }
+
+    async fn read_reports(&self) {
         let engines = self
             .endpoints
             .all()
