--- a/src/connection/platform_client.rs
+++ b/src/connection/platform_client.rs
@@ -14,7 +14,7 @@
 pub const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(500);
 
 /// Limit from the connection to the head of a read's answer.
-pub const READ_LIMIT: time::Duration = time::Duration::from_secs(3);
+pub const READ_LIMIT: time::Duration = time::Duration::from_secs(2);
 
 /// Limit from the connection to the head of a write's answer.
 pub const WRITE_LIMIT: time::Duration = time::Duration::from_secs(5);
--- a/src/process/poll.rs
+++ b/src/process/poll.rs
@@ -14,7 +14,7 @@
 
 /// Longest time between two reads in an outage; short enough that a version applied just after
 /// the outage is in force everywhere in time.
-pub const MAX_POLL_INTERVAL: time::Duration = time::Duration::from_secs(2);
+pub const MAX_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_500);
 
 /// Time between two looks whether this router has become a poller.
 const IDLE_INTERVAL: time::Duration = time::Duration::from_millis(500);
--- a/tests/common_platform/mod.rs
+++ b/tests/common_platform/mod.rs
@@ -1,5 +1,7 @@
 //! Table service in memory, with faults that a test plans write by write.
 
+pub mod rows;
+
 use std::collections;
 use std::fmt;
 use std::sync;
@@ -10,19 +12,16 @@
 use kumquatpulley::connection::platform_wire;
 use parking_lot::Mutex;
 
-/// Rows by key.
-pub type RowMap = collections::BTreeMap<String, platform_wire::TableRow>;
-
 /// What happens to one write.
 pub enum WriteFault {
     /// It never arrives, and the sender can't know.
     RequestLost,
     /// It takes effect, then the closure runs, and the answer is lost.
-    AnswerLost(Box<dyn FnOnce(&mut RowMap) + Send>),
+    AnswerLost(Box<dyn FnOnce(&mut rows::RowMap) + Send>),
     /// It arrives only after the next write has been answered.
     Late,
     /// The closure runs first, then the write goes on as usual.
-    Overtaken(Box<dyn FnOnce(&mut RowMap) + Send>),
+    Overtaken(Box<dyn FnOnce(&mut rows::RowMap) + Send>),
 }
 
 /// Table service of one test.
@@ -33,7 +32,7 @@
 
 #[derive(Default)]
 struct FakeState {
-    rows: RowMap,
+    rows: rows::RowMap,
     down: bool,
     faults: collections::VecDeque<WriteFault>,
     late: Vec<Vec<platform_wire::RowWrite>>,
@@ -47,7 +46,6 @@
     }
 }
 
-#[expect(dead_code, reason = "each test file uses a part of the fake")]
 impl FakePlatform {
     /// An empty table service without faults.
     pub fn shared() -> sync::Arc<Self> {
@@ -64,17 +62,6 @@
         self.state.lock().down = down;
     }
 
-    /// Value of a row.
-    pub fn value(&self, key: &str) -> Option<String> {
-        let state = self.state.lock();
-        state.rows.get(key).map(|row| row.value.clone())
-    }
-
-    /// Puts a value into a row, without conditions.
-    pub fn put(&self, key: &str, value: &str) {
-        put(&mut self.state.lock().rows, key, value);
-    }
-
     /// Keys of all rows.
     pub fn keys(&self) -> Vec<String> {
         self.state.lock().rows.keys().cloned().collect()
@@ -103,16 +90,16 @@
                 return unknown;
             }
             Some(WriteFault::AnswerLost(then)) => {
-                transact(&mut state.rows, writes);
+                rows::transact(&mut state.rows, writes);
                 then(&mut state.rows);
                 return unknown;
             }
             Some(WriteFault::Overtaken(first)) => first(&mut state.rows),
             None => {}
         }
-        let outcome = transact(&mut state.rows, writes);
+        let outcome = rows::transact(&mut state.rows, writes);
         for late in std::mem::take(&mut state.late) {
-            transact(&mut state.rows, &late);
+            rows::transact(&mut state.rows, &late);
         }
         Ok(outcome)
     }
@@ -122,41 +109,6 @@
     platform::PlatformError::Unreachable("the platform is down".to_owned())
 }
 
-/// Puts a value into a row, without conditions.
-pub fn put(rows: &mut RowMap, key: &str, value: &str) {
-    let version = rows.get(key).map_or(0, |row| row.version) + 1;
-    let row = platform_wire::TableRow {
-        key: key.to_owned(),
-        version,
-        value: value.to_owned(),
-    };
-    rows.insert(key.to_owned(), row);
-}
-
-/// Applies all writes or none.
-pub fn transact(rows: &mut RowMap, writes: &[platform_wire::RowWrite]) -> platform::WriteOutcome {
-    let fails = |write: &&platform_wire::RowWrite| {
-        let present = rows.get(&write.key).map_or(0, |row| row.version);
-        write.if_version.is_some_and(|version| version != present)
-    };
-    let failed: Vec<_> = writes.iter().filter(fails).collect();
-    if !failed.is_empty() {
-        let present = failed.iter().map(|write| rows.get(&write.key).cloned());
-        return platform::WriteOutcome::Conflict(present.collect());
-    }
-    let mut versions = Vec::new();
-    for write in writes {
-        let Some(value) = &write.value else {
-            rows.remove(&write.key);
-            versions.push(0);
-            continue;
-        };
-        put(rows, &write.key, value);
-        versions.push(rows[&write.key].version);
-    }
-    platform::WriteOutcome::Applied(versions)
-}
-
 impl platform::PlatformService for FakePlatform {
     fn read(
         &self,
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -7,9 +7,9 @@
 use std::time;
 
 use async_std::task;
-use common_platform::FakePlatform;
-use common_platform::WriteFault;
+use common_platform::rows;
 use kumquatpulley::connection::platform;
+use kumquatpulley::connection::platform_client;
 use kumquatpulley::process::config;
 use kumquatpulley::process::poll;
 use kumquatpulley::version::store;
@@ -19,11 +19,14 @@
 /// Time within which an accepted version is in force everywhere.
 const IN_FORCE_LIMIT: time::Duration = time::Duration::from_secs(5);
 
+/// Time of it that gossip takes from a poller to every router.
+const GOSSIP_SHARE: time::Duration = time::Duration::from_secs(1);
+
 fn declared(name: &str) -> String {
     format!("services:\n  - name: {name}\n")
 }
 
-fn store_on(platform: &sync::Arc<FakePlatform>) -> store::VersionStore {
+fn store_on(platform: &sync::Arc<common_platform::FakePlatform>) -> store::VersionStore {
     let platform = sync::Arc::clone(platform);
     store::VersionStore::new(platform as sync::Arc<dyn platform::PlatformService>)
 }
@@ -42,17 +45,17 @@
 }
 
 /// Makes another operator's version the newest one, in the rows themselves.
-fn write_other(rows: &mut common_platform::RowMap, number: u64, name: &str) {
+fn write_other(rows: &mut rows::RowMap, number: u64, name: &str) {
     let head = serde_json::json!({"number": number, "nonce": "other"});
     let version = serde_json::json!({"nonce": "other", "yaml": declared(name)});
-    common_platform::put(rows, store::HEAD_ROW, &head.to_string());
+    rows::put(rows, store::HEAD_ROW, &head.to_string());
     let row = store::version_row(number);
-    common_platform::put(rows, &row, &version.to_string());
+    rows::put(rows, &row, &version.to_string());
 }
 
 #[test]
 fn versions_are_numbered_from_one_and_read_back() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     assert_eq!(task::block_on(store.newest()).unwrap(), None);
     let outcome = apply(&store, "a", None).unwrap();
@@ -66,7 +69,7 @@
 
 #[test]
 fn the_same_declarations_make_no_version() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
     let outcome = apply(&store, "a", Some(1)).unwrap();
@@ -76,7 +79,7 @@
 
 #[test]
 fn faulty_declarations_are_never_stored() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let outcome = apply(&store_on(&platform), "Not.A.Name", None);
     assert!(matches!(outcome, Err(store::StoreError::Refused(_))));
     assert_eq!(platform.keys(), Vec::<String>::new());
@@ -84,7 +87,7 @@
 
 #[test]
 fn the_second_of_two_operators_on_one_base_changes_nothing() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
     apply(&store, "first", Some(1)).unwrap();
@@ -96,11 +99,11 @@
 
 #[test]
 fn an_operator_overtaken_between_read_and_write_changes_nothing() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
-    let other = |rows: &mut common_platform::RowMap| write_other(rows, 2, "first");
-    platform.plan(WriteFault::Overtaken(Box::new(other)));
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "first");
+    platform.plan(common_platform::WriteFault::Overtaken(Box::new(other)));
     let lost = apply(&store, "second", None).unwrap();
     let yaml = declared("first");
     assert_eq!(lost, store::ApplyOutcome::Lost { number: 2, yaml });
@@ -109,9 +112,11 @@
 
 #[test]
 fn a_lost_answer_is_settled_by_reading_back() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
-    platform.plan(WriteFault::AnswerLost(Box::new(|_rows| {})));
+    platform.plan(common_platform::WriteFault::AnswerLost(Box::new(
+        |_rows| {},
+    )));
     let outcome = apply(&store, "a", None).unwrap();
     assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
     assert_eq!(platform.counts().1, 1, "the write was not sent again");
@@ -119,10 +124,10 @@
 
 #[test]
 fn a_lost_answer_is_settled_although_another_version_followed() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
-    let other = |rows: &mut common_platform::RowMap| write_other(rows, 2, "next");
-    platform.plan(WriteFault::AnswerLost(Box::new(other)));
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "next");
+    platform.plan(common_platform::WriteFault::AnswerLost(Box::new(other)));
     let outcome = apply(&store, "a", None).unwrap();
     assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
     assert_eq!(newest(&store), (2, declared("next")));
@@ -130,18 +135,18 @@
 
 #[test]
 fn a_lost_request_is_sent_again() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
-    platform.plan(WriteFault::RequestLost);
+    platform.plan(common_platform::WriteFault::RequestLost);
     let outcome = apply(&store, "a", None).unwrap();
     assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
 }
 
 #[test]
 fn a_late_write_never_makes_a_second_version() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
-    platform.plan(WriteFault::Late);
+    platform.plan(common_platform::WriteFault::Late);
     let outcome = apply(&store, "a", None).unwrap();
     assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
     assert_eq!(newest(&store), (1, declared("a")));
@@ -150,12 +155,12 @@
 
 #[test]
 fn a_late_write_loses_to_the_version_that_overtook_it() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
-    platform.plan(WriteFault::Late);
-    let other = |rows: &mut common_platform::RowMap| write_other(rows, 2, "first");
-    platform.plan(WriteFault::Overtaken(Box::new(other)));
+    platform.plan(common_platform::WriteFault::Late);
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "first");
+    platform.plan(common_platform::WriteFault::Overtaken(Box::new(other)));
     let lost = apply(&store, "second", Some(1)).unwrap();
     assert!(matches!(lost, store::ApplyOutcome::Lost { number: 2, .. }));
     assert_eq!(newest(&store), (2, declared("first")));
@@ -163,7 +168,7 @@
 
 #[test]
 fn an_outage_refuses_an_apply_at_once() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     platform.set_down(true);
     let outcome = apply(&store_on(&platform), "a", None);
     assert!(matches!(outcome, Err(store::StoreError::Unreachable(_))));
@@ -171,9 +176,9 @@
 
 #[test]
 fn an_outage_after_the_write_is_told_as_unsettled() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     for _write in 0..store::SETTLE_TRIES {
-        platform.plan(WriteFault::RequestLost);
+        platform.plan(common_platform::WriteFault::RequestLost);
     }
     let outcome = apply(&store_on(&platform), "a", None);
     let unsettled = matches!(outcome, Err(store::StoreError::Unsettled { number: 1, .. }));
@@ -183,7 +188,7 @@
 
 #[test]
 fn a_rollback_is_a_new_version_with_the_old_text() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
     apply(&store, "b", None).unwrap();
@@ -197,7 +202,7 @@
 #[test]
 fn of_many_operators_at_once_each_version_has_one_writer() {
     const OPERATORS: usize = 8;
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let threads = (0..OPERATORS).map(|operator| {
         let store = store_on(&platform);
         std::thread::spawn(move || apply(&store, &format!("operator-{operator}"), None).unwrap())
@@ -286,7 +291,7 @@
 }
 
 impl PollingGroup {
-    fn start(platform: &sync::Arc<FakePlatform>, count: usize) -> Self {
+    fn start(platform: &sync::Arc<common_platform::FakePlatform>, count: usize) -> Self {
         let stop = stop_token::StopSource::new();
         let pollers = sync::Arc::new(atomic::AtomicBool::new(true));
         let mut cells = Vec::new();
@@ -326,7 +331,7 @@
 
 #[test]
 fn pollers_have_an_applied_version_in_force_in_time() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let group = PollingGroup::start(&platform, 4);
     apply(&store_on(&platform), "a", None).unwrap();
     assert!(group.time_until(1) < IN_FORCE_LIMIT);
@@ -337,7 +342,7 @@
 #[test]
 fn a_version_applied_after_an_outage_is_in_force_in_time() {
     const OUTAGE: time::Duration = time::Duration::from_secs(6);
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let group = PollingGroup::start(&platform, 4);
     apply(&store_on(&platform), "a", None).unwrap();
     group.time_until(1);
@@ -351,9 +356,24 @@
     assert!(group.time_until(2) < IN_FORCE_LIMIT);
 }
 
+#[test]
+fn a_poller_that_backed_off_and_meets_a_slow_answer_is_still_in_time() {
+    const FAILURES: u32 = 100;
+    let mut interval = poll::POLL_INTERVAL;
+    for _failure in 0..FAILURES {
+        interval = poll::next_interval(interval);
+    }
+    let longest = (0..10_000_000)
+        .step_by(997)
+        .map(|it| poll::spread(interval, it));
+    let longest = longest.max().unwrap();
+    let worst = longest + platform_client::READ_LIMIT + GOSSIP_SHARE;
+    assert!(worst < IN_FORCE_LIMIT, "{worst:?}");
+}
+
 #[test]
 fn a_router_without_a_version_reads_it_though_it_is_no_poller() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     apply(&store_on(&platform), "a", None).unwrap();
     let group = PollingGroup::start(&platform, 2);
     group.pollers.store(false, atomic::Ordering::Relaxed);
@@ -366,7 +386,7 @@
 
 #[test]
 fn an_older_head_never_takes_a_version_back() {
-    let platform = FakePlatform::shared();
+    let platform = common_platform::FakePlatform::shared();
     let store = store_on(&platform);
     apply(&store, "a", None).unwrap();
     let cell = config::ConfigCell::new();
