Add leases whose fencing number grows with each holder

Cause: orders to engines need one issuer a service, though holders are paused past their lease and answers are lost. Ruled out: expiry times in the row, which compare two clocks. Change: the holder counts from the sending of its write, others from when they first saw it and a margin longer, all by the monotonic clock passed in; writes are conditional and settled by nonce; a release lets the next router in at once. A pure state machine, checked at each act by may_act. A VM whose monotonic clock stops while it is suspended is left to the engines' fencing and to reconciliation.

--- /dev/null
+++ b/src/process/lease.rs
@@ -0,0 +1,299 @@
+//! Leases in the table service, each with a fencing number that grows with each holder.
+//!
+//! No two clocks are compared. The holder counts from the moment at which it sent the write that
+//! took or renewed the lease; any other router counts from the moment at which it first saw that
+//! write, which is later, and waits a margin longer. So the holder stops first, also when it was
+//! paused or its renewal was lost.
+
+use std::time;
+
+use crate::connection::platform;
+use crate::connection::platform_wire;
+
+/// Time for which a lease is held after the write that took or renewed it was sent.
+pub const LEASE_DURATION: time::Duration = time::Duration::from_secs(10);
+
+/// Time after which the holder renews, early enough for two more tries.
+pub const RENEW_AFTER: time::Duration = time::Duration::from_secs(3);
+
+/// Time that others wait beyond the duration, for clocks that run at different rates.
+pub const TAKE_MARGIN: time::Duration = time::Duration::from_secs(1);
+
+/// Time between two looks at a lease that another router holds.
+pub const WATCH_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// Time to wait after a call to the table service that failed.
+pub const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Row of the lease `name`.
+#[must_use]
+pub fn lease_row(name: &str) -> String {
+    format!("leases/{name}")
+}
+
+/// Value of a lease row.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct LeaseWire {
+    holder: String,
+    fence: u64,
+    /// Names the write that made this value.
+    nonce: String,
+    /// The holder gave the lease back.
+    released: bool,
+}
+
+/// What to do next for a lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read the row and pass it to [`LeaseState::on_read`].
+    Read,
+    /// Write the row and pass the outcome to [`LeaseState::on_write`].
+    Write(platform_wire::RowWrite),
+    /// Ask again after this time.
+    Wait(time::Duration),
+}
+
+/// One lease as one router sees it.
+#[derive(Clone, Debug)]
+pub struct LeaseState {
+    name: String,
+    router: String,
+    seen: Option<SeenRow>,
+    held: Option<HeldLease>,
+    pending: Option<PendingWrite>,
+    quiet_until: Option<time::Instant>,
+}
+
+/// The row as last read or written.
+#[derive(Clone, Debug)]
+struct SeenRow {
+    /// Version of the row; 0 for no row.
+    version: u64,
+    value: Option<LeaseWire>,
+    /// When this version was first seen here.
+    since: time::Instant,
+    /// When the row was last read or written here.
+    read: time::Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    fence: u64,
+    /// When the write that took or renewed the lease was sent.
+    sent: time::Instant,
+}
+
+/// A write whose outcome is not known yet.
+#[derive(Clone, Debug)]
+struct PendingWrite {
+    value: LeaseWire,
+    sent: time::Instant,
+}
+
+impl LeaseState {
+    /// The lease `name`, not yet read, as `router` sees it.
+    #[must_use]
+    pub fn new(name: impl Into<String>, router: impl Into<String>) -> Self {
+        Self {
+            name: name.into(),
+            router: router.into(),
+            seen: None,
+            held: None,
+            pending: None,
+            quiet_until: None,
+        }
+    }
+
+    /// Whether this router holds the lease at `now`; check it just before each act.
+    #[must_use]
+    pub fn may_act(&self, now: time::Instant) -> bool {
+        self.fence(now).is_some()
+    }
+
+    /// Fencing number to send with an act at `now`; `None` when the lease is not held.
+    #[must_use]
+    pub fn fence(&self, now: time::Instant) -> Option<u64> {
+        let held = self.held.filter(|held| now < held.sent + LEASE_DURATION)?;
+        Some(held.fence)
+    }
+
+    /// The next step; `wanted` tells whether this router shall hold the lease, and `nonce` must
+    /// be new at each call.
+    pub fn next(&mut self, now: time::Instant, wanted: bool, nonce: &str) -> LeaseStep {
+        if let Some(until) = self.quiet_until.filter(|until| now < *until) {
+            return LeaseStep::Wait(until - now);
+        }
+        if self.fence(now).is_none() {
+            self.held = None;
+        }
+        if self.pending.is_some() {
+            return LeaseStep::Read;
+        }
+        let Some(seen) = self.seen.clone() else {
+            return wanted_step(wanted, LeaseStep::Read);
+        };
+        if let Some(held) = self.held {
+            return self.next_as_holder(now, wanted, nonce, held, &seen);
+        }
+        if !wanted {
+            return LeaseStep::Wait(WATCH_INTERVAL);
+        }
+        self.next_as_watcher(now, nonce, &seen)
+    }
+
+    fn next_as_holder(
+        &mut self,
+        now: time::Instant,
+        wanted: bool,
+        nonce: &str,
+        held: HeldLease,
+        seen: &SeenRow,
+    ) -> LeaseStep {
+        if !wanted {
+            // Acting ends before the release is sent.
+            self.held = None;
+            return self.write(now, held.fence, nonce, true, seen.version);
+        }
+        let renewal = held.sent + RENEW_AFTER;
+        if now < renewal {
+            return LeaseStep::Wait(renewal - now);
+        }
+        self.write(now, held.fence, nonce, false, seen.version)
+    }
+
+    fn next_as_watcher(&mut self, now: time::Instant, nonce: &str, seen: &SeenRow) -> LeaseStep {
+        let looked = seen.read + WATCH_INTERVAL;
+        if now >= looked {
+            return LeaseStep::Read;
+        }
+        let free_at = seen.since + LEASE_DURATION + TAKE_MARGIN;
+        let is_free = seen.value.as_ref().is_none_or(|value| value.released);
+        if !is_free && now < free_at {
+            return LeaseStep::Wait(looked.min(free_at) - now);
+        }
+        let fence = seen.value.as_ref().map_or(0, |value| value.fence) + 1;
+        self.write(now, fence, nonce, false, seen.version)
+    }
+
+    fn write(
+        &mut self,
+        now: time::Instant,
+        fence: u64,
+        nonce: &str,
+        released: bool,
+        if_version: u64,
+    ) -> LeaseStep {
+        let value = LeaseWire {
+            holder: self.router.clone(),
+            fence,
+            nonce: nonce.to_owned(),
+            released,
+        };
+        let Ok(text) = serde_json::to_string(&value) else {
+            return LeaseStep::Wait(FAILURE_PAUSE);
+        };
+        self.pending = Some(PendingWrite { value, sent: now });
+        LeaseStep::Write(platform_wire::RowWrite {
+            key: lease_row(&self.name),
+            if_version: Some(if_version),
+            value: Some(text),
+        })
+    }
+
+    /// Takes in the answer to a read.
+    pub fn on_read(
+        &mut self,
+        now: time::Instant,
+        answer: &platform::Result<Option<platform_wire::TableRow>>,
+    ) {
+        let Ok(row) = answer else {
+            self.quiet_until = Some(now + FAILURE_PAUSE);
+            return;
+        };
+        self.see(now, row.as_ref());
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let value = self.seen.as_ref().and_then(|seen| seen.value.as_ref());
+        if value.is_some_and(|value| value.nonce == pending.value.nonce) {
+            self.settle(&pending);
+        }
+    }
+
+    /// Takes in the outcome of a write.
+    pub fn on_write(
+        &mut self,
+        now: time::Instant,
+        outcome: &platform::Result<platform::WriteOutcome>,
+    ) {
+        match outcome {
+            Ok(platform::WriteOutcome::Applied(versions)) => {
+                let Some(pending) = self.pending.take() else {
+                    return;
+                };
+                self.seen = Some(SeenRow {
+                    version: versions.first().copied().unwrap_or_default(),
+                    value: Some(pending.value.clone()),
+                    since: now,
+                    read: now,
+                });
+                self.settle(&pending);
+            }
+            Ok(platform::WriteOutcome::Conflict(rows)) => {
+                self.pending = None;
+                self.held = None;
+                let row = rows.first().and_then(Option::as_ref);
+                self.see(now, row);
+            }
+            Err(platform::PlatformError::Unreachable(_message)) => {
+                self.pending = None;
+                self.quiet_until = Some(now + FAILURE_PAUSE);
+            }
+            // The write stays pending and is settled by the next read.
+            Err(platform::PlatformError::Unknown(_message)) => {}
+        }
+    }
+
+    /// Counts the lease from the moment its write was sent, not from when that was known.
+    fn settle(&mut self, pending: &PendingWrite) {
+        if pending.value.released {
+            return;
+        }
+        self.held = Some(HeldLease {
+            fence: pending.value.fence,
+            sent: pending.sent,
+        });
+    }
+
+    fn see(&mut self, now: time::Instant, row: Option<&platform_wire::TableRow>) {
+        let version = row.map_or(0, |row| row.version);
+        if let Some(seen) = self.seen.as_mut().filter(|seen| seen.version == version) {
+            seen.read = now;
+            return;
+        }
+        // Another write means that another router may hold the lease.
+        self.held = None;
+        // A row that cannot be read counts as held and lapses like any other.
+        let value = row.map(|row| {
+            serde_json::from_str(&row.value).unwrap_or_else(|_error| LeaseWire {
+                holder: String::new(),
+                fence: row.version,
+                nonce: String::new(),
+                released: false,
+            })
+        });
+        self.seen = Some(SeenRow {
+            version,
+            value,
+            since: now,
+            read: now,
+        });
+    }
+}
+
+fn wanted_step(wanted: bool, step: LeaseStep) -> LeaseStep {
+    if wanted {
+        return step;
+    }
+    LeaseStep::Wait(WATCH_INTERVAL)
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod config;
 pub mod endpoint;
+pub mod lease;
 pub mod limit;
 pub mod logging;
 pub mod metrics;
