Order engines to the declared model under one lease a service

Cause: engines report a state, declarations want one, and nobody brought the two together. Ruled out: a log of orders, since an engine may lose or ignore any of them; a shared row for the load rate, since it costs a write a load. Change: a planner that compares report and wanted state and orders again whatever differs, at most a quarter of the engines loading at once, the version before kept for ten minutes so that running generations can go on; loads paced by an equal part of one rate for each issuer; an issuer that checks its lease just before each send. A first run of the tests found that an engine which restarted counted as loading and so blocked its own order; a restart now ends the order before it.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod engine_wire;
 pub mod http;
+pub mod order_client;
 pub mod peer;
 pub mod peer_client;
 pub mod peer_server;
--- /dev/null
+++ b/src/process/issuer.rs
@@ -0,0 +1,297 @@
+//! Issuing of orders: for each model service one router holds the lease and orders the engines.
+
+use std::collections;
+use std::fmt;
+use std::sync;
+use std::time;
+
+use async_std::task;
+use futures::future;
+use parking_lot::Mutex;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::engine_wire;
+use crate::connection::order_client;
+use crate::connection::platform;
+use crate::process::lease;
+use crate::process::order;
+use crate::process::pace;
+use crate::process::timeline;
+use crate::version::declaration;
+
+/// Time between two rounds.
+pub const ROUND_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Calls to the table service for one lease in one round at most.
+const MAX_LEASE_STEPS: u32 = 3;
+
+/// Time for giving leases back when the process stops.
+const RELEASE_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Routers that stand by for the lease of a service, its holder included.
+pub const CANDIDATES_PER_SERVICE: usize = 2;
+
+/// Name of the lease of a service.
+#[must_use]
+pub fn lease_name(service: &str) -> String {
+    format!("orders/{service}")
+}
+
+/// Whether `own` is one of the routers that stand by for the lease of `service`.
+///
+/// Routers that know the same members agree; where they do not, the lease decides.
+#[must_use]
+pub fn is_candidate(service: &str, own: &str, routers: &[String]) -> bool {
+    if !routers.iter().any(|router| router == own) {
+        return false;
+    }
+    let score = |router: &str| {
+        let text = format!("{service}/{router}");
+        xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+    };
+    let own_score = score(own);
+    let ahead = routers.iter().filter(|router| score(router) > own_score);
+    ahead.count() < CANDIDATES_PER_SERVICE
+}
+
+/// The model services and their engines, as this router sees them.
+pub trait EngineDirectory: fmt::Debug + Send + Sync {
+    /// Model services of the version in force.
+    fn services(&self) -> Vec<ModelService>;
+
+    /// Whether this router may hold the lease of `service`.
+    fn is_candidate(&self, service: &str) -> bool;
+}
+
+/// A model service with its engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelService {
+    /// Service name.
+    pub name: String,
+    /// Declared model.
+    pub model: declaration::DeclaredModel,
+    /// Its engines.
+    pub engines: Vec<order::EngineStatus>,
+}
+
+/// Holds leases and issues orders for all model services.
+#[derive(Debug)]
+pub struct OrderIssuer {
+    router: String,
+    platform: sync::Arc<dyn platform::PlatformService>,
+    sink: sync::Arc<dyn order_client::OrderSink>,
+    directory: sync::Arc<dyn EngineDirectory>,
+    ring: sync::Arc<timeline::EventRing>,
+    services: Mutex<collections::HashMap<String, sync::Arc<ServiceIssuer>>>,
+}
+
+/// Lease and planner of one service; one round runs at a time.
+#[derive(Debug)]
+struct ServiceIssuer {
+    lease: Mutex<lease::LeaseState>,
+    plan: Mutex<IssuerPlan>,
+}
+
+#[derive(Debug)]
+struct IssuerPlan {
+    /// Number under which the orders were planned.
+    fence: Option<u64>,
+    planner: order::OrderPlanner,
+    pacer: pace::LoadPacer,
+}
+
+impl OrderIssuer {
+    /// An issuer that holds no lease yet.
+    #[must_use]
+    pub fn new(
+        router: String,
+        platform: sync::Arc<dyn platform::PlatformService>,
+        sink: sync::Arc<dyn order_client::OrderSink>,
+        directory: sync::Arc<dyn EngineDirectory>,
+        ring: sync::Arc<timeline::EventRing>,
+    ) -> Self {
+        Self {
+            router,
+            platform,
+            sink,
+            directory,
+            ring,
+            services: Mutex::default(),
+        }
+    }
+
+    /// Runs rounds until `token` stops it, then gives the leases back.
+    pub async fn run(&self, token: stop_token::StopToken) {
+        let rounds = async {
+            loop {
+                self.round().await;
+                task::sleep(ROUND_INTERVAL).await;
+            }
+        };
+        let _stopped: Result<(), _> = rounds.timeout_at(token).await;
+        // What is not given back in time lapses.
+        let _released = async_std::future::timeout(RELEASE_LIMIT, self.release_all()).await;
+    }
+
+    /// Number under which this router may now send orders to the engines of `service`.
+    #[must_use]
+    pub fn fence(&self, service: &str) -> Option<u64> {
+        let issuer = self.services.lock().get(service).cloned()?;
+        let lease = issuer.lease.lock();
+        lease.fence(time::Instant::now())
+    }
+
+    /// Whether this router holds the lease of any service; it then has to read the configuration
+    /// from the table service itself, so that it never orders under an old version for long.
+    #[must_use]
+    pub fn holds_lease(&self) -> bool {
+        let now = time::Instant::now();
+        let services = self.services.lock();
+        services
+            .values()
+            .any(|issuer| issuer.lease.lock().may_act(now))
+    }
+
+    /// Renews or takes the leases that are due, and sends the orders that are due.
+    pub async fn round(&self) {
+        let services = self.directory.services();
+        let issuers = services.len();
+        let rounds = services
+            .iter()
+            .map(|service| self.service_round(service, issuers));
+        future::join_all(rounds).await;
+        self.give_up_undeclared(&services).await;
+    }
+
+    async fn service_round(&self, service: &ModelService, issuers: usize) {
+        let issuer = self.issuer(&service.name, issuers);
+        let wanted = self.directory.is_candidate(&service.name);
+        self.step_lease(&service.name, &issuer, wanted).await;
+        let orders = issuer.plan(service, issuers);
+        let sends = orders.iter().map(|order| self.send(&issuer, order));
+        future::join_all(sends).await;
+    }
+
+    fn issuer(&self, service: &str, issuers: usize) -> sync::Arc<ServiceIssuer> {
+        let mut services = self.services.lock();
+        let issuer = services.entry(service.to_owned()).or_insert_with(|| {
+            let state = lease::LeaseState::new(lease_name(service), self.router.clone());
+            sync::Arc::new(ServiceIssuer {
+                lease: Mutex::new(state),
+                plan: Mutex::new(IssuerPlan::new(None, issuers)),
+            })
+        });
+        sync::Arc::clone(issuer)
+    }
+
+    async fn step_lease(&self, service: &str, issuer: &ServiceIssuer, wanted: bool) {
+        let before = issuer.lease.lock().fence(time::Instant::now());
+        for _step in 0..MAX_LEASE_STEPS {
+            let nonce = uuid::Uuid::new_v4().simple().to_string();
+            let step = issuer
+                .lease
+                .lock()
+                .next(time::Instant::now(), wanted, &nonce);
+            match step {
+                lease::LeaseStep::Wait(_time) => break,
+                lease::LeaseStep::Read => {
+                    let row = lease::lease_row(&lease_name(service));
+                    let rows = self.platform.read(vec![row]).await;
+                    let row = rows.map(|rows| rows.into_iter().next().flatten());
+                    issuer.lease.lock().on_read(time::Instant::now(), &row);
+                }
+                lease::LeaseStep::Write(write) => {
+                    let outcome = self.platform.write(vec![write]).await;
+                    issuer.lease.lock().on_write(time::Instant::now(), &outcome);
+                }
+            }
+        }
+        let after = issuer.lease.lock().fence(time::Instant::now());
+        self.record_lease(service, before, after);
+    }
+
+    fn record_lease(&self, service: &str, before: Option<u64>, after: Option<u64>) {
+        if before == after {
+            return;
+        }
+        let Some(fence) = after.or(before) else {
+            return;
+        };
+        let kind = timeline::EventKind::LeaseChanged {
+            lease: lease_name(service),
+            fence,
+            held: after.is_some(),
+        };
+        self.ring.record(None, kind);
+    }
+
+    async fn send(&self, issuer: &ServiceIssuer, planned: &order::PlannedOrder) {
+        // The lease may have lapsed since the order was planned.
+        let fence = issuer.lease.lock().fence(time::Instant::now());
+        let Some(fence) = fence else {
+            issuer.plan.lock().planner.note_failure(&planned.endpoint);
+            return;
+        };
+        let order = engine_wire::EngineOrder {
+            fence,
+            wanted: planned.wanted.clone(),
+        };
+        if self.sink.send(&planned.address, &order).await.is_err() {
+            issuer.plan.lock().planner.note_failure(&planned.endpoint);
+            return;
+        }
+        let kind = timeline::EventKind::OrderSent {
+            endpoint: planned.endpoint.clone(),
+            fence,
+        };
+        self.ring.record(None, kind);
+    }
+
+    async fn give_up_undeclared(&self, services: &[ModelService]) {
+        let is_declared = |name: &str| services.iter().any(|service| service.name == name);
+        let undeclared: Vec<_> = {
+            let mut known = self.services.lock();
+            known
+                .extract_if(|name, _issuer| !is_declared(name))
+                .collect()
+        };
+        for (name, issuer) in undeclared {
+            self.step_lease(&name, &issuer, false).await;
+        }
+    }
+
+    async fn release_all(&self) {
+        let services: Vec<_> = self.services.lock().drain().collect();
+        let releases = services
+            .iter()
+            .map(|(name, issuer)| self.step_lease(name, issuer, false));
+        future::join_all(releases).await;
+    }
+}
+
+impl ServiceIssuer {
+    /// The orders that are due; none while the lease is not held.
+    fn plan(&self, service: &ModelService, issuers: usize) -> Vec<order::PlannedOrder> {
+        let now = time::Instant::now();
+        let Some(fence) = self.lease.lock().fence(now) else {
+            return Vec::new();
+        };
+        let mut plan = self.plan.lock();
+        if plan.fence != Some(fence) {
+            *plan = IssuerPlan::new(Some(fence), issuers);
+        }
+        let IssuerPlan { planner, pacer, .. } = &mut *plan;
+        pacer.set_issuers(now, issuers);
+        planner.plan(now, &service.model, &service.engines, pacer)
+    }
+}
+
+impl IssuerPlan {
+    fn new(fence: Option<u64>, issuers: usize) -> Self {
+        Self {
+            fence,
+            planner: order::OrderPlanner::new(),
+            pacer: pace::LoadPacer::new(time::Instant::now(), issuers),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/order.rs
@@ -0,0 +1,244 @@
+//! Which orders bring the engines of a service to the declared model, decided from their reports.
+//!
+//! Nothing is remembered of an engine but the newest order to it. An engine that took a stale
+//! order, restarted or lost an order reports a state other than the wanted one, and is ordered
+//! again.
+
+use std::collections;
+use std::time;
+
+use crate::connection::engine_wire;
+use crate::process::pace;
+use crate::version::declaration;
+
+/// Time after which an engine that still reports another state is ordered again. It covers the
+/// time for a load and the lag of the report.
+pub const REPEAT_AFTER: time::Duration = time::Duration::from_secs(15);
+
+/// Time for which the model before stays loaded once all engines hold the declared one, so that
+/// running generations can go on at another engine.
+pub const KEEP_PREVIOUS: time::Duration = time::Duration::from_secs(600);
+
+/// Engines of a service that load at the same time are at most one in this many, and at least one.
+pub const LOADING_PART: usize = 4;
+
+/// An engine as the issuer of orders sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineStatus {
+    /// Endpoint name.
+    pub name: String,
+    /// IP address and port.
+    pub address: String,
+    /// Whether the endpoint takes no new work; it is sent no orders.
+    pub leaving: bool,
+    /// Newest load report; `None` before the first one.
+    pub report: Option<engine_wire::EngineReport>,
+}
+
+/// An order to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedOrder {
+    /// Endpoint name.
+    pub endpoint: String,
+    /// IP address and port.
+    pub address: String,
+    /// State that the engine shall reach.
+    pub wanted: engine_wire::WantedState,
+}
+
+/// The newest order to an engine.
+#[derive(Clone, Debug)]
+struct SentOrder {
+    wanted: engine_wire::WantedState,
+    incarnation: u64,
+    sent: time::Instant,
+}
+
+impl SentOrder {
+    /// Whether the engine may still be about to carry out the order; a restart loses it.
+    fn is_recent(&self, now: time::Instant, report: &engine_wire::EngineReport) -> bool {
+        self.incarnation == report.incarnation && now < self.sent + REPEAT_AFTER
+    }
+}
+
+/// Plans the orders of one service.
+#[derive(Clone, Debug, Default)]
+pub struct OrderPlanner {
+    sent: collections::HashMap<String, SentOrder>,
+    /// Since when all engines hold the declared model.
+    complete_since: Option<time::Instant>,
+    /// The model of which that is so.
+    complete_model: Option<engine_wire::LoadedModel>,
+}
+
+impl OrderPlanner {
+    /// A planner that has sent no order.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The orders to send at `now`, each of which counts as sent.
+    ///
+    /// Orders that load weights are paced by `pacer` and by the number of engines that load.
+    pub fn plan(
+        &mut self,
+        now: time::Instant,
+        model: &declaration::DeclaredModel,
+        engines: &[EngineStatus],
+        pacer: &mut pace::LoadPacer,
+    ) -> Vec<PlannedOrder> {
+        let target = loaded_model(model);
+        let mut reported = reported_engines(engines);
+        self.sent
+            .retain(|name, _order| engines.iter().any(|it| it.name == *name));
+        self.note_completion(now, &target, &reported);
+        // An engine that serves nobody gains most; then the least busy one.
+        reported.sort_by_key(|(engine, report)| {
+            (
+                !report.loaded.is_empty(),
+                report.running,
+                engine.name.clone(),
+            )
+        });
+        let mut loading = self.loading_count(now, &target, &reported);
+        let most_loading = reported.len().div_ceil(LOADING_PART).max(1);
+        let mut orders = Vec::new();
+        for (engine, report) in reported {
+            let wanted = self.wanted_state(now, &target, report);
+            if is_reached(&wanted, report) || self.is_under_way(now, engine, report, &wanted) {
+                continue;
+            }
+            let loads = !report.loaded.contains(&target);
+            if loads && (loading >= most_loading || !pacer.take(now)) {
+                continue;
+            }
+            loading += usize::from(loads);
+            self.note_sent(now, engine, report, &wanted);
+            orders.push(PlannedOrder {
+                endpoint: engine.name.clone(),
+                address: engine.address.clone(),
+                wanted,
+            });
+        }
+        orders
+    }
+
+    /// Takes note that an order did not reach the engine, so that it is planned again.
+    pub fn note_failure(&mut self, endpoint: &str) {
+        self.sent.remove(endpoint);
+    }
+
+    fn note_completion(
+        &mut self,
+        now: time::Instant,
+        target: &engine_wire::LoadedModel,
+        reported: &[(&EngineStatus, &engine_wire::EngineReport)],
+    ) {
+        let complete = reported
+            .iter()
+            .all(|(_engine, report)| report.loaded.contains(target));
+        if !complete || self.complete_model.as_ref() != Some(target) {
+            self.complete_model = Some(target.clone());
+            self.complete_since = None;
+        }
+        if complete && self.complete_since.is_none() {
+            self.complete_since = Some(now);
+        }
+    }
+
+    /// The declared model, and beside it the one that the engine holds until it is not needed.
+    fn wanted_state(
+        &self,
+        now: time::Instant,
+        target: &engine_wire::LoadedModel,
+        report: &engine_wire::EngineReport,
+    ) -> engine_wire::WantedState {
+        let is_over = |since: time::Instant| now >= since + KEEP_PREVIOUS;
+        let keeps_previous = !self.complete_since.is_some_and(is_over);
+        // Another model is of no use to this service; another version may have generations.
+        let is_previous =
+            |held: &&engine_wire::LoadedModel| held.model == target.model && *held != target;
+        let previous = report.loaded.iter().rfind(is_previous);
+        let previous = previous.filter(|_model| keeps_previous);
+        let loaded = std::iter::once(target).chain(previous);
+        engine_wire::WantedState {
+            loaded: loaded.cloned().collect(),
+            role: engine_wire::ROLE_SERVE.to_owned(),
+        }
+    }
+
+    fn is_under_way(
+        &self,
+        now: time::Instant,
+        engine: &EngineStatus,
+        report: &engine_wire::EngineReport,
+        wanted: &engine_wire::WantedState,
+    ) -> bool {
+        let sent = self.sent.get(&engine.name);
+        sent.is_some_and(|order| order.wanted == *wanted && order.is_recent(now, report))
+    }
+
+    fn loading_count(
+        &self,
+        now: time::Instant,
+        target: &engine_wire::LoadedModel,
+        reported: &[(&EngineStatus, &engine_wire::EngineReport)],
+    ) -> usize {
+        let loading = reported.iter().filter(|(engine, report)| {
+            let order = self.sent.get(&engine.name);
+            let is_recent = order.is_some_and(|order| order.is_recent(now, report));
+            is_recent && !report.loaded.contains(target)
+        });
+        loading.count()
+    }
+
+    fn note_sent(
+        &mut self,
+        now: time::Instant,
+        engine: &EngineStatus,
+        report: &engine_wire::EngineReport,
+        wanted: &engine_wire::WantedState,
+    ) {
+        let order = SentOrder {
+            wanted: wanted.clone(),
+            incarnation: report.incarnation,
+            sent: now,
+        };
+        self.sent.insert(engine.name.clone(), order);
+    }
+}
+
+/// Engines to which orders go: those that report and are not leaving.
+fn reported_engines(engines: &[EngineStatus]) -> Vec<(&EngineStatus, &engine_wire::EngineReport)> {
+    let reported = engines.iter().filter_map(|engine| {
+        let report = engine.report.as_ref()?;
+        (!engine.leaving && !report.leaving).then_some((engine, report))
+    });
+    reported.collect()
+}
+
+/// Whether the engine reports the wanted state, in any order of models.
+fn is_reached(wanted: &engine_wire::WantedState, report: &engine_wire::EngineReport) -> bool {
+    let role = if report.role.is_empty() {
+        engine_wire::ROLE_SERVE
+    } else {
+        &report.role
+    };
+    role == wanted.role
+        && wanted.loaded.len() == report.loaded.len()
+        && wanted
+            .loaded
+            .iter()
+            .all(|model| report.loaded.contains(model))
+}
+
+/// The declared model as engines report it.
+#[must_use]
+pub fn loaded_model(model: &declaration::DeclaredModel) -> engine_wire::LoadedModel {
+    engine_wire::LoadedModel {
+        model: model.name.clone(),
+        version: model.version.clone(),
+        adapter: model.adapter.clone(),
+    }
+}
