--- a/src/bin/kumquatpulley/timeline.rs
+++ b/src/bin/kumquatpulley/timeline.rs
@@ -7,6 +7,7 @@
 use kumquatpulley::process::timeline;
 
 use crate::admin;
+use crate::event_line;
 use crate::exit_code;
 use crate::failure;
 use crate::output;
@@ -16,13 +17,14 @@
 #[serde(transparent)]
 struct TimelineReport {
     events: Vec<timeline::TimelineEvent>,
+    #[serde(skip)]
+    names_request: bool,
 }
 
 impl fmt::Display for TimelineReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for event in &self.events {
-            let kind = serde_json::to_value(event).unwrap_or_default();
-            writeln!(f, "{kind}")?;
+            writeln!(f, "{}", event_line::line(event, self.names_request))?;
         }
         Ok(())
     }
@@ -46,9 +48,12 @@
             Err(error) => eprintln!("warning: events of {address} are left out: {error}"),
         }
     }
-    let mut events: Vec<timeline::TimelineEvent> = lists.into_iter().flatten().collect();
-    events.sort_by(|left, right| (left.stamp, &left.process).cmp(&(right.stamp, &right.process)));
-    format.print(&TimelineReport { events })?;
+    let events = event_line::merge(lists);
+    let names_request = request.is_none();
+    format.print(&TimelineReport {
+        events,
+        names_request,
+    })?;
     Ok(exit_code::ExitCode::Success)
 }
 
--- a/src/bin/kumquatpulley/wait.rs
+++ b/src/bin/kumquatpulley/wait.rs
@@ -6,12 +6,14 @@
 
 use async_std::task;
 use futures::future;
+use kumquatpulley::process::status;
 
 use crate::admin;
 use crate::source;
 
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 const READY: &str = "ready";
+const JOINING: &str = "joining";
 
 /// Which routers have the version.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -90,7 +92,7 @@
             named.extend(ready.map(|member| member.admin_address.clone()));
             if status.config >= version {
                 report.in_force.push(status.router);
-            } else if status.state == READY {
+            } else if status.state == READY || is_joining(&status, given.contains(address)) {
                 report.behind.push(status.router);
             }
         }
@@ -98,3 +100,8 @@
     }
     report
 }
+
+/// A router that the operator named counts even before it is ready for the first time.
+fn is_joining(status: &status::RouterStatus, is_given: bool) -> bool {
+    is_given && status.state == JOINING
+}
