Add the stand-ins: model engine, plain service, platform, relay

Cause: tests and the demo need engines, a service and a platform that fail on demand. Ruled out: fakes inside the router process, which cannot be killed, frozen or cut off. Change: four example programs that speak the wire protocols, with fault switches on an admin port, and the token function with its checker. Conclusion: the harness and the fault matrix can be built on them.

--- /dev/null
+++ b/examples/support/engine/mod.rs
@@ -0,0 +1,6 @@
+//! Parts of the model engine stand-in.
+
+pub mod cache;
+pub mod slots;
+pub mod state;
+pub mod stream;
