--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub(crate) mod forward;
 pub mod generation;
+pub mod intake;
 pub mod key;
 pub mod outcome;
 pub mod recovery;
