Place requests by cached prefix within a bound on load

Cause: an engine that holds a prompt's prefix answers sooner, but affinity alone overloads it. Ruled out: affinity without bound; a global view, which lags.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! What lives as long as the process.
 
+mod settings_tree;
+
 pub mod address;
 pub mod admission;
 pub(crate) mod admission_queue;
@@ -31,16 +33,18 @@
 pub mod order;
 pub mod pace;
 pub mod pause;
+pub mod placement;
 pub mod poll;
+pub mod prefix_index;
 pub mod readiness;
 pub mod registry;
 pub mod seed;
 pub mod settings;
 pub mod settings_file;
-mod settings_tree;
 pub mod share;
 pub mod start;
 pub mod status;
+pub mod subset;
 pub mod timeline;
 pub mod view;
 pub mod watch;
