Hold order leases in the node; polled version while a lease is held

Cause: nothing in the running router ordered engines to the declared model. Ruled out: ordering from every router, which would need more than fencing to agree.

--- /dev/null
+++ b/src/process/directory.rs
@@ -0,0 +1,66 @@
+//! The model services and their engines, as the issuer of orders needs them.
+
+use std::sync;
+
+use crate::process::config;
+use crate::process::endpoint;
+use crate::process::issuer;
+use crate::process::order;
+use crate::process::readiness;
+use crate::process::view;
+
+/// Services of the version in force, with their engines' reports.
+#[derive(Debug)]
+pub struct EngineCatalog {
+    /// The version in force.
+    pub config: sync::Arc<config::ConfigCell>,
+    /// Endpoints with their reports.
+    pub endpoints: sync::Arc<endpoint::EndpointTable>,
+    /// The routers.
+    pub members: sync::Arc<dyn view::MemberView>,
+    /// Whether this router may act.
+    pub readiness: sync::Arc<readiness::RouterReadiness>,
+}
+
+impl EngineCatalog {
+    fn engine_status(&self, entry: &endpoint::EndpointEntry) -> order::EngineStatus {
+        order::EngineStatus {
+            name: entry.declared.name.clone(),
+            address: entry.declared.address.clone(),
+            leaving: self.endpoints.state(entry) == endpoint::EndpointState::Leaving,
+            report: entry.report(),
+        }
+    }
+}
+
+impl issuer::EngineDirectory for EngineCatalog {
+    fn services(&self) -> Vec<issuer::ModelService> {
+        let Some(version) = self.config.current() else {
+            return Vec::new();
+        };
+        let entries = self.endpoints.all();
+        let mut services = Vec::new();
+        for service in version.services() {
+            let Some(model) = &service.model else {
+                continue;
+            };
+            let own = entries.iter().filter(|entry| entry.service == service.name);
+            services.push(issuer::ModelService {
+                name: service.name.clone(),
+                model: model.clone(),
+                engines: own.map(|entry| self.engine_status(entry)).collect(),
+            });
+        }
+        services
+    }
+
+    fn is_candidate(&self, service: &str) -> bool {
+        if !self.readiness.may_be_named() {
+            return false;
+        }
+        let own = self.members.home().router;
+        let ready = self.members.ready_members();
+        let routers: Vec<String> = ready.into_iter().map(|member| member.router).collect();
+        issuer::is_candidate(service, &own, &routers)
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod catch_up;
 pub mod config;
+pub mod directory;
 pub mod drain;
 pub mod endpoint;
 pub mod gossip;
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -18,6 +18,7 @@
 use crate::connection::admin;
 use crate::connection::caller;
 use crate::connection::http;
+use crate::connection::order_client;
 use crate::connection::peer;
 use crate::connection::peer_client;
 use crate::connection::peer_server;
@@ -27,9 +28,11 @@
 use crate::process::admission;
 use crate::process::catch_up;
 use crate::process::config;
+use crate::process::directory;
 use crate::process::drain;
 use crate::process::endpoint;
 use crate::process::gossip;
+use crate::process::issuer;
 use crate::process::metrics;
 use crate::process::node;
 use crate::process::poll;
@@ -330,14 +333,19 @@
     task::spawn(async move { gossip.run(token).await });
     let gossip = sync::Arc::clone(&node.gossip);
     let readiness = sync::Arc::clone(&node.readiness);
+    let issuer = issuer(node, &platform);
+    let orders = sync::Arc::clone(&issuer);
     // A router without a version reads the table service itself, whoever the pollers are.
-    let is_poller = move || !readiness.may_serve() || gossip.is_poller();
+    // A holder of a lease does too, so that it never gives orders under an old version for long.
+    let is_poller = move || !readiness.may_serve() || gossip.is_poller() || issuer.holds_lease();
     let store = store::VersionStore::new(sync::Arc::clone(&platform));
     let cell = sync::Arc::clone(&node.config);
     task::spawn(poll::run(cell, store, Box::new(is_poller), process.token()));
     task::spawn(follow_peers(sync::Arc::clone(node), process.token()));
     task::spawn(node.watcher.clone().watch_reports(process.token()));
     task::spawn(node.watcher.clone().watch_vms(process.token()));
+    let token = process.token();
+    task::spawn(async move { orders.run(token).await });
     task::spawn(catch_up::watch(
         sync::Arc::clone(node),
         platform,
@@ -392,3 +400,22 @@
         node.divide_shares();
     }
 }
+
+fn issuer(
+    node: &node::RouterNode,
+    platform: &sync::Arc<dyn platform::PlatformService>,
+) -> sync::Arc<issuer::OrderIssuer> {
+    let catalog = directory::EngineCatalog {
+        config: sync::Arc::clone(&node.config),
+        endpoints: sync::Arc::clone(&node.endpoints),
+        members: sync::Arc::clone(&node.members),
+        readiness: sync::Arc::clone(&node.readiness),
+    };
+    sync::Arc::new(issuer::OrderIssuer::new(
+        node.settings.router.clone(),
+        sync::Arc::clone(platform),
+        sync::Arc::new(order_client::OrderClient),
+        sync::Arc::new(catalog),
+        sync::Arc::clone(&node.ring),
+    ))
+}
