--- a/src/process/issuer.rs
+++ b/src/process/issuer.rs
@@ -229,7 +229,7 @@
         // The lease may have lapsed since the order was planned.
         let fence = issuer.lease.lock().fence(time::Instant::now());
         let Some(fence) = fence else {
-            issuer.plan.lock().planner.note_failure(&planned.endpoint);
+            issuer.note_failure(planned);
             return;
         };
         let order = engine_wire::EngineOrder {
@@ -237,7 +237,7 @@
             wanted: planned.wanted.clone(),
         };
         if self.sink.send(&planned.address, &order).await.is_err() {
-            issuer.plan.lock().planner.note_failure(&planned.endpoint);
+            issuer.note_failure(planned);
             return;
         }
         let kind = timeline::EventKind::OrderSent {
@@ -270,6 +270,14 @@
 }
 
 impl ServiceIssuer {
+    fn note_failure(&self, planned: &order::PlannedOrder) {
+        let now = time::Instant::now();
+        self.plan
+            .lock()
+            .planner
+            .note_failure(now, &planned.endpoint);
+    }
+
     /// The orders that are due; none while the lease is not held.
     fn plan(&self, service: &ModelService, issuers: usize) -> Vec<order::PlannedOrder> {
         let now = time::Instant::now();
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod admission_queue;
 pub mod budget;
 pub mod config;
+pub mod directory;
 pub mod drain;
 pub mod endpoint;
 pub mod gossip;
--- a/src/process/order.rs
+++ b/src/process/order.rs
@@ -15,6 +15,9 @@
 /// time for a load and the lag of the report.
 pub const REPEAT_AFTER: time::Duration = time::Duration::from_secs(15);
 
+/// Time after which an order that failed is sent again.
+pub const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
+
 /// Time for which the model before stays loaded once all engines hold the declared one, so that
 /// running generations can go on at another engine.
 pub const KEEP_PREVIOUS: time::Duration = time::Duration::from_secs(600);
@@ -51,13 +54,15 @@
 struct SentOrder {
     wanted: engine_wire::WantedState,
     incarnation: u64,
-    sent: time::Instant,
+    /// When the order is sent again if the engine still reports another state.
+    repeat: time::Instant,
+    failed: bool,
 }
 
 impl SentOrder {
     /// Whether the engine may still be about to carry out the order; a restart loses it.
     fn is_recent(&self, now: time::Instant, report: &engine_wire::EngineReport) -> bool {
-        self.incarnation == report.incarnation && now < self.sent + REPEAT_AFTER
+        self.incarnation == report.incarnation && now < self.repeat
     }
 }
 
@@ -93,9 +98,12 @@
         self.sent
             .retain(|name, _order| engines.iter().any(|it| it.name == *name));
         self.note_completion(now, &target, &reported);
-        // An engine that serves nobody gains most; then the least busy one.
+        // An engine that cannot be reached must not use up the rate. Of the others, one that
+        // serves nobody gains most; then the least busy one.
         reported.sort_by_key(|(engine, report)| {
+            let order = self.sent.get(&engine.name);
             (
+                order.is_some_and(|order| order.failed),
                 !report.loaded.is_empty(),
                 report.running,
                 engine.name.clone(),
@@ -124,9 +132,12 @@
         orders
     }
 
-    /// Takes note that an order did not reach the engine, so that it is planned again.
-    pub fn note_failure(&mut self, endpoint: &str) {
-        self.sent.remove(endpoint);
+    /// Takes note that sending an order failed.
+    pub fn note_failure(&mut self, now: time::Instant, endpoint: &str) {
+        if let Some(order) = self.sent.get_mut(endpoint) {
+            order.repeat = now + RETRY_AFTER;
+            order.failed = true;
+        }
     }
 
     fn note_completion(
@@ -203,7 +214,8 @@
         let order = SentOrder {
             wanted: wanted.clone(),
             incarnation: report.incarnation,
-            sent: now,
+            repeat: now + REPEAT_AFTER,
+            failed: false,
         };
         self.sent.insert(engine.name.clone(), order);
     }
