Describe the declarations field by field

Cause: operators had no page that tells what a declaration may hold, what is refused and how versions follow each other. Change: docs/DECLARATIONS.md, whose first example is read by a test so that it stays valid. Ruled out: generating the page, which would need a tool in the build.

--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -389,3 +389,16 @@
     );
     assert!(version.path_route("brides", "quotes", "GET", "/").is_none());
 }
+
+#[test]
+fn the_example_of_the_reference_page_is_valid() {
+    const PAGE: &str = include_str!("../docs/DECLARATIONS.md");
+    let start = PAGE.find("```yaml\n").unwrap() + "```yaml\n".len();
+    let length = PAGE[start..].find("```").unwrap();
+    let version = route::ActiveVersion::build(1, &PAGE[start..start + length]).unwrap();
+    assert_eq!(version.workspace_of("sesame").unwrap().name, "planners");
+    let route = version
+        .path_route("planners", "portal", "PUT", "/stock/9")
+        .unwrap();
+    assert!(route.idempotent);
+}
