Show that the membership tests fail without their safeguards

Cause: a test that passes with the safeguard switched off shows nothing. Ruled out: nothing; each safeguard was switched off alone on a scratch copy and restored. Change: the test of two halves now waits until each half holds the other dead, not merely suspect, as it had passed in a trial without healing rounds.

--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -363,7 +363,14 @@
                 bed.cuts.cut(&right.address, &left.address);
             }
         }
-        let is_split = || routers.iter().all(|router| router.counts_ready(3));
+        let dead_to = |router: &TestRouter| {
+            let members = router.node.members();
+            let ranks = members.iter().map(|member| member.rank);
+            let ranks = ranks.filter_map(|rank| member_rank::MemberRank::try_from(rank).ok());
+            let dead = ranks.filter(|rank| rank.verdict == member_rank::PeerVerdict::Dead);
+            dead.count()
+        };
+        let is_split = || routers.iter().all(|router| dead_to(router) == 3);
         assert!(within(time::Duration::from_secs(15), is_split).await);
         bed.cuts.heal();
         let is_whole = || routers.iter().all(|router| router.counts_ready(6));
