Write the pages for users, operators and contributors

Cause: the programs ran, but nobody could learn how to set them up, what a refusal or an exit code means, or why the system is built as it is. Ruled out: repeating the help texts in the pages, which would grow apart; the pages give what help cannot, and the settings example is checked by a test. Change: README, CHANGELOG, CONTRIBUTING, docs/OPERATING, docs/GLOSSARY and docs/DESIGN, with examples/router.yaml as settings to begin from. Lints of the tests are mended.

--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -85,7 +85,7 @@
     assert_eq!((answer.resumes, answer.restarts), (1, 0));
     let requests = cluster.requests();
     assert_eq!(requests.len(), 2);
-    let [first, second] = &requests[..] else {
+    let [first, second] = &*requests else {
         panic!("two requests");
     };
     assert_eq!(first.headers["idempotency-key"], answer.key);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -89,7 +89,7 @@
 
 #[test]
 fn short_help_lists_every_subcommand() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Declares what routers serve, watches them and generates through them
 
         Usage: kumquatpulley [OPTIONS] <COMMAND>
@@ -113,12 +113,12 @@
           -V, --version          Print version
 
         Exit codes are listed in docs/OPERATING.md.
-    "#]].assert_eq(&help_of(&["-h"]));
+    "]].assert_eq(&help_of(&["-h"]));
 }
 
 #[test]
 fn apply_explains_units_and_defaults() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Make a declaration file the next configuration version
 
         Usage: kumquatpulley apply [OPTIONS] --platform <ADDR> <FILE>
@@ -135,12 +135,12 @@
               --wait-ms <MS>     Time to wait with --wait, in milliseconds [default: 5000]
               --router <ADDR>    Operator address of a router to ask with --wait [env: KUMQUATPULLEY_ADMIN=]
           -h, --help             Print help (see more with '--help')
-    "#]].assert_eq(&help_of(&["apply", "-h"]));
+    "]].assert_eq(&help_of(&["apply", "-h"]));
 }
 
 #[test]
 fn generate_explains_units_and_defaults() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Generate an answer and go on at another router after a loss
 
         Usage: kumquatpulley generate [OPTIONS] --router <ADDR> --key <BEARER> --model <M>
@@ -157,7 +157,7 @@
                                     [default: 30000]
               --json                End with a JSON line: tokens, resumes, restarts, longest gaps in ms
           -h, --help                Print help (see more with '--help')
-    "#]].assert_eq(&help_of(&["generate", "-h"]));
+    "]].assert_eq(&help_of(&["generate", "-h"]));
 }
 
 #[test]
@@ -209,11 +209,11 @@
     let output = folder.run(&["check", "faulty.yaml"]);
     assert_eq!(output.code, DECLARATIONS);
     assert_eq!(output.stdout, "");
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         error: faulty.yaml:2: services[0].name: `Stock` is not a name; use 1 to 63 lower-case letters, digits and hyphens
         error: faulty.yaml:6: routes[0].service: no service is named `stock`; declare it under `services` or name one of them
         error: 2 faults; correct them and try again
-    "#]].assert_eq(&output.stderr);
+    "]].assert_eq(&output.stderr);
 }
 
 #[test]
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -76,14 +76,16 @@
 
 /// Processes whose parent is `parent`.
 fn children_of(parent: u32) -> Vec<u32> {
-    let tasks = fs::read_dir(format!("/proc/{parent}/task")).unwrap();
+    let tasks = fs::read_dir(format!("/proc/{parent}/task")).expect("process runs");
     let lists = tasks.map(|task| {
-        let file = task.unwrap().path().join("children");
+        let file = task.expect("task").path().join("children");
         fs::read_to_string(file).unwrap_or_default()
     });
     let text: String = lists.collect::<Vec<_>>().join(" ");
     let numbers = text.split_whitespace();
-    numbers.map(|number| number.parse().unwrap()).collect()
+    numbers
+        .map(|number| number.parse().expect("process id"))
+        .collect()
 }
 
 fn has_ended(process: u32) -> bool {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net;
+use std::path;
 
 use assert_cmd::Command;
 use kumquatpulley::process::settings;
@@ -68,6 +69,14 @@
     assert!(settings.seeds.is_empty());
 }
 
+#[test]
+fn the_example_settings_are_sound() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/router.yaml");
+    let settings = settings::load(path::Path::new(file)).unwrap();
+    assert_eq!(settings.router, "r1");
+    assert_eq!(settings.seeds.len(), 3);
+}
+
 #[test]
 fn every_field_is_taken_from_the_file() {
     let text = format!(
