--- a/src/bin/kumquatpulley/wait.rs
+++ b/src/bin/kumquatpulley/wait.rs
@@ -37,12 +37,9 @@
 
 impl fmt::Display for WaitReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "in force at {} routers after {} ms",
-            self.in_force.len(),
-            self.waited_ms
-        )?;
+        let count = self.in_force.len();
+        let noun = if count == 1 { "router" } else { "routers" };
+        write!(f, "in force at {count} {noun} after {} ms", self.waited_ms)?;
         if !self.behind.is_empty() {
             write!(f, "; behind: {}", self.behind.join(", "))?;
         }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,13 +1,13 @@
 //! The command line through the real program: results, failures and exit codes.
 
 mod support {
+    pub mod program;
     pub mod stand_in;
 }
 
 use std::fs;
 
-use assert_cmd::Command;
-
+use support::program;
 use support::stand_in;
 
 const SUCCESS: i32 = 0;
@@ -35,14 +35,6 @@
     folder: tempfile::TempDir,
 }
 
-/// What the program printed, and how it ended.
-#[derive(Debug)]
-struct CommandOutput {
-    code: i32,
-    stdout: String,
-    stderr: String,
-}
-
 impl CommandFolder {
     fn new() -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
@@ -55,25 +47,12 @@
         fs::write(self.folder.path().join(name), text).expect("file");
     }
 
-    fn run(&self, arguments: &[&str]) -> CommandOutput {
-        let output = Command::cargo_bin("kumquatpulley")
-            .expect("program")
-            .current_dir(self.folder.path())
-            .env_clear()
-            .args(arguments)
-            .timeout(std::time::Duration::from_secs(30))
-            .output()
-            .expect("output");
-        let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
-        CommandOutput {
-            code: output.status.code().expect("exit code"),
-            stdout: text(output.stdout),
-            stderr: text(output.stderr),
-        }
+    fn run(&self, arguments: &[&str]) -> program::ProgramOutput {
+        program::run(self.folder.path(), arguments)
     }
 
     /// Runs a command that talks to the platform stand-in.
-    fn run_at(&self, platform: &stand_in::StandIn, arguments: &[&str]) -> CommandOutput {
+    fn run_at(&self, platform: &stand_in::StandIn, arguments: &[&str]) -> program::ProgramOutput {
         let platform = platform.listen.to_string();
         let mut all = arguments.to_vec();
         all.extend(["--platform", &platform]);
@@ -333,7 +312,7 @@
         );
         folder.run_at(&platform, &["apply", &name, "--base", "1"])
     };
-    let outputs: Vec<CommandOutput> = std::thread::scope(|scope| {
+    let outputs: Vec<program::ProgramOutput> = std::thread::scope(|scope| {
         let race = &race;
         let operators = 10..10 + OPERATORS;
         let threads = operators.map(|operator| scope.spawn(move || race(operator)));
