Split the engine stand-in's records from its state

Ruled out: reading the state from the kept streams alone, since they are dropped 30 s after their end. Change: records of attempts and orders live in a file of their own; the last state is written when a stream is dropped. Conclusion: counts stay truthful after a stream is forgotten.

--- a/examples/support/engine/state.rs
+++ b/examples/support/engine/state.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 
 use super::cache;
+use super::records;
 use super::slots;
 use super::stream;
 use crate::oracle;
@@ -64,55 +65,15 @@
     pub leaving: bool,
 }
 
-/// One attempt as the counts show it.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct AttemptRecord {
-    /// Attempt identifier.
-    pub attempt: String,
-    /// Model name.
-    pub model: String,
-    /// Model version.
-    pub version: String,
-    /// The prompt.
-    pub prompt: String,
-    /// Tokens that came with the request.
-    pub prefix: usize,
-    /// Whether those tokens are one generation of the prompt.
-    pub prefix_is_right: bool,
-    /// Priority of the request.
-    pub priority: u8,
-    /// Tokens computed.
-    pub tokens: usize,
-    /// Prompt and prefix tokens computed.
-    pub prefill: usize,
-    /// Arrival, in microseconds since the Unix epoch.
-    pub arrived_micros: u64,
-    /// Times the stream was attached again.
-    pub attachments: u32,
-    /// How far it has come.
-    pub state: stream::AttemptState,
-}
-
-/// One order as the counts show it.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct OrderRecord {
-    /// The order.
-    pub order: engine_wire::EngineOrder,
-    /// Whether it was taken.
-    pub accepted: bool,
-    /// Arrival, in microseconds since the Unix epoch.
-    pub arrived_micros: u64,
-}
-
 #[derive(Debug)]
 struct EngineCore {
-    records: Vec<AttemptRecord>,
+    records: Vec<records::AttemptRecord>,
     streams: collections::HashMap<String, (usize, sync::Arc<stream::AttemptStream>)>,
     cache: cache::PrefixCache,
     loaded: Vec<engine_wire::LoadedModel>,
     role: String,
     fence: u64,
-    orders: Vec<OrderRecord>,
+    orders: Vec<records::OrderRecord>,
     reports: collections::VecDeque<(time::Instant, engine_wire::EngineReport)>,
 }
 
@@ -190,7 +151,7 @@
         let mut core = self.core.lock();
         core.admit(&request)?;
         let index = core.records.len();
-        core.records.push(new_record(&request));
+        core.records.push(records::AttemptRecord::new(&request));
         core.streams
             .insert(request.attempt.clone(), (index, sync::Arc::clone(&attempt)));
         drop(core);
@@ -233,7 +194,9 @@
         }
         drop(slot);
         task::sleep(KEEP_ENDED).await;
-        self.core.lock().streams.remove(&request.attempt);
+        let mut core = self.core.lock();
+        core.records[index].state = stream.state();
+        core.streams.remove(&request.attempt);
     }
 
     async fn prefill(&self, request: &engine_wire::EngineRequest, index: usize) {
@@ -294,11 +257,8 @@
         let checks_fencing = self.switches.lock().checks_fencing;
         let mut core = self.core.lock();
         let accepted = !checks_fencing || order.fence >= core.fence;
-        core.orders.push(OrderRecord {
-            order: order.clone(),
-            accepted,
-            arrived_micros: timeline::wall_micros(),
-        });
+        core.orders
+            .push(records::OrderRecord::new(order.clone(), accepted));
         if !accepted {
             return Err(core.fence);
         }
@@ -437,23 +397,6 @@
     }
 }
 
-fn new_record(request: &engine_wire::EngineRequest) -> AttemptRecord {
-    AttemptRecord {
-        attempt: request.attempt.clone(),
-        model: request.model.clone(),
-        version: request.version.clone(),
-        prompt: request.prompt.clone(),
-        prefix: request.prefix.len(),
-        prefix_is_right: oracle::TokenOracle::check(&request.prompt, &request.prefix).is_ok(),
-        priority: request.priority,
-        tokens: 0,
-        prefill: 0,
-        arrived_micros: timeline::wall_micros(),
-        attachments: 0,
-        state: stream::AttemptState::Waiting,
-    }
-}
-
 fn oracle_for(request: &engine_wire::EngineRequest) -> oracle::TokenOracle {
     let version = match &request.adapter {
         Some(adapter) => format!("{}+{adapter}", request.version),
