--- /dev/null
+++ b/src/process/readiness.rs
@@ -0,0 +1,149 @@
+//! Whether this router may take and send work.
+
+use std::sync::atomic;
+use std::time;
+
+use parking_lot::Mutex;
+
+use crate::connection::service;
+use crate::process::pause;
+use crate::process::timeline;
+
+/// Readiness of one router.
+#[derive(Debug)]
+pub struct RouterReadiness {
+    detector: Mutex<pause::PauseDetector>,
+    pause: Mutex<Option<time::Duration>>,
+    pause_gate: pause::PauseGate,
+    has_version: atomic::AtomicBool,
+    is_draining: atomic::AtomicBool,
+    is_closed: atomic::AtomicBool,
+}
+
+impl Default for RouterReadiness {
+    fn default() -> Self {
+        let now = time::Instant::now();
+        let micros = timeline::wall_micros();
+        let detector = pause::PauseDetector::new(pause::PAUSE_THRESHOLD, now, micros);
+        Self {
+            detector: Mutex::new(detector),
+            pause: Mutex::default(),
+            pause_gate: pause::PauseGate::default(),
+            has_version: atomic::AtomicBool::default(),
+            is_draining: atomic::AtomicBool::default(),
+            is_closed: atomic::AtomicBool::default(),
+        }
+    }
+}
+
+impl RouterReadiness {
+    /// Takes note that a configuration version is in force.
+    pub fn set_version(&self) {
+        self.has_version.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Closes the router to work when the process was paused since the last look.
+    pub fn look_for_pause(&self) {
+        let now = time::Instant::now();
+        let Some(gap) = self.detector.lock().tick(now, timeline::wall_micros()) else {
+            return;
+        };
+        self.pause_gate.close(now);
+        *self.pause.lock() = Some(gap);
+    }
+
+    /// The pause found last, once.
+    pub fn take_pause(&self) -> Option<time::Duration> {
+        self.pause.lock().take()
+    }
+
+    /// Takes note of an exchange that began at `began`; true when it opens the router again.
+    pub fn note_contact(&self, began: time::Instant) -> bool {
+        self.pause_gate.note_contact(began)
+    }
+
+    /// Whether nothing has to be caught up after a pause.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        self.pause_gate.is_open()
+    }
+
+    /// Takes note that the router is leaving.
+    pub fn set_draining(&self) {
+        self.is_draining.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Takes note that no request is accepted any more.
+    pub fn close(&self) {
+        self.is_closed.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Whether requests are served.
+    #[must_use]
+    pub fn may_serve(&self) -> bool {
+        self.has_version.load(atomic::Ordering::SeqCst)
+            && self.is_caught_up()
+            && !self.is_closed.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Whether the router may be named to callers.
+    #[must_use]
+    pub fn may_be_named(&self) -> bool {
+        self.may_serve() && !self.is_draining()
+    }
+
+    /// Whether the router is leaving.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(atomic::Ordering::SeqCst)
+    }
+
+    /// The state's name for operators.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        if self.is_draining() {
+            return "draining";
+        }
+        if self.may_serve() { "ready" } else { "joining" }
+    }
+}
+
+impl service::SendGate for RouterReadiness {
+    fn may_send(&self) -> bool {
+        // The process may have woken a moment ago, before the next regular look.
+        self.look_for_pause();
+        self.is_caught_up()
+    }
+}
+
+/// Number of calls that run.
+#[derive(Debug, Default)]
+pub struct CallCounter {
+    running: atomic::AtomicU32,
+}
+
+impl CallCounter {
+    /// Counts one call until the guard is dropped.
+    pub fn enter(&self) -> CallGuard<'_> {
+        self.running.fetch_add(1, atomic::Ordering::SeqCst);
+        CallGuard { counter: self }
+    }
+
+    /// Calls that run now.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running.load(atomic::Ordering::SeqCst)
+    }
+}
+
+/// One running call.
+#[derive(Debug)]
+pub struct CallGuard<'a> {
+    counter: &'a CallCounter,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.counter.running.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
