Resolve the two merge conflicts that were committed by mistake

Cause: the merge script committed files with conflict markers, so the tree did not build. Ruled out: dropping either side; the catalogue keeps the readiness check of one and the reachability check of the other. Conclusion: one tree again.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -1,8 +1,4 @@
-<<<<<<< HEAD
 //! The model services and their engines, as the issuer of orders needs them.
-=======
-//! The engines to order, as this router sees them.
->>>>>>> config
 
 use std::sync;
 
@@ -10,7 +6,6 @@
 use crate::process::endpoint;
 use crate::process::issuer;
 use crate::process::order;
-<<<<<<< HEAD
 use crate::process::readiness;
 use crate::process::view;
 
@@ -29,39 +24,24 @@
 
 impl EngineCatalog {
     fn engine_status(&self, entry: &endpoint::EndpointEntry) -> order::EngineStatus {
+        let state = self.endpoints.state(entry);
+        // What an engine that cannot be reached reported last may no longer hold.
+        let is_reachable = state != endpoint::EndpointState::Suspect;
         order::EngineStatus {
             name: entry.declared.name.clone(),
             address: entry.declared.address.clone(),
-            leaving: self.endpoints.state(entry) == endpoint::EndpointState::Leaving,
-            report: entry.report(),
+            leaving: state == endpoint::EndpointState::Leaving,
+            report: entry.report().filter(|_report| is_reachable),
         }
     }
 }
 
 impl issuer::EngineDirectory for EngineCatalog {
-=======
-use crate::process::view;
-use crate::version::route;
-
-/// Model services of the version in force, with the engines' newest reports.
-#[derive(Clone, Debug)]
-pub struct RouterDirectory {
-    /// The version in force.
-    pub config: sync::Arc<config::ConfigCell>,
-    /// The endpoints.
-    pub endpoints: sync::Arc<endpoint::EndpointTable>,
-    /// The routers.
-    pub members: sync::Arc<dyn view::MemberView>,
-}
-
-impl issuer::EngineDirectory for RouterDirectory {
->>>>>>> config
     fn services(&self) -> Vec<issuer::ModelService> {
         let Some(version) = self.config.current() else {
             return Vec::new();
         };
         let entries = self.endpoints.all();
-<<<<<<< HEAD
         let mut services = Vec::new();
         for service in version.services() {
             let Some(model) = &service.model else {
@@ -81,48 +61,9 @@
         if !self.readiness.may_be_named() {
             return false;
         }
-=======
-        let services = version.services().iter();
-        let services = services.filter_map(|service| self.model_service(service, &entries));
-        services.collect()
-    }
-
-    fn is_candidate(&self, service: &str) -> bool {
->>>>>>> config
         let own = self.members.home().router;
         let ready = self.members.ready_members();
         let routers: Vec<String> = ready.into_iter().map(|member| member.router).collect();
         issuer::is_candidate(service, &own, &routers)
     }
 }
-<<<<<<< HEAD
-=======
-
-impl RouterDirectory {
-    fn model_service(
-        &self,
-        service: &route::ServedService,
-        entries: &[sync::Arc<endpoint::EndpointEntry>],
-    ) -> Option<issuer::ModelService> {
-        let model = service.model.clone()?;
-        let entries = entries.iter().filter(|entry| entry.service == service.name);
-        Some(issuer::ModelService {
-            name: service.name.clone(),
-            model,
-            engines: entries.map(|entry| self.engine_status(entry)).collect(),
-        })
-    }
-
-    fn engine_status(&self, entry: &endpoint::EndpointEntry) -> order::EngineStatus {
-        let state = self.endpoints.state(entry);
-        let is_serving = state == endpoint::EndpointState::Serving;
-        order::EngineStatus {
-            name: entry.declared.name.clone(),
-            address: entry.declared.address.clone(),
-            leaving: state == endpoint::EndpointState::Leaving,
-            // An engine that cannot be reached now counts as one that does not report.
-            report: entry.report().filter(|_report| is_serving),
-        }
-    }
-}
->>>>>>> config
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -76,28 +76,15 @@
 
 /// Processes whose parent is `parent`.
 fn children_of(parent: u32) -> Vec<u32> {
-<<<<<<< HEAD
-    let tasks = fs::read_dir(format!("/proc/{parent}/task")).expect("the process list can be read");
-    let lists = tasks.map(|task| {
-        let file = task
-            .expect("the process list can be read")
-            .path()
-            .join("children");
-=======
     let tasks = fs::read_dir(format!("/proc/{parent}/task")).expect("process runs");
     let lists = tasks.map(|task| {
         let file = task.expect("task").path().join("children");
->>>>>>> shell
         fs::read_to_string(file).unwrap_or_default()
     });
     let text: String = lists.collect::<Vec<_>>().join(" ");
     let numbers = text.split_whitespace();
     numbers
-<<<<<<< HEAD
-        .map(|number| number.parse().expect("the process list can be read"))
-=======
         .map(|number| number.parse().expect("process id"))
->>>>>>> shell
         .collect()
 }
 
