Count the calls that a home runs, and split the key table

Cause: a call goes on when its caller gives up, and a planned stop must wait for it; the front's own count ends with the caller. Ruled out: a guard inside the task, which is late by the time until the task first runs. Change: the key table counts tickets, and the runner tells the number.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -48,4 +48,5 @@
 pub mod subset;
 pub mod timeline;
 pub mod view;
+pub mod wall_clock;
 pub mod watch;
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -14,6 +14,7 @@
 use crate::process::budget;
 use crate::process::timeline;
 use crate::process::view;
+use crate::process::wall_clock;
 use crate::request::attempt;
 use crate::request::claim;
 use crate::request::copy;
@@ -77,28 +78,7 @@
     pub(crate) limits: CallLimits,
     claims: sync::Arc<claim::ClaimBatcher>,
     table: sync::Arc<outcome::KeyTable>,
-    clock: ProcessClock,
-}
-
-/// Wall time that never goes back, whatever happens to the system clock.
-#[derive(Clone, Copy, Debug)]
-struct ProcessClock {
-    started: time::Instant,
-    started_wall: time::Duration,
-}
-
-impl ProcessClock {
-    fn new() -> Self {
-        Self {
-            started: time::Instant::now(),
-            started_wall: time::Duration::from_micros(timeline::wall_micros()),
-        }
-    }
-
-    /// Time since the Unix epoch.
-    fn now(&self) -> time::Duration {
-        self.started_wall + self.started.elapsed()
-    }
+    clock: wall_clock::WallClock,
 }
 
 impl CallRunner {
@@ -137,7 +117,7 @@
             limits,
             claims: claim::ClaimBatcher::new(platform, limits.table.retention),
             table: outcome::KeyTable::new(limits.table),
-            clock: ProcessClock::new(),
+            clock: wall_clock::WallClock::new(),
         };
         Self {
             shared: sync::Arc::new(state),
@@ -192,6 +172,12 @@
         async move { attempt::run_idempotent(&state, call).await }.boxed()
     }
 
+    /// Calls of this home that are running, whether or not anybody waits for them.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.shared.table.running_count()
+    }
+
     /// The keys whose home is this process.
     #[must_use]
     pub fn table(&self) -> &sync::Arc<outcome::KeyTable> {
--- /dev/null
+++ b/src/request/key_shard.rs
@@ -0,0 +1,169 @@
+//! One shard of the key table: its entries, their expiry and the kept bodies.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use crate::connection::peer_wire;
+use crate::request::digest;
+use crate::request::outcome;
+use crate::request::verdict;
+
+/// Time after which a running call whose key has expired is looked at again.
+const RUNNING_GRACE: time::Duration = time::Duration::from_secs(60);
+
+#[derive(Debug)]
+/// What the table holds for one key.
+pub(crate) struct KeyEntry {
+    pub(crate) request: digest::CallDigest,
+    /// Whether a refusal must hold for every later copy of the call.
+    pub(crate) sticky: bool,
+    /// When the entry may be dropped, since the Unix epoch.
+    pub(crate) expiry: time::Duration,
+    pub(crate) state: EntryState,
+}
+
+#[derive(Debug)]
+/// Progress of a call.
+pub(crate) enum EntryState {
+    Running(outcome::PendingOutcome),
+    Kept(outcome::SharedOutcome),
+    Trimmed(u16),
+}
+
+#[derive(Debug, Default)]
+/// Entries of one shard.
+pub(crate) struct KeyShard {
+    pub(crate) entries: collections::HashMap<digest::CallDigest, KeyEntry>,
+    pub(crate) expiries: collections::BTreeSet<(time::Duration, digest::CallDigest)>,
+    bodies: collections::VecDeque<digest::CallDigest>,
+    pub(crate) body_bytes: usize,
+    /// Unknown keys made at or before this time are refused, as one of them was for lack of room.
+    pub(crate) floor: Option<time::Duration>,
+}
+
+impl KeyEntry {
+    /// What the entry says to another copy of the call.
+    pub(crate) fn answer(&mut self, arrival: outcome::KeyArrival) -> outcome::TableEntry {
+        self.sticky = true;
+        if self.request != arrival.request {
+            return outcome::TableEntry::Reused;
+        }
+        match &self.state {
+            EntryState::Running(pending) => outcome::TableEntry::Running(pending.clone()),
+            EntryState::Kept(outcome) => outcome::TableEntry::Kept(sync::Arc::clone(outcome)),
+            EntryState::Trimmed(status) => outcome::TableEntry::Trimmed(*status),
+        }
+    }
+}
+
+impl KeyShard {
+    /// Drops entries whose keys are too old to be accepted again.
+    pub(crate) fn sweep(&mut self, now: time::Duration) {
+        while let Some(&(expiry, key)) = self.expiries.first() {
+            if expiry > now {
+                return;
+            }
+            self.expiries.pop_first();
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            if matches!(entry.state, EntryState::Running(_)) {
+                entry.expiry = now + RUNNING_GRACE;
+                self.expiries.insert((entry.expiry, key));
+                continue;
+            }
+            self.body_bytes -= entry.state.body_bytes();
+            self.entries.remove(&key);
+        }
+    }
+
+    /// Keeps the outcome, or drops the entry so that the key may be used again.
+    pub(crate) fn settle(
+        &mut self,
+        key: digest::CallDigest,
+        outcome: &outcome::SharedOutcome,
+        keep: bool,
+        max_bytes: usize,
+    ) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        if !keep || (is_not_run(outcome) && !entry.sticky) {
+            self.forget(key);
+            return;
+        }
+        entry.state = EntryState::Kept(sync::Arc::clone(outcome));
+        let bytes = entry.state.body_bytes();
+        if bytes == 0 {
+            return;
+        }
+        self.body_bytes += bytes;
+        self.bodies.push_back(key);
+        self.trim(max_bytes);
+        self.drop_stale_bodies();
+    }
+
+    fn forget(&mut self, key: digest::CallDigest) {
+        if let Some(entry) = self.entries.remove(&key) {
+            self.expiries.remove(&(entry.expiry, key));
+        }
+    }
+
+    /// Shortens the queue of bodies by those whose entries are gone.
+    fn drop_stale_bodies(&mut self) {
+        while let Some(key) = self.bodies.front() {
+            let entry = self.entries.get(key);
+            if entry.is_some_and(|entry| entry.state.body_bytes() > 0) {
+                return;
+            }
+            self.bodies.pop_front();
+        }
+    }
+
+    /// Drops the oldest bodies until the rest fits.
+    fn trim(&mut self, max_bytes: usize) {
+        while self.body_bytes > max_bytes {
+            let Some(key) = self.bodies.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            let bytes = entry.state.body_bytes();
+            if bytes == 0 {
+                continue;
+            }
+            self.body_bytes -= bytes;
+            entry.state.trim();
+        }
+    }
+}
+
+impl EntryState {
+    fn body_bytes(&self) -> usize {
+        let Self::Kept(outcome) = self else {
+            return 0;
+        };
+        match outcome.as_ref() {
+            peer_wire::CallOutcomeWire::Answered { body, .. } => body.len(),
+            peer_wire::CallOutcomeWire::Refused(_) => 0,
+        }
+    }
+
+    fn trim(&mut self) {
+        let Self::Kept(outcome) = self else {
+            return;
+        };
+        if let peer_wire::CallOutcomeWire::Answered { status, .. } = **outcome {
+            *self = Self::Trimmed(status);
+        }
+    }
+}
+
+fn is_not_run(outcome: &peer_wire::CallOutcomeWire) -> bool {
+    let peer_wire::CallOutcomeWire::Refused(refusal) = outcome else {
+        return false;
+    };
+    refusal.verdict == verdict::RunVerdict::NotRun
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 pub mod generation;
 pub mod intake;
 pub mod key;
+pub(crate) mod key_shard;
 pub mod outcome;
 pub mod recovery;
 pub mod refusal;
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -4,8 +4,8 @@
 //! than the retention time. A key that could be sent a second time is never dropped, and new keys
 //! are refused while the table is full.
 
-use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use futures::channel::oneshot;
@@ -14,10 +14,10 @@
 
 use crate::connection::peer_wire;
 use crate::request::digest;
+use crate::request::key_shard;
 use crate::request::verdict;
 
 const SHARD_COUNT: usize = 16;
-const RUNNING_GRACE: time::Duration = time::Duration::from_secs(60);
 
 /// Bounds of a [`KeyTable`].
 #[derive(Clone, Copy, Debug)]
@@ -83,40 +83,14 @@
     pub first_send: bool,
 }
 
-#[derive(Debug)]
-struct KeyEntry {
-    request: digest::CallDigest,
-    /// Whether a refusal must hold for every later copy of the call.
-    sticky: bool,
-    /// When the entry may be dropped, since the Unix epoch.
-    expiry: time::Duration,
-    state: EntryState,
-}
-
-#[derive(Debug)]
-enum EntryState {
-    Running(PendingOutcome),
-    Kept(SharedOutcome),
-    Trimmed(u16),
-}
-
-#[derive(Debug, Default)]
-struct KeyShard {
-    entries: collections::HashMap<digest::CallDigest, KeyEntry>,
-    expiries: collections::BTreeSet<(time::Duration, digest::CallDigest)>,
-    bodies: collections::VecDeque<digest::CallDigest>,
-    body_bytes: usize,
-    /// Unknown keys made at or before this time are refused, as one of them was for lack of room.
-    floor: Option<time::Duration>,
-}
-
 /// Keys and outcomes of the calls whose home is this process.
 ///
 /// All times given to one table are readings of one clock that never goes back.
 #[derive(Debug)]
 pub struct KeyTable {
-    shards: Vec<Mutex<KeyShard>>,
+    shards: Vec<Mutex<key_shard::KeyShard>>,
     limits: TableLimits,
+    running: atomic::AtomicUsize,
 }
 
 /// Right to send one call once; losing it counts as a call that may have run.
@@ -146,6 +120,7 @@
             return;
         };
         self.table.settle(self.key, &outcome, keep);
+        self.table.running.fetch_sub(1, atomic::Ordering::SeqCst);
         // Nobody waits any longer when this fails.
         drop(sender.send(outcome));
     }
@@ -168,7 +143,11 @@
     #[must_use]
     pub fn new(limits: TableLimits) -> sync::Arc<Self> {
         let shards = (0..SHARD_COUNT).map(|_index| Mutex::default()).collect();
-        sync::Arc::new(Self { shards, limits })
+        sync::Arc::new(Self {
+            shards,
+            limits,
+            running: atomic::AtomicUsize::new(0),
+        })
     }
 
     /// Looks up or enters an arriving call; `now` is the time since the Unix epoch.
@@ -188,13 +167,14 @@
         shard.expiries.insert((expiry, arrival.key));
         shard.entries.insert(
             arrival.key,
-            KeyEntry {
+            key_shard::KeyEntry {
                 request: arrival.request,
                 sticky: !arrival.first_send,
                 expiry,
-                state: EntryState::Running(pending.clone()),
+                state: key_shard::EntryState::Running(pending.clone()),
             },
         );
+        self.running.fetch_add(1, atomic::Ordering::SeqCst);
         let ticket = RunTicket {
             table: sync::Arc::clone(self),
             key: arrival.key,
@@ -211,6 +191,12 @@
         Some(entry.answer(arrival))
     }
 
+    /// Tickets that are held.
+    #[must_use]
+    pub fn running_count(&self) -> usize {
+        self.running.load(atomic::Ordering::SeqCst)
+    }
+
     /// Keys held.
     #[must_use]
     pub fn key_count(&self) -> usize {
@@ -229,7 +215,7 @@
             .sum()
     }
 
-    fn shard(&self, key: digest::CallDigest) -> &Mutex<KeyShard> {
+    fn shard(&self, key: digest::CallDigest) -> &Mutex<key_shard::KeyShard> {
         &self.shards[key.shard(SHARD_COUNT)]
     }
 
@@ -239,7 +225,7 @@
 
     fn refuse_unknown(
         &self,
-        shard: &mut KeyShard,
+        shard: &mut key_shard::KeyShard,
         arrival: KeyArrival,
         now: time::Duration,
     ) -> Option<TableEntry> {
@@ -268,127 +254,3 @@
         shard.settle(key, outcome, keep, self.limits.max_body_bytes / SHARD_COUNT);
     }
 }
-
-impl KeyEntry {
-    fn answer(&mut self, arrival: KeyArrival) -> TableEntry {
-        self.sticky = true;
-        if self.request != arrival.request {
-            return TableEntry::Reused;
-        }
-        match &self.state {
-            EntryState::Running(pending) => TableEntry::Running(pending.clone()),
-            EntryState::Kept(outcome) => TableEntry::Kept(sync::Arc::clone(outcome)),
-            EntryState::Trimmed(status) => TableEntry::Trimmed(*status),
-        }
-    }
-}
-
-impl KeyShard {
-    /// Drops entries whose keys are too old to be accepted again.
-    fn sweep(&mut self, now: time::Duration) {
-        while let Some(&(expiry, key)) = self.expiries.first() {
-            if expiry > now {
-                return;
-            }
-            self.expiries.pop_first();
-            let Some(entry) = self.entries.get_mut(&key) else {
-                continue;
-            };
-            if matches!(entry.state, EntryState::Running(_)) {
-                entry.expiry = now + RUNNING_GRACE;
-                self.expiries.insert((entry.expiry, key));
-                continue;
-            }
-            self.body_bytes -= entry.state.body_bytes();
-            self.entries.remove(&key);
-        }
-    }
-
-    fn settle(
-        &mut self,
-        key: digest::CallDigest,
-        outcome: &SharedOutcome,
-        keep: bool,
-        max_bytes: usize,
-    ) {
-        let Some(entry) = self.entries.get_mut(&key) else {
-            return;
-        };
-        if !keep || (is_not_run(outcome) && !entry.sticky) {
-            self.forget(key);
-            return;
-        }
-        entry.state = EntryState::Kept(sync::Arc::clone(outcome));
-        let bytes = entry.state.body_bytes();
-        if bytes == 0 {
-            return;
-        }
-        self.body_bytes += bytes;
-        self.bodies.push_back(key);
-        self.trim(max_bytes);
-        self.drop_stale_bodies();
-    }
-
-    fn forget(&mut self, key: digest::CallDigest) {
-        if let Some(entry) = self.entries.remove(&key) {
-            self.expiries.remove(&(entry.expiry, key));
-        }
-    }
-
-    /// Shortens the queue of bodies by those whose entries are gone.
-    fn drop_stale_bodies(&mut self) {
-        while let Some(key) = self.bodies.front() {
-            let entry = self.entries.get(key);
-            if entry.is_some_and(|entry| entry.state.body_bytes() > 0) {
-                return;
-            }
-            self.bodies.pop_front();
-        }
-    }
-
-    /// Drops the oldest bodies until the rest fits.
-    fn trim(&mut self, max_bytes: usize) {
-        while self.body_bytes > max_bytes {
-            let Some(key) = self.bodies.pop_front() else {
-                return;
-            };
-            let Some(entry) = self.entries.get_mut(&key) else {
-                continue;
-            };
-            let bytes = entry.state.body_bytes();
-            if bytes == 0 {
-                continue;
-            }
-            self.body_bytes -= bytes;
-            entry.state.trim();
-        }
-    }
-}
-
-impl EntryState {
-    fn body_bytes(&self) -> usize {
-        let Self::Kept(outcome) = self else {
-            return 0;
-        };
-        match outcome.as_ref() {
-            peer_wire::CallOutcomeWire::Answered { body, .. } => body.len(),
-            peer_wire::CallOutcomeWire::Refused(_) => 0,
-        }
-    }
-
-    fn trim(&mut self) {
-        let Self::Kept(outcome) = self else {
-            return;
-        };
-        if let peer_wire::CallOutcomeWire::Answered { status, .. } = **outcome {
-            *self = Self::Trimmed(status);
-        }
-    }
-}
-
-fn is_not_run(outcome: &peer_wire::CallOutcomeWire) -> bool {
-    let peer_wire::CallOutcomeWire::Refused(refusal) = outcome else {
-        return false;
-    };
-    refusal.verdict == verdict::RunVerdict::NotRun
-}
--- a/tests/calls/endpoints.rs
+++ b/tests/calls/endpoints.rs
@@ -70,9 +70,12 @@
         let refusal = crate::refusal(a.run(hurried).await);
         assert_eq!(refusal.verdict, crate::MAY_HAVE_RUN);
         assert!(refusal.retry_after_millis.is_some());
+        assert_eq!(a.running(), 1, "the call goes on without its caller");
         let outcome = a.run(network::reserve(&key)).await;
         assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
         assert_eq!(bed.stock.effects(&key), 1);
+        network::settle().await;
+        assert_eq!(a.running(), 0);
     });
 }
 
--- a/tests/key_table.rs
+++ b/tests/key_table.rs
@@ -51,6 +51,7 @@
         collections::HashMap::new();
     let mut closed = collections::HashSet::new();
     for &(key, millis, action, first_send) in steps {
+        prop_assert_eq!(table.running_count(), running.len());
         now += time::Duration::from_millis(millis);
         let mut arrival = arrival(&format!("key-{key}"), start);
         arrival.first_send = first_send;
