Correct stale orders at once, and order a new version during a load

Cause: a first run against the stand-in engines showed two faults. A version declared while an engine loaded the one before waited up to 15 s, because that engine counted as loading; and a stale order was corrected only 15 s after the last right one, because that one still counted as under way. Change: only an order for the declared model counts as loading, and an order is done once its state is reported, so that any later deviation is ordered anew at once.

--- a/src/process/order.rs
+++ b/src/process/order.rs
@@ -114,7 +114,12 @@
         let mut orders = Vec::new();
         for (engine, report) in reported {
             let wanted = self.wanted_state(now, &target, report);
-            if is_reached(&wanted, report) || self.is_under_way(now, engine, report, &wanted) {
+            if is_reached(&wanted, report) {
+                // The order is done; whatever the engine reports later needs a new one.
+                self.sent.remove(&engine.name);
+                continue;
+            }
+            if self.is_under_way(now, engine, report, &wanted) {
                 continue;
             }
             let loads = !report.loaded.contains(&target);
@@ -198,8 +203,10 @@
     ) -> usize {
         let loading = reported.iter().filter(|(engine, report)| {
             let order = self.sent.get(&engine.name);
-            let is_recent = order.is_some_and(|order| order.is_recent(now, report));
-            is_recent && !report.loaded.contains(target)
+            let is_loading = order.is_some_and(|order| {
+                order.is_recent(now, report) && order.wanted.loaded.contains(target)
+            });
+            is_loading && !report.loaded.contains(target)
         });
         loading.count()
     }
