--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -1,4 +1,8 @@
+<<<<<<< HEAD
+//! The model services and their engines, as the issuer of orders needs them.
+=======
 //! The engines to order, as this router sees them.
+>>>>>>> config
 
 use std::sync;
 
@@ -6,6 +10,36 @@
 use crate::process::endpoint;
 use crate::process::issuer;
 use crate::process::order;
+<<<<<<< HEAD
+use crate::process::readiness;
+use crate::process::view;
+
+/// Services of the version in force, with their engines' reports.
+#[derive(Debug)]
+pub struct EngineCatalog {
+    /// The version in force.
+    pub config: sync::Arc<config::ConfigCell>,
+    /// Endpoints with their reports.
+    pub endpoints: sync::Arc<endpoint::EndpointTable>,
+    /// The routers.
+    pub members: sync::Arc<dyn view::MemberView>,
+    /// Whether this router may act.
+    pub readiness: sync::Arc<readiness::RouterReadiness>,
+}
+
+impl EngineCatalog {
+    fn engine_status(&self, entry: &endpoint::EndpointEntry) -> order::EngineStatus {
+        order::EngineStatus {
+            name: entry.declared.name.clone(),
+            address: entry.declared.address.clone(),
+            leaving: self.endpoints.state(entry) == endpoint::EndpointState::Leaving,
+            report: entry.report(),
+        }
+    }
+}
+
+impl issuer::EngineDirectory for EngineCatalog {
+=======
 use crate::process::view;
 use crate::version::route;
 
@@ -21,23 +55,48 @@
 }
 
 impl issuer::EngineDirectory for RouterDirectory {
+>>>>>>> config
     fn services(&self) -> Vec<issuer::ModelService> {
         let Some(version) = self.config.current() else {
             return Vec::new();
         };
         let entries = self.endpoints.all();
+<<<<<<< HEAD
+        let mut services = Vec::new();
+        for service in version.services() {
+            let Some(model) = &service.model else {
+                continue;
+            };
+            let own = entries.iter().filter(|entry| entry.service == service.name);
+            services.push(issuer::ModelService {
+                name: service.name.clone(),
+                model: model.clone(),
+                engines: own.map(|entry| self.engine_status(entry)).collect(),
+            });
+        }
+        services
+    }
+
+    fn is_candidate(&self, service: &str) -> bool {
+        if !self.readiness.may_be_named() {
+            return false;
+        }
+=======
         let services = version.services().iter();
         let services = services.filter_map(|service| self.model_service(service, &entries));
         services.collect()
     }
 
     fn is_candidate(&self, service: &str) -> bool {
+>>>>>>> config
         let own = self.members.home().router;
         let ready = self.members.ready_members();
         let routers: Vec<String> = ready.into_iter().map(|member| member.router).collect();
         issuer::is_candidate(service, &own, &routers)
     }
 }
+<<<<<<< HEAD
+=======
 
 impl RouterDirectory {
     fn model_service(
@@ -66,3 +125,4 @@
         }
     }
 }
+>>>>>>> config
