Leave out the report of an engine that cannot be reached

Cause: the catalogue showed the issuer the last report of an engine that had died since, so it was ordered again and used up the load rate. Change: only the report of a serving endpoint counts. Ruled out: asking the engine again before each order, which the watcher does each second already. Conclusion: orders go to engines that answer.

--- a/src/process/directory.rs
+++ b/src/process/directory.rs
@@ -25,13 +25,13 @@
 impl EngineCatalog {
     fn engine_status(&self, entry: &endpoint::EndpointEntry) -> order::EngineStatus {
         let state = self.endpoints.state(entry);
-        // What an engine that cannot be reached reported last may no longer hold.
-        let is_reachable = state != endpoint::EndpointState::Suspect;
+        let is_serving = state == endpoint::EndpointState::Serving;
         order::EngineStatus {
             name: entry.declared.name.clone(),
             address: entry.declared.address.clone(),
             leaving: state == endpoint::EndpointState::Leaving,
-            report: entry.report().filter(|_report| is_reachable),
+            // An engine that cannot be reached now counts as one that does not report.
+            report: entry.report().filter(|_report| is_serving),
         }
     }
 }
