Look for the lines of fields only when declarations have a fault

Change: rules run first without lines; only a text with a fault is read a second time to tell them. The text itself, 1.4 MB a version, is the next cost: 104 KB a second where 5 KB is meant.

--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -43,16 +43,33 @@
 /// # Errors
 /// The fault that makes the text unreadable, or all faults of a readable text, by line.
 pub fn parse(file: &str, yaml: &str) -> Result<declaration::DeclaredSet> {
-    let lines = lines::FieldLines::read(yaml);
     if is_blank(yaml) {
         let message = "the file declares nothing; write at least `services: []`";
         return Err(vec![fault(file, 1, "document", message)]);
     }
     let set: declaration::DeclaredSet = serde_saphyr::from_str_with_options(yaml, strict_options())
-        .map_err(|error| vec![syntax_fault(file, &lines, &error)])?;
-    let mut faults = FaultList::new(file, &lines);
-    rules::check_set(&set, &mut faults);
-    faults.finish(set)
+        .map_err(|error| vec![syntax_fault(file, yaml, &error)])?;
+    // Finding the lines takes longer than the rules, so only texts with faults are searched.
+    if faults_of(file, &set, &lines::FieldLines::default()).is_empty() {
+        return Ok(set);
+    }
+    Err(faults_of(file, &set, &lines::FieldLines::read(yaml)))
+}
+
+/// Faults by line, as far as `lines` knows them.
+fn faults_of(
+    file: &str,
+    set: &declaration::DeclaredSet,
+    lines: &lines::FieldLines,
+) -> Vec<DeclarationFault> {
+    let mut faults = FaultList {
+        file,
+        lines,
+        faults: Vec::new(),
+    };
+    rules::check_set(set, &mut faults);
+    faults.faults.sort_by_key(|fault| fault.line);
+    faults.faults
 }
 
 /// A text of comments and blank lines alone would remove every service.
@@ -69,12 +86,8 @@
     }
 }
 
-fn syntax_fault(
-    file: &str,
-    lines: &lines::FieldLines,
-    error: &serde_saphyr::Error,
-) -> DeclarationFault {
-    let found = syntax::describe(error, lines);
+fn syntax_fault(file: &str, yaml: &str, error: &serde_saphyr::Error) -> DeclarationFault {
+    let found = syntax::describe(error, &lines::FieldLines::read(yaml));
     fault(file, found.line, &found.field, &found.message)
 }
 
@@ -95,15 +108,7 @@
     faults: Vec<DeclarationFault>,
 }
 
-impl<'a> FaultList<'a> {
-    fn new(file: &'a str, lines: &'a lines::FieldLines) -> Self {
-        Self {
-            file,
-            lines,
-            faults: Vec::new(),
-        }
-    }
-
+impl FaultList<'_> {
     /// Adds a fault of the field at `path`.
     pub fn add(&mut self, path: &str, message: &str) {
         let line = self.lines.line_of(path);
@@ -126,12 +131,4 @@
         let message = format!("{what} `{name}` is already used in line {line}; use another");
         self.add(path, &message);
     }
-
-    fn finish<T>(mut self, value: T) -> Result<T> {
-        if self.faults.is_empty() {
-            return Ok(value);
-        }
-        self.faults.sort_by_key(|fault| fault.line);
-        Err(self.faults)
-    }
 }
