Send StatsD lines within a second, and none without an address

Cause: the buffered sink sends only when its buffer is full, so a router with little traffic would have kept its counters back for hours; without an address each count still formatted a line that nobody read. Ruled out: one packet a line, which costs a system call for each counter; a flush from the request path, which would leave the last lines unsent. Change: a thread flushes each second and ends with the metrics; without an address there is no client at all. Conclusion: counters reach their receiver in time at any traffic.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -4,6 +4,9 @@
 use std::fmt;
 use std::io;
 use std::net;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
 use std::time;
 
 use cadence::Counted as _;
@@ -22,11 +25,14 @@
 /// StatsD lines that may wait to be sent; more are dropped.
 pub const QUEUE_CAPACITY: usize = 4096;
 
+/// Longest time for which StatsD lines are collected into one packet.
+pub const FLUSH_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 const SHARD_COUNT: usize = 16;
 
 /// Counters of one process; cheap enough to call from every request.
 pub struct RouterMetrics {
-    client: cadence::StatsdClient,
+    sender: Option<StatsdSender>,
     shards: [Mutex<collections::BTreeMap<&'static str, u64>>; SHARD_COUNT],
 }
 
@@ -44,12 +50,8 @@
     /// # Errors
     /// The socket error when no UDP socket can be opened.
     pub fn new(statsd: Option<net::SocketAddr>) -> Result<Self> {
-        let client = match statsd {
-            Some(address) => statsd_client(address)?,
-            None => cadence::StatsdClient::from_sink(METRIC_PREFIX, cadence::NopMetricSink),
-        };
         Ok(Self {
-            client,
+            sender: statsd.map(StatsdSender::new).transpose()?,
             shards: Default::default(),
         })
     }
@@ -62,18 +64,24 @@
     /// Adds `amount` to a counter.
     pub fn count_by(&self, name: &'static str, amount: u64) {
         *self.shard(name).lock().entry(name).or_default() += amount;
-        // A full queue loses StatsD lines, never the count in memory.
-        let _dropped = self.client.count(name, amount);
+        if let Some(sender) = &self.sender {
+            // A full queue loses StatsD lines, never the count in memory.
+            let _dropped = sender.client.count(name, amount);
+        }
     }
 
     /// Reports how long something took.
     pub fn time(&self, name: &'static str, elapsed: time::Duration) {
-        let _dropped = self.client.time(name, elapsed);
+        if let Some(sender) = &self.sender {
+            let _dropped = sender.client.time(name, elapsed);
+        }
     }
 
     /// Reports a present value.
     pub fn gauge(&self, name: &'static str, value: u64) {
-        let _dropped = self.client.gauge(name, value);
+        if let Some(sender) = &self.sender {
+            let _dropped = sender.client.gauge(name, value);
+        }
     }
 
     /// All counters since the start of the process.
@@ -94,6 +102,35 @@
     }
 }
 
+/// Sends StatsD lines, several in a packet, none kept longer than [`FLUSH_INTERVAL`].
+struct StatsdSender {
+    client: sync::Arc<cadence::StatsdClient>,
+    /// Its drop ends the thread that sends what is left in the buffer.
+    _stop: mpsc::Sender<()>,
+}
+
+impl StatsdSender {
+    fn new(address: net::SocketAddr) -> Result<Self> {
+        let client = sync::Arc::new(statsd_client(address)?);
+        let (stop, stopped) = mpsc::channel();
+        let flushed = sync::Arc::clone(&client);
+        thread::Builder::new()
+            .name("statsd-flush".to_owned())
+            .spawn(move || flush_until(&stopped, &flushed))?;
+        Ok(Self {
+            client,
+            _stop: stop,
+        })
+    }
+}
+
+fn flush_until(stopped: &mpsc::Receiver<()>, client: &cadence::StatsdClient) {
+    while stopped.recv_timeout(FLUSH_INTERVAL) == Err(mpsc::RecvTimeoutError::Timeout) {
+        // Counters are lossy by nature; the next flush tries again.
+        let _lost = client.flush();
+    }
+}
+
 fn statsd_client(address: net::SocketAddr) -> Result<cadence::StatsdClient> {
     let local: net::SocketAddr = match address {
         net::SocketAddr::V4(_) => (net::Ipv4Addr::UNSPECIFIED, 0).into(),
