Prove the forms and levels of log lines through the daemon

Cause: the two log settings were read by tests but their effect was not seen. Ruled out: a test of the logging module alone, because a process can set its logger only once. Change: the test support keeps what a router logs; two tests read it. Conclusion: JSON lines parse line by line, and level error is quiet.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -165,6 +165,33 @@
     assert_eq!(router.wait(), Some(0));
 }
 
+#[test]
+fn log_lines_are_json_when_the_settings_say_so() {
+    let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
+    let mut router = daemon::Daemon::start_with("r1", nowhere, "log: {format: json}\n");
+    router.wait_for_state("joining");
+    router.signal("TERM");
+    assert_eq!(router.wait(), Some(0));
+    let log = router.log();
+    let lines: Vec<serde_json::Value> = log
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let is_drain = |line: &serde_json::Value| line["message"] == "draining";
+    assert!(lines.iter().any(is_drain), "{log}");
+    assert!(lines.iter().all(|line| line["level"] == "INFO"), "{log}");
+}
+
+#[test]
+fn a_router_that_logs_only_errors_is_quiet() {
+    let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
+    let mut router = daemon::Daemon::start_with("r1", nowhere, "log: {level: error}\n");
+    router.wait_for_state("joining");
+    router.signal("TERM");
+    assert_eq!(router.wait(), Some(0));
+    assert_eq!(router.log(), "");
+}
+
 #[test]
 fn a_router_that_is_down_is_named_beside_those_that_answer() {
     const UNAVAILABLE: i32 = 69;
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -10,6 +10,7 @@
 
 /// Time within which a router has to do what it is asked.
 const LIMIT: time::Duration = time::Duration::from_secs(15);
+const LOG_FILE: &str = "router.log";
 const STEP: time::Duration = time::Duration::from_millis(20);
 
 /// A running router.
@@ -24,18 +25,23 @@
 impl Daemon {
     /// Starts the router `name` with the table service at `platform`.
     pub fn start(name: &str, platform: net::SocketAddr) -> Self {
+        Self::start_with(name, platform, "")
+    }
+
+    /// Starts a router with further lines in its settings.
+    pub fn start_with(name: &str, platform: net::SocketAddr, lines: &str) -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
         let file = folder.path().join("router.yaml");
         let [listen, peer, admin] = free_addresses();
         let settings = format!(
             "router: {name}\nzone: zone-a\nlisten: {listen}\npeer_listen: {peer}\n\
-             admin_listen: {admin}\nplatform: {platform}\naddress_keep_ms: 100\n"
+             admin_listen: {admin}\nplatform: {platform}\naddress_keep_ms: 100\n{lines}"
         );
         fs::write(&file, settings).expect("settings file");
         let process = process::Command::new(env!("CARGO_BIN_EXE_kumquatpulleyd"))
             .arg("--config")
             .arg(&file)
-            .stderr(process::Stdio::null())
+            .stderr(fs::File::create(folder.path().join(LOG_FILE)).expect("log file"))
             .spawn()
             .expect("daemon");
         Self {
@@ -50,6 +56,11 @@
         program::run(self.folder.path(), arguments)
     }
 
+    /// What the router has logged so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.path().join(LOG_FILE)).expect("log file")
+    }
+
     /// Sends a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let status = process::Command::new("kill")
