Bound the wait of a caller by tokens, not by comments

Cause: a router that sends comments for ever held a caller beyond its deadline, because the deadline was looked at only when a stream ended; and generate went on when nobody read its output any more. Ruled out: a total limit on the answer, since answers take minutes; counting comments, since their rate is the router's choice. Change: each wait for an item ends when no token came for the deadline. A failed write ends generate with its documented code. Callers may name the availability zone that they prefer, as the address answer already allowed.

--- a/examples/demo_driver.rs
+++ b/examples/demo_driver.rs
@@ -110,6 +110,7 @@
     let routers = cluster.routers.iter();
     caller_client::CallerClient::new(caller_client::CallerSettings {
         routers: routers.map(|router| router.listen.to_string()).collect(),
+        zone: None,
         bearer: BEARER.to_owned(),
         deadline: caller_client::DEFAULT_DEADLINE,
         silence: caller_client::DEFAULT_SILENCE,
--- a/src/bin/kumquatpulley/cli.rs
+++ b/src/bin/kumquatpulley/cli.rs
@@ -196,6 +196,16 @@
              error and the output begins again on a new line.",
         )
         .arg(router(ROUTER_VARIABLE, "Address of a router for callers").required(true))
+        .arg(
+            clap::Arg::new("zone")
+                .long("zone")
+                .value_name("ZONE")
+                .help("Availability zone to prefer [default: none]")
+                .long_help(
+                    "Availability zone to prefer: routers there are named first, and routers of \
+                     other zones after them as alternates. Without it no zone is preferred.",
+                ),
+        )
         .arg(
             clap::Arg::new("key")
                 .long("key")
--- a/src/bin/kumquatpulley/generate.rs
+++ b/src/bin/kumquatpulley/generate.rs
@@ -1,8 +1,11 @@
 //! `generate`: an answer that goes on at another router after a loss.
 
 use std::path;
+use std::pin;
 use std::time;
 
+use futures::channel::oneshot;
+use futures::future;
 use kumquatpulley::connection::caller_client;
 
 use crate::exit_code;
@@ -42,13 +45,17 @@
 ) -> failure::Result<exit_code::ExitCode> {
     let client = caller_client::CallerClient::new(settings(matches));
     let request = request(matches)?;
-    let mut printer = TokenPrinter { failed: None };
-    let answer = client
-        .generate(&request, &mut |event| printer.observe(event.kind))
-        .await;
-    if let Some(error) = printer.failed.take() {
-        return Err(error);
-    }
+    let (failed, failure) = oneshot::channel();
+    let mut printer = TokenPrinter {
+        failed: Some(failed),
+    };
+    let mut observe = |event: caller_client::CallerEvent| printer.observe(event.kind);
+    let generation = client.generate(&request, &mut observe);
+    let answer = match future::select(pin::pin!(generation), failure).await {
+        future::Either::Left((answer, _failure)) => answer,
+        // Nobody reads any more; the end of the connection tells the router.
+        future::Either::Right((failure, _generation)) => return Err(failure?),
+    };
     let answer = answer.map_err(|error| caller_failure(&error))?;
     output::write_line("")?;
     if matches.get_flag("json") || format == output::OutputFormat::Json {
@@ -61,6 +68,7 @@
     let deadline = *source::required::<u64>(matches, "deadline");
     caller_client::CallerSettings {
         routers: source::routers(matches),
+        zone: matches.get_one::<String>("zone").cloned(),
         bearer: source::required::<String>(matches, "key").clone(),
         deadline: time::Duration::from_millis(deadline),
         silence: caller_client::DEFAULT_SILENCE,
@@ -82,7 +90,7 @@
 /// Prints tokens as they come and tells changes on standard error.
 #[derive(Debug)]
 struct TokenPrinter {
-    failed: Option<eyre::Report>,
+    failed: Option<oneshot::Sender<eyre::Report>>,
 }
 
 impl TokenPrinter {
@@ -105,10 +113,13 @@
     }
 
     fn print(&mut self, text: &str) {
-        if self.failed.is_some() {
+        let Err(error) = output::write_part(text) else {
             return;
+        };
+        if let Some(failed) = self.failed.take() {
+            // The receiver lives as long as the generation.
+            let _received = failed.send(error);
         }
-        self.failed = output::write_part(text).err();
     }
 }
 
--- a/src/connection/caller_address.rs
+++ b/src/connection/caller_address.rs
@@ -54,15 +54,18 @@
 #[derive(Debug)]
 pub struct AddressBook {
     routers: Vec<String>,
+    path: String,
     kept: Mutex<Option<KeptAnswer>>,
 }
 
 impl AddressBook {
-    /// A book that asks `routers`, host and port each.
+    /// A book that asks `routers`, host and port each, and prefers those in `zone`.
     #[must_use]
-    pub fn new(routers: Vec<String>) -> Self {
+    pub fn new(routers: Vec<String>, zone: Option<String>) -> Self {
+        let query = zone.map(|zone| format!("?zone={zone}"));
         Self {
             routers,
+            path: format!("/v1/addresses{}", query.unwrap_or_default()),
             kept: Mutex::default(),
         }
     }
@@ -78,7 +81,7 @@
         }
         let mut cause = "no router was given".to_owned();
         for router in self.all() {
-            match ask(&router).await {
+            match ask(&router, &self.path).await {
                 Ok(answer) => return Ok(self.keep(now, answer)),
                 Err(error) => cause = error.cause,
             }
@@ -126,12 +129,12 @@
     }
 }
 
-async fn ask(router: &str) -> Result<caller_wire::AddressAnswer> {
+async fn ask(router: &str, path: &str) -> Result<caller_wire::AddressAnswer> {
     let fail = |cause: String| AddressError { cause };
     let (status, bytes) = http::send_json(
         http_types::Method::Get,
         router,
-        "/v1/addresses",
+        path,
         None,
         ADDRESS_LIMITS,
         MAX_ANSWER_BYTES,
--- a/src/connection/caller_client.rs
+++ b/src/connection/caller_client.rs
@@ -25,6 +25,8 @@
 pub struct CallerSettings {
     /// Routers to ask for addresses, host and port.
     pub routers: Vec<String>,
+    /// Availability zone to prefer; none prefers no zone.
+    pub zone: Option<String>,
     /// Bearer key of the workspace.
     pub bearer: String,
     /// Time without a new token after which the caller gives up.
@@ -141,7 +143,8 @@
     /// A caller with the given settings.
     #[must_use]
     pub fn new(settings: CallerSettings) -> Self {
-        let addresses = caller_address::AddressBook::new(settings.routers.clone());
+        let addresses =
+            caller_address::AddressBook::new(settings.routers.clone(), settings.zone.clone());
         Self {
             settings,
             addresses,
--- a/src/connection/caller_run.rs
+++ b/src/connection/caller_run.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time;
 
+use async_std::future as async_future;
 use async_std::task;
 
 use crate::connection::caller_address;
@@ -89,7 +90,7 @@
             held: self.progress.tokens().len(),
         });
         loop {
-            match stream.next().await? {
+            match self.next_item(&mut stream).await? {
                 caller_stream::AnswerItem::Token { text, id } => self.take_token(text, id)?,
                 caller_stream::AnswerItem::Restart { reason } => {
                     self.progress.restart();
@@ -102,6 +103,20 @@
         }
     }
 
+    /// Comments keep a connection alive; only tokens keep the wait alive.
+    async fn next_item(
+        &mut self,
+        stream: &mut caller_stream::AnswerStream,
+    ) -> std::result::Result<caller_stream::AnswerItem, caller_stream::StreamEnd> {
+        let deadline = self.settings.deadline;
+        let left = deadline.saturating_sub(self.progress.idle(time::Instant::now()));
+        let item = async_future::timeout(left, stream.next()).await;
+        item.unwrap_or_else(|_elapsed| {
+            let cause = format!("no token came for {deadline:?}");
+            Err(caller_stream::StreamEnd::Broken(cause))
+        })
+    }
+
     fn answer_request(&self) -> caller_stream::AnswerRequest {
         let mut body = serde_json::json!({
             "model": self.request.model,
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -24,6 +24,7 @@
 fn client(cluster: &fake_router::FakeCluster) -> caller_client::CallerClient {
     caller_client::CallerClient::new(caller_client::CallerSettings {
         routers: cluster.addresses.clone(),
+        zone: Some("z1".to_owned()),
         bearer: "secret".to_owned(),
         deadline: DEADLINE,
         silence: SILENCE,
@@ -137,6 +138,19 @@
     assert_eq!(answer.resumes, 0);
 }
 
+#[test]
+fn comments_without_tokens_do_not_hold_a_caller_beyond_its_deadline() {
+    let cluster = fake_router::FakeCluster::start(1, |_router, _request| {
+        let comment = || Step::Event(": keep-alive\n\n".to_owned());
+        let alive = (0..100).flat_map(|_number| [Step::Pause(100), comment()]);
+        [Step::Head].into_iter().chain(alive).collect()
+    });
+    let started = time::Instant::now();
+    generate(&cluster).expect_err("no token");
+    assert!(started.elapsed() >= DEADLINE);
+    assert!(started.elapsed() <= DEADLINE + time::Duration::from_secs(1));
+}
+
 #[test]
 fn a_moved_answer_goes_on_at_the_named_router() {
     let cluster = fake_router::FakeCluster::start(3, |router, _request| match router {
@@ -270,7 +284,7 @@
     for _generation in 0..3 {
         assert_whole(ask(&client, &mut |_event| {}));
     }
-    assert_eq!(cluster.address_asks(), 1);
+    assert_eq!(cluster.address_asks(), ["/v1/addresses?zone=z1"]);
     let keys = cluster.requests();
     assert_ne!(
         keys[0].headers["idempotency-key"],
@@ -348,6 +362,33 @@
     assert!(stderr.contains("refused by script (not-run)"), "{stderr}");
 }
 
+#[test]
+fn the_program_stops_when_nobody_reads_its_output() {
+    const OUTPUT: i32 = 74;
+    let cluster = fake_router::FakeCluster::start(1, |_router, _request| {
+        let slow =
+            (0..200).flat_map(|position| [Step::Tokens(position..position + 1), Step::Pause(50)]);
+        [Step::Head].into_iter().chain(slow).collect()
+    });
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_kumquatpulley"))
+        .args([
+            "generate",
+            "--router",
+            &cluster.addresses[0],
+            "--key",
+            "secret",
+        ])
+        .args(["--model", "m", "--prompt", "p", "--max-tokens", "200"])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let started = time::Instant::now();
+    drop(program.stdout.take());
+    assert_eq!(program.wait().unwrap().code(), Some(OUTPUT));
+    assert!(started.elapsed() < time::Duration::from_secs(5));
+}
+
 #[test]
 fn the_program_does_not_call_a_part_an_answer() {
     let cluster = fake_router::FakeCluster::start(1, |_router, request| match request {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -127,6 +127,7 @@
         Options:
               --output <FORMAT>     Form of results and errors [default: text] [possible values: text, json]
               --router <ADDR>       Address of a router for callers [env: KUMQUATPULLEY_ROUTER=]
+              --zone <ZONE>         Availability zone to prefer [default: none]
               --key <BEARER>        Bearer key of the workspace [env: KUMQUATPULLEY_KEY]
               --model <M>           Model name
               --prompt <TEXT>       The prompt
--- a/tests/support/fake_router.rs
+++ b/tests/support/fake_router.rs
@@ -73,7 +73,7 @@
     addresses: Vec<String>,
     script: AnswerScript,
     requests: Mutex<Vec<SeenRequest>>,
-    address_asks: Mutex<usize>,
+    address_asks: Mutex<Vec<String>>,
 }
 
 impl FakeCluster {
@@ -104,9 +104,9 @@
         self.state.requests.lock().clone()
     }
 
-    /// Times that a caller asked for addresses.
-    pub fn address_asks(&self) -> usize {
-        *self.state.address_asks.lock()
+    /// Paths with which callers asked for addresses.
+    pub fn address_asks(&self) -> Vec<String> {
+        self.state.address_asks.lock().clone()
     }
 }
 
@@ -122,8 +122,8 @@
     let Some((path, request)) = read_request(router, &stream)? else {
         return Ok(());
     };
-    if path == "/v1/addresses" {
-        *state.address_asks.lock() += 1;
+    if path.starts_with("/v1/addresses") {
+        state.address_asks.lock().push(path);
         return write_json(&mut stream, 200, "", &address_answer(state));
     }
     let number = {
