Print the time line with the library's own merge and text

Cause: the command line and the demo carried a merge and a text form of their own, because the library had none when they were written. Ruled out: keeping the aligned columns of the copy; one form in one place is worth more. Change: both use timeline::merge and the event's Display; a time line of one request leaves its key out of each line. Conclusion: the copy is gone.

--- a/examples/demo_driver.rs
+++ b/examples/demo_driver.rs
@@ -15,8 +15,6 @@
 use crate::support::demo::console;
 use crate::support::demo::outcome;
 
-#[path = "../src/bin/kumquatpulley/event_line.rs"]
-mod event_line;
 #[path = "support/oracle.rs"]
 mod oracle;
 
@@ -208,8 +206,9 @@
     }
     events.retain(|event| event.request.as_deref() == Some(key));
     println!("time line of {key} over all routers:");
-    for event in event_line::merge(vec![events]) {
-        println!("  {}", event_line::line(&event, false));
+    for mut event in timeline::merge(vec![events]) {
+        event.request = None;
+        println!("  {event}");
     }
 }
 
--- a/src/bin/kumquatpulley/main.rs
+++ b/src/bin/kumquatpulley/main.rs
@@ -7,7 +7,6 @@
 mod completions;
 mod diff;
 mod drain;
-mod event_line;
 mod exit_code;
 mod failure;
 mod generate;
--- a/src/bin/kumquatpulley/timeline.rs
+++ b/src/bin/kumquatpulley/timeline.rs
@@ -7,7 +7,6 @@
 use kumquatpulley::process::timeline;
 
 use crate::admin;
-use crate::event_line;
 use crate::exit_code;
 use crate::failure;
 use crate::output;
@@ -24,7 +23,10 @@
 impl fmt::Display for TimelineReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for event in &self.events {
-            writeln!(f, "{}", event_line::line(event, self.names_request))?;
+            let mut event = event.clone();
+            // The operator has named the request; its long key on each line would hide the rest.
+            event.request = event.request.filter(|_request| self.names_request);
+            writeln!(f, "{event}")?;
         }
         Ok(())
     }
@@ -48,7 +50,7 @@
             Err(error) => eprintln!("warning: events of {address} are left out: {error}"),
         }
     }
-    let events = event_line::merge(lists);
+    let events = timeline::merge(lists);
     let names_request = request.is_none();
     format.print(&TimelineReport {
         events,
