Keep the defaults of settings in one place

Cause: defaults stood twice, as serde defaults and as constants, and the settings could be deserialized around the checks. Ruled out: using the serde defaults in the reader, which would need a second type; nothing else deserializes the settings. Change: the settings have no Deserialize any more, only their two enums have. Conclusion: settings come from the checked reader or from code, nowhere else.

--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -10,8 +10,7 @@
 pub type Result<T> = std::result::Result<T, Vec<SettingsFault>>;
 
 /// Everything a router learns from its settings file.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouterSettings {
     /// Router name: lower-case letters, digits and hyphens, unique over all routers.
     pub router: String,
@@ -26,34 +25,25 @@
     /// Address of the platform's table service and VM list, host and port.
     pub platform: String,
     /// Peer addresses to try first, host and port.
-    #[serde(default)]
     pub seeds: Vec<String>,
     /// Logs.
-    #[serde(default)]
     pub log: LogSettings,
     /// Address to send StatsD counters to; none by default.
-    #[serde(default)]
     pub statsd: Option<net::SocketAddr>,
     /// Time for which callers may keep an address answer, in milliseconds.
-    #[serde(default = "default_address_keep_ms")]
     pub address_keep_ms: u64,
     /// Time after SIGTERM until running generations are moved to other routers, in milliseconds.
-    #[serde(default = "default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
     /// Largest accepted request body, in bytes.
-    #[serde(default = "default_max_body_bytes")]
     pub max_body_bytes: usize,
     /// Connections of callers at most.
-    #[serde(default = "default_max_connections")]
     pub max_connections: usize,
     /// Time after which an idle connection of a caller is closed, in milliseconds.
-    #[serde(default = "default_idle_timeout_ms")]
     pub idle_timeout_ms: u64,
 }
 
 /// How log lines are written.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LogSettings {
     /// Form of a line.
     pub format: LogFormat,
@@ -62,7 +52,7 @@
 }
 
 /// Form of a log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogFormat {
     /// For people.
@@ -73,7 +63,7 @@
 }
 
 /// Severity of a log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Failures that need an operator.
@@ -90,38 +80,18 @@
 /// Time for which callers keep an address answer when the settings give none, in milliseconds.
 pub const DEFAULT_ADDRESS_KEEP_MS: u64 = 5_000;
 
-const fn default_address_keep_ms() -> u64 {
-    DEFAULT_ADDRESS_KEEP_MS
-}
-
 /// Drain timeout when the settings give none, in milliseconds.
 pub const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 30_000;
 
-const fn default_drain_timeout_ms() -> u64 {
-    DEFAULT_DRAIN_TIMEOUT_MS
-}
-
 /// Body limit when the settings give none, in bytes.
 pub const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
-const fn default_max_body_bytes() -> usize {
-    DEFAULT_MAX_BODY_BYTES
-}
-
 /// Connection limit when the settings give none.
 pub const DEFAULT_MAX_CONNECTIONS: usize = 10_000;
 
-const fn default_max_connections() -> usize {
-    DEFAULT_MAX_CONNECTIONS
-}
-
 /// Idle timeout when the settings give none, in milliseconds.
 pub const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
 
-const fn default_idle_timeout_ms() -> u64 {
-    DEFAULT_IDLE_TIMEOUT_MS
-}
-
 /// One fault of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct SettingsFault {
