--- a/tests/calls/claims.rs
+++ b/tests/calls/claims.rs
@@ -38,39 +38,6 @@
     });
 }
 
-#[test]
-fn claim_answer_lost() {
-    claim_survives(&[platform::WriteFault::LoseAnswer, platform::WriteFault::None]);
-}
-
-#[test]
-fn claim_answers_lost_twice() {
-    claim_survives(&[
-        platform::WriteFault::LoseAnswer,
-        platform::WriteFault::LoseAnswer,
-        platform::WriteFault::None,
-    ]);
-}
-
-#[test]
-fn claim_query_lost() {
-    claim_survives(&[platform::WriteFault::LoseQuery, platform::WriteFault::None]);
-}
-
-#[test]
-fn claim_query_lost_then_answer_lost() {
-    claim_survives(&[
-        platform::WriteFault::LoseQuery,
-        platform::WriteFault::LoseAnswer,
-        platform::WriteFault::None,
-    ]);
-}
-
-#[test]
-fn claim_conflict_does_not_name_its_rows() {
-    claim_survives(&[platform::WriteFault::HideRows]);
-}
-
 #[test]
 fn table_service_down_refuses_at_once() {
     task::block_on(async {
@@ -157,12 +124,12 @@
     });
 }
 
-#[test]
-fn claims_share_transactions_and_losers_hold_up_nobody() {
-    claims_at_a_time(platform::WriteFault::None, 10);
-}
-
-#[test]
-fn losers_that_the_conflict_does_not_name_hold_up_nobody() {
-    claims_at_a_time(platform::WriteFault::HideRows, 80);
+crate::common::cases! {
+    claim_answer_lost: claim_survives(&[platform::WriteFault::LoseAnswer, platform::WriteFault::None]);
+    claim_answers_lost_twice: claim_survives(&[platform::WriteFault::LoseAnswer, platform::WriteFault::LoseAnswer, platform::WriteFault::None]);
+    claim_query_lost: claim_survives(&[platform::WriteFault::LoseQuery, platform::WriteFault::None]);
+    claim_query_lost_then_answer_lost: claim_survives(&[platform::WriteFault::LoseQuery, platform::WriteFault::LoseAnswer, platform::WriteFault::None]);
+    claim_conflict_does_not_name_its_rows: claim_survives(&[platform::WriteFault::HideRows]);
+    claims_share_transactions_and_losers_hold_up_nobody: claims_at_a_time(platform::WriteFault::None, 10);
+    losers_that_the_conflict_does_not_name_hold_up_nobody: claims_at_a_time(platform::WriteFault::HideRows, 80);
 }
--- a/tests/calls/endpoints.rs
+++ b/tests/calls/endpoints.rs
@@ -30,31 +30,6 @@
     });
 }
 
-#[test]
-fn connection_closed_before_the_request_was_read() {
-    fails_after_send(service::ServiceFault::DropAtOnce, 0);
-}
-
-#[test]
-fn connection_closed_within_the_request() {
-    fails_after_send(service::ServiceFault::DropInBody, 0);
-}
-
-#[test]
-fn connection_closed_before_the_answer() {
-    fails_after_send(service::ServiceFault::DropAnswer, 1);
-}
-
-#[test]
-fn connection_closed_within_the_answer() {
-    fails_after_send(service::ServiceFault::CutAnswer, 1);
-}
-
-#[test]
-fn service_that_never_answers() {
-    fails_after_send(service::ServiceFault::Silent, 1);
-}
-
 #[test]
 fn late_answer_is_kept_for_who_asks_again() {
     task::block_on(async {
@@ -164,16 +139,6 @@
     });
 }
 
-#[test]
-fn connection_made_too_late() {
-    carries_no_byte(time::Duration::ZERO, sync::Arc::new(exchange::OpenGate));
-}
-
-#[test]
-fn connection_made_before_a_pause() {
-    carries_no_byte(time::Duration::from_secs(9), sync::Arc::new(ClosedGate));
-}
-
 #[derive(Debug)]
 struct ClosedGate;
 
@@ -235,3 +200,13 @@
         assert!((200..=240).contains(&sent), "{sent} requests for 200 calls");
     });
 }
+
+crate::common::cases! {
+    connection_closed_before_the_request_was_read: fails_after_send(service::ServiceFault::DropAtOnce, 0);
+    connection_closed_within_the_request: fails_after_send(service::ServiceFault::DropInBody, 0);
+    connection_closed_before_the_answer: fails_after_send(service::ServiceFault::DropAnswer, 1);
+    connection_closed_within_the_answer: fails_after_send(service::ServiceFault::CutAnswer, 1);
+    service_that_never_answers: fails_after_send(service::ServiceFault::Silent, 1);
+    connection_made_too_late: carries_no_byte(time::Duration::ZERO, sync::Arc::new(exchange::OpenGate));
+    connection_made_before_a_pause: carries_no_byte(time::Duration::from_secs(9), sync::Arc::new(ClosedGate));
+}
--- a/tests/calls/home.rs
+++ b/tests/calls/home.rs
@@ -148,16 +148,6 @@
     });
 }
 
-#[test]
-fn home_unknown() {
-    home_out_of_reach(|network| network.set_listed("a", false));
-}
-
-#[test]
-fn home_refuses_connections() {
-    home_out_of_reach(|network| network.set_fault("a", network::LinkFault::Refuse));
-}
-
 /// The home got the call, but its answer does not come back.
 fn home_answer_lost(fault: network::LinkFault) {
     task::block_on(async {
@@ -182,16 +172,6 @@
     });
 }
 
-#[test]
-fn home_closes_before_its_answer() {
-    home_answer_lost(network::LinkFault::LoseAnswer);
-}
-
-#[test]
-fn home_goes_silent() {
-    home_answer_lost(network::LinkFault::Silent);
-}
-
 /// The home restarted after the call ran; asked at the home or at another router.
 fn home_restarted(router: &str) {
     task::block_on(async {
@@ -215,16 +195,6 @@
     });
 }
 
-#[test]
-fn restarted_home_is_asked_again() {
-    home_restarted("a");
-}
-
-#[test]
-fn restarted_home_is_asked_through_another() {
-    home_restarted("b");
-}
-
 #[test]
 fn first_send_to_an_earlier_life_names_the_present_home() {
     task::block_on(async {
@@ -242,3 +212,12 @@
         assert_eq!(bed.stock.all_effects(), 0);
     });
 }
+
+crate::common::cases! {
+    home_unknown: home_out_of_reach(|network| network.set_listed("a", false));
+    home_refuses_connections: home_out_of_reach(|network| network.set_fault("a", network::LinkFault::Refuse));
+    home_closes_before_its_answer: home_answer_lost(network::LinkFault::LoseAnswer);
+    home_goes_silent: home_answer_lost(network::LinkFault::Silent);
+    restarted_home_is_asked_again: home_restarted("a");
+    restarted_home_is_asked_through_another: home_restarted("b");
+}
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -7,6 +7,8 @@
 use kumquatpulley::request::verdict;
 
 mod claims;
+#[path = "../common/mod.rs"]
+mod common;
 mod endpoints;
 mod fakes;
 mod home;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -254,6 +254,14 @@
     assert_eq!(held, [0, 0, 1, 1]);
 }
 
+#[test]
+fn newest_blocks_stay_within_the_bound() {
+    let mut index = prefix_index::PrefixIndex::new(16);
+    index.expect(&(0..100).collect::<Vec<u64>>());
+    assert_eq!(index.len(), 16);
+    assert_eq!(index.matched_blocks(&(84..100).collect::<Vec<u64>>()), 16);
+}
+
 #[test]
 fn new_incarnation_has_an_empty_cache() {
     let event = engine_wire::CacheEvent {
