Place generations by cached prefix within a bound on load

Cause: the endpoint table chose the better of two random engines and threw away what engines report of their caches; a time line named a stream attached before it was. Ruled out: asking all engines for a match at each request; the index is fed by events and by own placements. Change: the table asks the placement policy, reads cache events beside load reports, and uses a rendezvous subset of at most 128 endpoints a service; a re-attachment is recorded when it has succeeded.

--- a/src/connection/engine.rs
+++ b/src/connection/engine.rs
@@ -14,6 +14,9 @@
 /// Largest accepted load report, in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
+/// Largest accepted list of cache events, in bytes.
+const MAX_EVENTS_BYTES: usize = 1024 * 1024;
+
 const STREAM_LIMITS: http::ExchangeLimits = http::ExchangeLimits {
     connect: time::Duration::from_millis(400),
     head: time::Duration::from_millis(1_500),
@@ -147,15 +150,26 @@
 /// # Errors
 /// [`EngineError`] when the engine cannot be reached or the report cannot be read.
 pub async fn report(address: &str) -> Result<engine_wire::EngineReport> {
-    let (status, body) = http::send_json(
-        http_types::Method::Get,
-        address,
-        "/load",
-        None,
-        CONTROL_LIMITS,
-        MAX_REPORT_BYTES,
-    )
-    .await?;
+    read_json(address, "/load", MAX_REPORT_BYTES).await
+}
+
+/// Reads the cache events after the one numbered `after`.
+///
+/// # Errors
+/// [`EngineError`] when the engine cannot be reached or the events cannot be read.
+pub async fn cache_events(address: &str, after: u64) -> Result<Vec<engine_wire::CacheEvent>> {
+    let path = format!("/cache-events?after={after}");
+    read_json(address, &path, MAX_EVENTS_BYTES).await
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(
+    address: &str,
+    path: &str,
+    max_bytes: usize,
+) -> Result<T> {
+    let method = http_types::Method::Get;
+    let answer = http::send_json(method, address, path, None, CONTROL_LIMITS, max_bytes);
+    let (status, body) = answer.await?;
     if status != 200 {
         return Err(EngineError::Refused(status));
     }
--- a/src/process/endpoint.rs
+++ b/src/process/endpoint.rs
@@ -9,6 +9,9 @@
 use parking_lot::RwLock;
 
 use crate::connection::engine_wire;
+use crate::process::placement;
+use crate::process::prefix_index;
+use crate::process::subset;
 use crate::process::view;
 use crate::request::suspicion;
 use crate::version::declaration;
@@ -16,6 +19,9 @@
 /// Time for which an endpoint that failed is used only when no other can serve.
 pub const SUSPECT_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Endpoints of a service that one router sends new work to.
+pub const SUBSET_SIZE: usize = 128;
+
 slotmap::new_key_type! {
     /// Identifies an endpoint in the table.
     pub struct EndpointKey;
@@ -51,6 +57,8 @@
 #[derive(Debug, Default)]
 struct EndpointStatus {
     report: Option<engine_wire::EngineReport>,
+    in_flight_at_report: u32,
+    cache: prefix_index::PrefixIndex,
     suspect_since: Option<time::Instant>,
     vm_leaving: bool,
     gaps: suspicion::GapEstimator,
@@ -66,6 +74,7 @@
     pub fn set_report(&self, report: engine_wire::EngineReport) {
         let mut status = self.status.lock();
         status.report = Some(report);
+        status.in_flight_at_report = self.in_flight();
         status.suspect_since = None;
     }
 
@@ -134,23 +143,41 @@
         })
     }
 
-    /// Own requests in flight, and what others sent as far as the lagged report shows.
-    fn load(&self) -> u32 {
-        let reported = {
-            let status = self.status.lock();
-            status
-                .report
-                .as_ref()
-                .map_or(0, |report| report.running + report.waiting)
-        };
-        reported.max(self.in_flight())
+    /// Number of the newest cache event taken in.
+    pub fn cache_sequence(&self) -> u64 {
+        self.status.lock().cache.last_sequence()
+    }
+
+    /// Takes in cache events of the incarnation that reported last.
+    pub fn apply_cache_events(&self, events: &[engine_wire::CacheEvent]) {
+        let mut status = self.status.lock();
+        let incarnation = status
+            .report
+            .as_ref()
+            .map_or(0, |report| report.incarnation);
+        status.cache.apply(incarnation, events);
+    }
+
+    fn candidate(&self, zone: &str, prompt_blocks: &[u64]) -> placement::Candidate {
+        let status = self.status.lock();
+        let report = status.report.as_ref();
+        placement::Candidate {
+            near: self.declared.zone == zone,
+            in_flight: self.in_flight(),
+            in_flight_at_report: status.in_flight_at_report,
+            reported: report.map_or(0, |report| report.running + report.waiting),
+            slots: self.declared.slots,
+            cached_blocks: status.cache.matched_blocks(prompt_blocks),
+        }
     }
 }
 
 /// The endpoints of all services.
 #[derive(Debug)]
 pub struct EndpointTable {
+    router: String,
     zone: String,
+    policy: Box<dyn placement::PlacementPolicy>,
     leaving: sync::Arc<dyn view::LeavingView>,
     arena: RwLock<TableArena>,
 }
@@ -159,15 +186,24 @@
 struct TableArena {
     entries: slotmap::SlotMap<EndpointKey, sync::Arc<EndpointEntry>>,
     by_service: collections::HashMap<String, Vec<EndpointKey>>,
+    /// The part of each service that this router sends new work to.
+    used: collections::HashMap<String, Vec<EndpointKey>>,
     models: collections::HashMap<String, declaration::DeclaredModel>,
 }
 
 impl EndpointTable {
-    /// An empty table of a router in the availability zone.
+    /// An empty table of the router in the availability zone.
     #[must_use]
-    pub fn new(zone: String, leaving: sync::Arc<dyn view::LeavingView>) -> Self {
+    pub fn new(
+        router: String,
+        zone: String,
+        policy: Box<dyn placement::PlacementPolicy>,
+        leaving: sync::Arc<dyn view::LeavingView>,
+    ) -> Self {
         Self {
+            router,
             zone,
+            policy,
             leaving,
             arena: RwLock::default(),
         }
@@ -188,6 +224,9 @@
                 let entry = kept.map_or_else(|| new_entry(service, declared), sync::Arc::clone);
                 keys.push(arena.entries.insert(entry));
             }
+            let used = self.subset(&service.endpoints);
+            let used = used.into_iter().map(|index| keys[index]).collect();
+            arena.used.insert(service.name.clone(), used);
             arena.by_service.insert(service.name.clone(), keys);
             if let Some(model) = &service.model {
                 arena.models.insert(service.name.clone(), model.clone());
@@ -211,14 +250,45 @@
         entry.state(&*self.leaving)
     }
 
-    fn of_service(&self, service: &str) -> Vec<sync::Arc<EndpointEntry>> {
+    fn subset(&self, endpoints: &[declaration::DeclaredEndpoint]) -> Vec<usize> {
+        let endpoints: Vec<_> = endpoints
+            .iter()
+            .map(|declared| subset::SubsetEndpoint {
+                name: &declared.name,
+                near: declared.zone == self.zone,
+            })
+            .collect();
+        subset::choose_subset(&self.router, &endpoints, SUBSET_SIZE)
+    }
+
+    /// Endpoints that this router sends new work to, over all services.
+    pub fn used(&self) -> Vec<sync::Arc<EndpointEntry>> {
+        let arena = self.arena.read();
+        let keys = arena.used.values().flatten();
+        keys.map(|key| sync::Arc::clone(&arena.entries[*key]))
+            .collect()
+    }
+
+    fn used_of(&self, service: &str) -> Vec<sync::Arc<EndpointEntry>> {
         let arena = self.arena.read();
-        let keys = arena.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let keys = arena.used.get(service).map_or(&[][..], Vec::as_slice);
         keys.iter()
             .map(|key| sync::Arc::clone(&arena.entries[*key]))
             .collect()
     }
 
+    fn named(&self, service: &str, endpoint: &str) -> Option<sync::Arc<EndpointEntry>> {
+        let arena = self.arena.read();
+        let mut entries = arena
+            .by_service
+            .get(service)?
+            .iter()
+            .map(|key| &arena.entries[*key]);
+        entries
+            .find(|entry| entry.declared.name == endpoint)
+            .map(sync::Arc::clone)
+    }
+
     /// Endpoints that may take new work: serving ones, else suspected ones.
     fn candidates(
         &self,
@@ -228,7 +298,7 @@
     ) -> Vec<sync::Arc<EndpointEntry>> {
         let mut serving = Vec::new();
         let mut suspect = Vec::new();
-        for entry in self.of_service(service) {
+        for entry in self.used_of(service) {
             if excluded.contains(&entry.declared.name) || !fits(&entry) {
                 continue;
             }
@@ -241,29 +311,26 @@
         if serving.is_empty() { suspect } else { serving }
     }
 
-    /// The better of two random candidates, those in the own availability zone first.
+    /// The candidate that the placement policy chooses for a prompt.
     fn choose(
         &self,
-        mut candidates: Vec<sync::Arc<EndpointEntry>>,
+        candidates: Vec<sync::Arc<EndpointEntry>>,
+        prompt: &str,
     ) -> Option<sync::Arc<EndpointEntry>> {
-        let has_room = |entry: &sync::Arc<EndpointEntry>| entry.load() < entry.declared.slots;
-        let is_near = |entry: &sync::Arc<EndpointEntry>| entry.declared.zone == self.zone;
-        if candidates
+        let blocks = prefix_index::prompt_blocks(prompt.as_bytes());
+        let known: Vec<_> = candidates
             .iter()
-            .any(|entry| is_near(entry) && has_room(entry))
-        {
-            candidates.retain(|entry| is_near(entry) && has_room(entry));
-        } else if candidates.iter().any(has_room) {
-            candidates.retain(has_room);
-        }
-        let first = fastrand::choice(&candidates)?;
-        let second = fastrand::choice(&candidates)?;
-        let better = if second.load() < first.load() {
-            second
-        } else {
-            first
+            .map(|entry| entry.candidate(&self.zone, &blocks))
+            .collect();
+        let request = placement::PlacementRequest {
+            prompt_blocks: blocks.len(),
         };
-        Some(sync::Arc::clone(better))
+        let chosen = self
+            .policy
+            .choose(&request, &known, &mut fastrand::Rng::new())?;
+        let entry = candidates.into_iter().nth(chosen)?;
+        entry.status.lock().cache.expect(&blocks);
+        Some(entry)
     }
 }
 
@@ -283,7 +350,7 @@
 impl view::EndpointView for EndpointTable {
     fn pick(&self, service: &str, excluded: &[String]) -> Option<Box<dyn view::EndpointLease>> {
         let candidates = self.candidates(service, excluded, |_entry| true);
-        Some(SlotLease::boxed(self.choose(candidates)?))
+        Some(SlotLease::boxed(self.choose(candidates, "")?))
     }
 
     fn report_failure(&self, endpoint: &str) {
@@ -302,15 +369,11 @@
         excluded: &[String],
     ) -> Option<Box<dyn view::EndpointLease>> {
         let candidates = self.candidates(&need.service, excluded, |entry| entry.holds(need));
-        Some(SlotLease::boxed(self.choose(candidates)?))
+        Some(SlotLease::boxed(self.choose(candidates, &need.prompt)?))
     }
 
     fn find(&self, service: &str, endpoint: &str) -> Option<Box<dyn view::EndpointLease>> {
-        let entries = self.of_service(service);
-        let entry = entries
-            .into_iter()
-            .find(|entry| entry.declared.name == endpoint)?;
-        Some(SlotLease::boxed(entry))
+        Some(SlotLease::boxed(self.named(service, endpoint)?))
     }
 
     fn declared_model(&self, service: &str) -> Option<declaration::DeclaredModel> {
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -35,6 +35,7 @@
 use crate::process::issuer;
 use crate::process::metrics;
 use crate::process::node;
+use crate::process::placement;
 use crate::process::poll;
 use crate::process::readiness;
 use crate::process::registry;
@@ -196,7 +197,12 @@
     ));
     let members: sync::Arc<dyn view::MemberView> = sync::Arc::clone(&gossip) as _;
     let leaving: sync::Arc<dyn view::LeavingView> = sync::Arc::clone(&gossip) as _;
-    let endpoints = sync::Arc::new(endpoint::EndpointTable::new(settings.zone.clone(), leaving));
+    let endpoints = sync::Arc::new(endpoint::EndpointTable::new(
+        settings.router.clone(),
+        settings.zone.clone(),
+        Box::new(placement::PrefixPlacement::default()),
+        leaving,
+    ));
     let registry = sync::Arc::new(registry::GenerationRegistry::default());
     let readiness = sync::Arc::new(readiness::RouterReadiness::default());
     let context = driver::DriverContext {
--- a/src/process/watch.rs
+++ b/src/process/watch.rs
@@ -66,7 +66,7 @@
     async fn read_reports(&self) {
         let engines = self
             .endpoints
-            .all()
+            .used()
             .into_iter()
             .filter(|entry| entry.is_engine);
         stream::iter(engines)
@@ -85,6 +85,7 @@
                         .mark_leaving(&entry.declared.name, report.incarnation);
                 }
                 entry.set_report(report);
+                self.read_cache_events(entry).await;
             }
             Err(_unreachable) => entry.set_suspect(),
         }
@@ -94,6 +95,14 @@
         }
     }
 
+    async fn read_cache_events(&self, entry: &endpoint::EndpointEntry) {
+        let after = entry.cache_sequence();
+        // Without events placement goes by load alone.
+        if let Ok(events) = engine::cache_events(&entry.declared.address, after).await {
+            entry.apply_cache_events(&events);
+        }
+    }
+
     fn note_change(&self, entry: &endpoint::EndpointEntry, state: endpoint::EndpointState) {
         let endpoint = entry.declared.name.clone();
         let state = format!("{state:?}").to_lowercase();
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -82,6 +82,8 @@
     endpoint: Box<dyn view::EndpointLease>,
     round: u32,
     is_opened: bool,
+    /// Position from which an attempt is attached to; `None` for an attempt that it starts.
+    attached_at: Option<u32>,
     /// Stops the stream's task when dropped.
     _stop: stop_token::StopSource,
 }
@@ -217,6 +219,11 @@
         self.last_sign = time::Instant::now();
         self.sources[index].is_opened = true;
         self.may_have_run = true;
+        if let Some(position) = self.sources[index].attached_at {
+            let attempt = timeline::attempt_text(self.sources[index].attempt);
+            self.note(timeline::EventKind::Reattached { attempt, position });
+            self.context.counters.count("generation.reattach");
+        }
     }
 
     fn on_token(&mut self, index: usize, position: u32, text: &str) {
@@ -399,11 +406,6 @@
             return false;
         };
         let from = self.record.position();
-        self.note(timeline::EventKind::Reattached {
-            attempt: timeline::attempt_text(attempt),
-            position: from,
-        });
-        self.context.counters.count("generation.reattach");
         self.open_source(
             attempt,
             lease,
@@ -500,6 +502,10 @@
         self.next_source += 1;
         let stop = stop_token::StopSource::new();
         let address = endpoint.address().to_owned();
+        let attached_at = match &opening {
+            source::SourceOpening::Attach { from, .. } => Some(*from),
+            source::SourceOpening::Start(_) => None,
+        };
         source::spawn(id, address, opening, self.record.sender(), stop.token());
         self.last_sign = time::Instant::now();
         let round = self.round;
@@ -509,6 +515,7 @@
             endpoint,
             round,
             is_opened: false,
+            attached_at,
             _stop: stop,
         };
         self.sources.push(source);
