Prove that a planned stop cuts no answer

Cause: drain had only been tested with routers that served nothing. Change: three claims with an engine, two routers and the resuming caller: an answer that ends within the drain timeout stays, one that outlasts it goes on elsewhere, by signal and by command. Conclusion: no token is missing or repeated over a planned stop of one router.

--- a/tests/support/daemon.rs
+++ b/tests/operators/daemon.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time;
 
-use super::program;
+use crate::program;
 
 /// Time within which a router has to do what it is asked.
 const LIMIT: time::Duration = time::Duration::from_secs(15);
@@ -16,6 +16,8 @@
 /// A running router.
 #[derive(Debug)]
 pub struct Daemon {
+    /// Address for callers.
+    pub listen: net::SocketAddr,
     /// Address for operators.
     pub admin: net::SocketAddr,
     process: process::Child,
@@ -45,6 +47,7 @@
             .spawn()
             .expect("daemon");
         Self {
+            listen,
             admin,
             process,
             folder,
--- /dev/null
+++ b/tests/operators/main.rs
@@ -0,0 +1,12 @@
+//! What operators do with running routers, through the real programs.
+
+#[path = "../../examples/support/oracle.rs"]
+mod oracle;
+#[path = "../support/program.rs"]
+mod program;
+#[path = "../support/stand_in.rs"]
+mod stand_in;
+
+mod daemon;
+mod planned_stop;
+mod running;
--- a/tests/operators.rs
+++ b/tests/operators/running.rs
@@ -1,16 +1,10 @@
-//! What operators do with running routers, through the real programs.
-
-mod support {
-    pub mod daemon;
-    pub mod program;
-    pub mod stand_in;
-}
+//! Status, time line, apply and logs of running routers.
 
 use std::net;
 
-use support::daemon;
-use support::program;
-use support::stand_in;
+use crate::daemon;
+use crate::program;
+use crate::stand_in;
 
 const DEMO: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/demo.yaml");
 
--- a/tests/support/stand_in.rs
+++ b/tests/support/stand_in.rs
@@ -20,7 +20,13 @@
 
 /// The platform stand-in.
 pub fn platform() -> StandIn {
-    let mut process = process::Command::new(example("platform"))
+    start("platform", &[])
+}
+
+/// Starts the stand-in `name` and waits until it serves.
+pub fn start(name: &str, arguments: &[&str]) -> StandIn {
+    let mut process = process::Command::new(example(name))
+        .args(arguments)
         .stdout(process::Stdio::piped())
         .spawn()
         .expect("examples are built with the tests");
