Import modules only, and name test types by their role

Cause: the tests and six modules of this part imported types, against the rule that items are named through their modules; one type had one word. Ruled out: nothing else; the linter has no check for it. Change: types are named through their modules; Daemon is RouterDaemon. Conclusion: no import of a type is left in this part.

--- a/examples/demo_driver.rs
+++ b/examples/demo_driver.rs
@@ -9,7 +9,6 @@
 use async_std::task;
 use kumquatpulley::connection::caller_client;
 use kumquatpulley::process::timeline;
-use parking_lot::Mutex;
 
 use crate::support::demo::cluster;
 use crate::support::demo::console;
@@ -40,7 +39,7 @@
 const DEMO_LIMIT: time::Duration = time::Duration::from_secs(60);
 
 /// Events of the answer, shared by the caller and the one who kills.
-type SharedEvents = sync::Arc<Mutex<Vec<caller_client::CallerEvent>>>;
+type SharedEvents = sync::Arc<parking_lot::Mutex<Vec<caller_client::CallerEvent>>>;
 
 /// When the processes were killed, and what they knew.
 #[derive(Debug)]
--- a/examples/support/demo/children.rs
+++ b/examples/support/demo/children.rs
@@ -10,7 +10,6 @@
 use std::thread;
 use std::time;
 
-use parking_lot::Mutex;
 use signal_hook::consts;
 use signal_hook::iterator;
 
@@ -42,7 +41,7 @@
 #[derive(Debug)]
 pub struct ChildGroup {
     folder: path::PathBuf,
-    children: sync::Arc<Mutex<Vec<DemoChild>>>,
+    children: sync::Arc<parking_lot::Mutex<Vec<DemoChild>>>,
 }
 
 impl ChildGroup {
@@ -51,7 +50,7 @@
     /// # Errors
     /// Fails when signals cannot be caught.
     pub fn new(folder: &path::Path) -> Result<Self> {
-        let children: sync::Arc<Mutex<Vec<DemoChild>>> = sync::Arc::default();
+        let children: sync::Arc<parking_lot::Mutex<Vec<DemoChild>>> = sync::Arc::default();
         let shared = sync::Arc::clone(&children);
         let mut signals =
             iterator::Signals::new([consts::SIGINT, consts::SIGTERM, consts::SIGHUP])?;
@@ -169,7 +168,7 @@
     child.ok_or_else(|| eyre::eyre!("there is no process {name}"))
 }
 
-fn end_all(children: &Mutex<Vec<DemoChild>>) {
+fn end_all(children: &parking_lot::Mutex<Vec<DemoChild>>) {
     for child in children.lock().iter_mut() {
         // A process that has ended already needs no signal.
         let _ended = child.process.kill();
--- a/src/connection/caller_address.rs
+++ b/src/connection/caller_address.rs
@@ -3,8 +3,6 @@
 use std::fmt;
 use std::time;
 
-use parking_lot::Mutex;
-
 use crate::connection::caller_wire;
 use crate::connection::http;
 use crate::request::key;
@@ -55,7 +53,7 @@
 pub struct AddressBook {
     routers: Vec<String>,
     path: String,
-    kept: Mutex<Option<KeptAnswer>>,
+    kept: parking_lot::Mutex<Option<KeptAnswer>>,
 }
 
 impl AddressBook {
@@ -66,7 +64,7 @@
         Self {
             routers,
             path: format!("/v1/addresses{}", query.unwrap_or_default()),
-            kept: Mutex::default(),
+            kept: parking_lot::Mutex::default(),
         }
     }
 
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -12,7 +12,6 @@
 use cadence::Counted as _;
 use cadence::Gauged as _;
 use cadence::Timed as _;
-use parking_lot::Mutex;
 
 use crate::process::view;
 
@@ -33,7 +32,7 @@
 /// Counters of one process; cheap enough to call from every request.
 pub struct RouterMetrics {
     sender: Option<StatsdSender>,
-    shards: [Mutex<collections::BTreeMap<&'static str, u64>>; SHARD_COUNT],
+    shards: [parking_lot::Mutex<collections::BTreeMap<&'static str, u64>>; SHARD_COUNT],
 }
 
 impl fmt::Debug for RouterMetrics {
@@ -95,7 +94,7 @@
         counters
     }
 
-    fn shard(&self, name: &str) -> &Mutex<collections::BTreeMap<&'static str, u64>> {
+    fn shard(&self, name: &str) -> &parking_lot::Mutex<collections::BTreeMap<&'static str, u64>> {
         let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         let index = usize::from(hash.to_le_bytes()[0]) % SHARD_COUNT;
         &self.shards[index]
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -6,19 +6,18 @@
 
 use std::time;
 
-use assert_cmd::Command;
 use async_std::task;
 use kumquatpulley::connection::caller_client;
 use kumquatpulley::connection::caller_retry;
 
 use support::fake_router;
-use support::fake_router::AnswerStep as Step;
 
 const REFUSED: i32 = 13;
 const INCOMPLETE: i32 = 14;
 const SILENCE: time::Duration = time::Duration::from_millis(300);
 const DEADLINE: time::Duration = time::Duration::from_secs(3);
 
+type Step = fake_router::AnswerStep;
 type Answer = caller_client::Result<caller_client::CallerAnswer>;
 
 fn client(cluster: &fake_router::FakeCluster) -> caller_client::CallerClient {
@@ -325,7 +324,7 @@
         "6",
         "--json",
     ];
-    Command::cargo_bin("kumquatpulley")
+    assert_cmd::Command::cargo_bin("kumquatpulley")
         .expect("program")
         .env_clear()
         .env("KUMQUATPULLEY_KEY", "secret")
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -8,8 +8,6 @@
 use std::thread;
 use std::time;
 
-use assert_cmd::Command;
-
 /// Output goes on within this time after a loss.
 const RESUME_BOUND_MS: u64 = 4_000;
 
@@ -25,7 +23,7 @@
 #[test]
 fn no_token_is_missing_or_repeated_when_an_engine_and_a_router_die() {
     let folder = tempfile::tempdir().unwrap();
-    let assert = Command::new(driver())
+    let assert = assert_cmd::Command::new(driver())
         .arg("--folder")
         .arg(folder.path())
         .timeout(time::Duration::from_secs(120))
--- a/tests/operators/daemon.rs
+++ b/tests/operators/daemon.rs
@@ -15,7 +15,7 @@
 
 /// A running router.
 #[derive(Debug)]
-pub struct Daemon {
+pub struct RouterDaemon {
     /// Address for callers.
     pub listen: net::SocketAddr,
     /// Address for operators.
@@ -24,7 +24,7 @@
     folder: tempfile::TempDir,
 }
 
-impl Daemon {
+impl RouterDaemon {
     /// Starts the router `name` with the table service at `platform`.
     pub fn start(name: &str, platform: net::SocketAddr) -> Self {
         Self::start_with(name, platform, "")
@@ -118,7 +118,7 @@
     }
 }
 
-impl Drop for Daemon {
+impl Drop for RouterDaemon {
     fn drop(&mut self) {
         // A process that has ended already needs no signal.
         let _ended = self.process.kill();
--- a/tests/operators/planned_stop.rs
+++ b/tests/operators/planned_stop.rs
@@ -6,7 +6,6 @@
 
 use async_std::task;
 use kumquatpulley::connection::caller_client;
-use parking_lot::Mutex;
 
 use crate::daemon;
 use crate::oracle;
@@ -34,7 +33,7 @@
 
 #[derive(Debug)]
 struct StopBench {
-    routers: Vec<daemon::Daemon>,
+    routers: Vec<daemon::RouterDaemon>,
     _engine: stand_in::StandIn,
     _platform: stand_in::StandIn,
 }
@@ -45,7 +44,7 @@
         let arguments = ["--model", "m", "--version", "v1", "--token-ms", "20"];
         let engine = stand_in::start("model_engine", &arguments);
         let lines = format!("drain_timeout_ms: {drain_timeout_ms}\n");
-        let start = |name| daemon::Daemon::start_with(name, platform.listen, &lines);
+        let start = |name| daemon::RouterDaemon::start_with(name, platform.listen, &lines);
         let routers = vec![start("r1"), start("r2")];
         apply(&routers, &platform, &engine);
         for router in &routers {
@@ -74,7 +73,11 @@
     }
 }
 
-fn apply(routers: &[daemon::Daemon], platform: &stand_in::StandIn, engine: &stand_in::StandIn) {
+fn apply(
+    routers: &[daemon::RouterDaemon],
+    platform: &stand_in::StandIn,
+    engine: &stand_in::StandIn,
+) {
     let folder = tempfile::tempdir().expect("temporary folder");
     let file = folder.path().join("declarations.yaml");
     let yaml = format!(
@@ -108,7 +111,7 @@
 
 fn generate(
     bench: &StopBench,
-    view: sync::Arc<Mutex<AnswerView>>,
+    view: sync::Arc<parking_lot::Mutex<AnswerView>>,
 ) -> task::JoinHandle<caller_client::Result<caller_client::CallerAnswer>> {
     let routers = bench.routers.iter();
     let client = caller_client::CallerClient::new(caller_client::CallerSettings {
@@ -138,7 +141,7 @@
 /// Stops the serving router midway; the whole answer.
 fn answer_over_stop(drain_timeout_ms: u64, kind: StopKind) -> caller_client::CallerAnswer {
     let mut bench = StopBench::start(drain_timeout_ms);
-    let view = sync::Arc::<Mutex<AnswerView>>::default();
+    let view = sync::Arc::<parking_lot::Mutex<AnswerView>>::default();
     let generation = generate(&bench, sync::Arc::clone(&view));
     let started = time::Instant::now();
     while view.lock().tokens < STOP_AT {
--- a/tests/operators/running.rs
+++ b/tests/operators/running.rs
@@ -14,7 +14,7 @@
 /// A version is in force everywhere within this time.
 const IN_FORCE_MS: u64 = 5_000;
 
-fn apply(platform: net::SocketAddr, routers: &[&daemon::Daemon]) -> program::ProgramOutput {
+fn apply(platform: net::SocketAddr, routers: &[&daemon::RouterDaemon]) -> program::ProgramOutput {
     let admins = routers.iter().map(|router| router.admin.to_string());
     let admins: Vec<String> = admins.collect();
     routers[0].run(&[
@@ -33,7 +33,7 @@
 #[test]
 fn a_router_without_a_platform_waits_and_says_so() {
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let mut router = daemon::Daemon::start("r1", nowhere);
+    let mut router = daemon::RouterDaemon::start("r1", nowhere);
     let status = router.wait_for_state("joining");
     assert_eq!(status["config"], 0);
     assert!(router.is_running());
@@ -42,8 +42,8 @@
 #[test]
 fn an_applied_version_is_in_force_at_all_routers_in_time() {
     let platform = stand_in::platform();
-    let first = daemon::Daemon::start("r1", platform.listen);
-    let second = daemon::Daemon::start("r2", platform.listen);
+    let first = daemon::RouterDaemon::start("r1", platform.listen);
+    let second = daemon::RouterDaemon::start("r2", platform.listen);
     first.wait_for_state("joining");
     second.wait_for_state("joining");
     let output = apply(platform.listen, &[&first, &second]);
@@ -60,7 +60,7 @@
 #[test]
 fn a_router_names_the_endpoints_and_workspaces_that_it_serves() {
     let platform = stand_in::platform();
-    let router = daemon::Daemon::start("r1", platform.listen);
+    let router = daemon::RouterDaemon::start("r1", platform.listen);
     apply(platform.listen, &[&router]);
     let status = router.wait_for_state("ready");
     assert_eq!(status["endpoints"].as_array().unwrap().len(), 4);
@@ -73,7 +73,7 @@
 #[test]
 fn the_time_line_tells_how_a_router_became_ready() {
     let platform = stand_in::platform();
-    let router = daemon::Daemon::start("r1", platform.listen);
+    let router = daemon::RouterDaemon::start("r1", platform.listen);
     apply(platform.listen, &[&router]);
     router.wait_for_state("ready");
     let events = events_until(&router, "ready");
@@ -85,7 +85,7 @@
 }
 
 /// The router's events, asked for until one with the given name is among them.
-fn events_until(router: &daemon::Daemon, name: &str) -> Vec<serde_json::Value> {
+fn events_until(router: &daemon::RouterDaemon, name: &str) -> Vec<serde_json::Value> {
     const TRIES: usize = 200;
     let admin = router.admin.to_string();
     for _try in 0..TRIES {
@@ -103,7 +103,7 @@
 #[test]
 fn the_time_line_names_routers_that_it_leaves_out() {
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let router = daemon::Daemon::start("r1", nowhere);
+    let router = daemon::RouterDaemon::start("r1", nowhere);
     router.wait_for_state("joining");
     let admin = router.admin.to_string();
     let output = router.run(&["timeline", "--router", &admin, "--router", NOWHERE]);
@@ -118,11 +118,11 @@
 #[test]
 fn a_router_started_in_an_outage_is_ready_when_the_platform_is_back() {
     let platform = stand_in::platform();
-    let earlier = daemon::Daemon::start("r1", platform.listen);
+    let earlier = daemon::RouterDaemon::start("r1", platform.listen);
     apply(platform.listen, &[&earlier]);
     drop(earlier);
     platform.fault("{\"down\": true}");
-    let router = daemon::Daemon::start("r2", platform.listen);
+    let router = daemon::RouterDaemon::start("r2", platform.listen);
     router.wait_for_state("joining");
     platform.fault("{\"down\": false}");
     assert_eq!(router.wait_for_state("ready")["config"], 1);
@@ -131,7 +131,7 @@
 #[test]
 fn a_drained_router_stops_by_itself() {
     let platform = stand_in::platform();
-    let mut router = daemon::Daemon::start("r1", platform.listen);
+    let mut router = daemon::RouterDaemon::start("r1", platform.listen);
     apply(platform.listen, &[&router]);
     router.wait_for_state("ready");
     let output = router.run(&["drain", &router.admin.to_string()]);
@@ -143,7 +143,7 @@
 #[test]
 fn a_terminated_router_drains_and_ends_with_success() {
     let platform = stand_in::platform();
-    let mut router = daemon::Daemon::start("r1", platform.listen);
+    let mut router = daemon::RouterDaemon::start("r1", platform.listen);
     apply(platform.listen, &[&router]);
     router.wait_for_state("ready");
     router.signal("TERM");
@@ -153,7 +153,7 @@
 #[test]
 fn an_interrupted_router_that_never_was_ready_ends_with_success() {
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let mut router = daemon::Daemon::start("r1", nowhere);
+    let mut router = daemon::RouterDaemon::start("r1", nowhere);
     router.wait_for_state("joining");
     router.signal("INT");
     assert_eq!(router.wait(), Some(0));
@@ -162,7 +162,7 @@
 #[test]
 fn log_lines_are_json_when_the_settings_say_so() {
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let mut router = daemon::Daemon::start_with("r1", nowhere, "log: {format: json}\n");
+    let mut router = daemon::RouterDaemon::start_with("r1", nowhere, "log: {format: json}\n");
     router.wait_for_state("joining");
     router.signal("TERM");
     assert_eq!(router.wait(), Some(0));
@@ -179,7 +179,7 @@
 #[test]
 fn a_router_that_logs_only_errors_is_quiet() {
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let mut router = daemon::Daemon::start_with("r1", nowhere, "log: {level: error}\n");
+    let mut router = daemon::RouterDaemon::start_with("r1", nowhere, "log: {level: error}\n");
     router.wait_for_state("joining");
     router.signal("TERM");
     assert_eq!(router.wait(), Some(0));
@@ -190,7 +190,7 @@
 fn a_router_that_is_down_is_named_beside_those_that_answer() {
     const UNAVAILABLE: i32 = 69;
     let nowhere: net::SocketAddr = NOWHERE.parse().unwrap();
-    let router = daemon::Daemon::start("r1", nowhere);
+    let router = daemon::RouterDaemon::start("r1", nowhere);
     router.wait_for_state("joining");
     let admin = router.admin.to_string();
     let output = router.run(&["status", "--router", &admin, "--router", NOWHERE]);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,7 +4,6 @@
 use std::net;
 use std::path;
 
-use assert_cmd::Command;
 use kumquatpulley::process::settings;
 
 const SOUND: &str = "\
@@ -44,8 +43,8 @@
         settings::load(&self.folder.path().join("router.yaml")).expect("settings are sound")
     }
 
-    fn daemon(&self, arguments: &[&str]) -> Command {
-        let mut command = Command::cargo_bin("kumquatpulleyd").expect("daemon");
+    fn daemon(&self, arguments: &[&str]) -> assert_cmd::Command {
+        let mut command = assert_cmd::Command::cargo_bin("kumquatpulleyd").expect("daemon");
         command.current_dir(self.folder.path());
         command.args(["--config", "router.yaml"]).args(arguments);
         command
@@ -180,7 +179,7 @@
 #[test]
 fn a_missing_file_is_a_settings_fault() {
     let file = SettingsFile::new(SOUND);
-    let mut command = Command::cargo_bin("kumquatpulleyd").unwrap();
+    let mut command = assert_cmd::Command::cargo_bin("kumquatpulleyd").unwrap();
     let output = command
         .current_dir(file.folder.path())
         .args(["--config", "absent.yaml"])
@@ -229,7 +228,7 @@
 
 #[test]
 fn the_daemon_without_settings_explains_its_usage() {
-    Command::cargo_bin("kumquatpulleyd")
+    assert_cmd::Command::cargo_bin("kumquatpulleyd")
         .unwrap()
         .assert()
         .code(2);
--- a/tests/support/fake_router.rs
+++ b/tests/support/fake_router.rs
@@ -11,7 +11,6 @@
 use std::time;
 
 use kumquatpulley::request::cursor;
-use parking_lot::Mutex;
 
 /// Generation that scripted tokens belong to.
 pub const GENERATION: u64 = 7;
@@ -72,8 +71,8 @@
 struct ClusterState {
     addresses: Vec<String>,
     script: AnswerScript,
-    requests: Mutex<Vec<SeenRequest>>,
-    address_asks: Mutex<Vec<String>>,
+    requests: parking_lot::Mutex<Vec<SeenRequest>>,
+    address_asks: parking_lot::Mutex<Vec<String>>,
 }
 
 impl FakeCluster {
@@ -89,8 +88,8 @@
         let state = sync::Arc::new(ClusterState {
             addresses: addresses.clone(),
             script,
-            requests: Mutex::default(),
-            address_asks: Mutex::default(),
+            requests: parking_lot::Mutex::default(),
+            address_asks: parking_lot::Mutex::default(),
         });
         for (router, listener) in listeners.into_iter().enumerate() {
             let state = sync::Arc::clone(&state);
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -3,8 +3,6 @@
 use std::path;
 use std::time;
 
-use assert_cmd::Command;
-
 /// Time within which the program has to end.
 const LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -21,7 +19,7 @@
 
 /// Runs `kumquatpulley` in `folder` with an empty environment.
 pub fn run(folder: &path::Path, arguments: &[&str]) -> ProgramOutput {
-    let output = Command::cargo_bin("kumquatpulley")
+    let output = assert_cmd::Command::cargo_bin("kumquatpulley")
         .expect("program")
         .current_dir(folder)
         .env_clear()
