Name cases of settings, callers and planned stops by the macro

Cause: tests that differ in their data alone repeated their bodies, and the house asks for a macro that names each case. Ruled out: loops over cases, which name only the first failure. Change: ten cases of settings, seven of spoiled streams, five of completions and three of planned stops; nine of them are new claims. No check is weaker: each former test is a case with the same assertion. Conclusion: a spoiled stream of any tested kind is gone around.

--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -1,5 +1,6 @@
 //! A caller goes on at another router after a loss, and takes no token that is not the next one.
 
+mod common;
 mod support {
     pub mod fake_router;
 }
@@ -17,6 +18,10 @@
 const SILENCE: time::Duration = time::Duration::from_millis(300);
 const DEADLINE: time::Duration = time::Duration::from_secs(3);
 
+/// A router gives up a generation whose engine failed.
+const ERROR_EVENT: &str = "event: error\ndata: {\"error\":{\"code\":\"endpoint-failed\",\
+    \"message\":\"m\",\"verdict\":\"may-have-run\"}}\n\n";
+
 type Step = fake_router::AnswerStep;
 type Answer = caller_client::Result<caller_client::CallerAnswer>;
 
@@ -180,43 +185,35 @@
     assert_eq!(answer.restarts, 1);
 }
 
-#[test]
-fn a_repeated_token_is_not_taken() {
-    let cluster = fake_router::FakeCluster::start(2, |router, _request| match router {
-        0 => vec![
-            Step::Head,
-            Step::Tokens(0..3),
-            Step::Tokens(2..6),
-            Step::Finish(6),
-        ],
-        router => goes_on_after(Step::Break, router),
-    });
+/// Whether router 1 completes an answer that router 0 spoils after three tokens.
+fn goes_on_elsewhere(script: fake_router::AnswerScript) {
+    let cluster = fake_router::FakeCluster::start(2, script);
     let answer = assert_whole(generate(&cluster));
     assert_eq!(answer.resumes, 1);
 }
 
-#[test]
-fn a_token_after_a_gap_is_not_taken() {
-    let cluster = fake_router::FakeCluster::start(2, |router, _request| match router {
-        0 => vec![
-            Step::Head,
-            Step::Tokens(0..3),
-            Step::Tokens(4..6),
-            Step::Finish(6),
-        ],
-        router => goes_on_after(Step::Break, router),
+common::cases! {
+    a_repeated_token_is_not_taken: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Tokens(2..6), router)
     });
-    let answer = assert_whole(generate(&cluster));
-    assert_eq!(answer.resumes, 1);
-}
-
-#[test]
-fn a_token_of_another_generation_is_not_taken() {
-    let cluster = fake_router::FakeCluster::start(2, |router, _request| {
+    a_token_after_a_gap_is_not_taken: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Tokens(4..6), router)
+    });
+    a_token_of_another_generation_is_not_taken: goes_on_elsewhere(|router, _request| {
         goes_on_after(Step::ForeignToken(3), router)
     });
-    let answer = assert_whole(generate(&cluster));
-    assert_eq!(answer.resumes, 1);
+    an_end_before_the_count_is_not_taken: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Finish(6), router)
+    });
+    text_that_is_no_event_is_not_taken: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Event("data: {\"choices\": []}\n\n".to_owned()), router)
+    });
+    an_unknown_event_is_not_taken: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Event("event: odd\ndata: {}\n\n".to_owned()), router)
+    });
+    an_error_in_the_stream_is_gone_around: goes_on_elsewhere(|router, _request| {
+        goes_on_after(Step::Event(ERROR_EVENT.to_owned()), router)
+    });
 }
 
 #[test]
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,5 +1,6 @@
 //! The command line through the real program: results, failures and exit codes.
 
+mod common;
 mod support {
     pub mod program;
     pub mod stand_in;
@@ -155,13 +156,18 @@
     assert!(output.stderr.contains("--router"), "{output:?}");
 }
 
-#[test]
-fn completions_name_the_subcommands() {
-    for shell in ["bash", "zsh", "fish", "powershell", "elvish"] {
-        let output = CommandFolder::new().run(&["completions", shell]);
-        assert_eq!(output.code, SUCCESS, "{shell}");
-        assert!(output.stdout.contains("rollback"), "{shell}");
-    }
+fn completions_name_subcommands(shell: &str) {
+    let output = CommandFolder::new().run(&["completions", shell]);
+    assert_eq!(output.code, SUCCESS, "{output:?}");
+    assert!(output.stdout.contains("rollback"), "{output:?}");
+}
+
+common::cases! {
+    completions_for_bash: completions_name_subcommands("bash");
+    completions_for_zsh: completions_name_subcommands("zsh");
+    completions_for_fish: completions_name_subcommands("fish");
+    completions_for_elvish: completions_name_subcommands("elvish");
+    completions_for_powershell: completions_name_subcommands("powershell");
 }
 
 #[test]
--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -1,5 +1,7 @@
 //! What operators do with running routers, through the real programs.
 
+#[path = "../common/mod.rs"]
+mod common;
 #[path = "../../examples/support/oracle.rs"]
 mod oracle;
 #[path = "../support/program.rs"]
--- a/tests/operators/planned_stop.rs
+++ b/tests/operators/planned_stop.rs
@@ -7,6 +7,7 @@
 use async_std::task;
 use kumquatpulley::connection::caller_client;
 
+use crate::common;
 use crate::daemon;
 use crate::oracle;
 use crate::stand_in;
@@ -158,20 +159,15 @@
     answer
 }
 
-#[test]
-fn an_answer_that_ends_within_the_drain_timeout_stays_where_it_is() {
-    let answer = answer_over_stop(30_000, StopKind::Signal);
-    assert_eq!(answer.resumes, 0);
+fn resumes_over_stop(drain_timeout_ms: u64, kind: StopKind, resumes: u32) {
+    assert_eq!(answer_over_stop(drain_timeout_ms, kind).resumes, resumes);
 }
 
-#[test]
-fn an_answer_that_outlasts_the_drain_timeout_goes_on_elsewhere() {
-    let answer = answer_over_stop(200, StopKind::Signal);
-    assert_eq!(answer.resumes, 1);
-}
-
-#[test]
-fn a_drain_by_command_cuts_no_answer_either() {
-    let answer = answer_over_stop(200, StopKind::Command);
-    assert_eq!(answer.resumes, 1);
+common::cases! {
+    an_answer_that_ends_in_time_stays_where_it_is:
+        resumes_over_stop(30_000, StopKind::Signal, 0);
+    an_answer_that_outlasts_the_drain_timeout_goes_on_elsewhere:
+        resumes_over_stop(200, StopKind::Signal, 1);
+    a_drain_by_command_cuts_no_answer_either:
+        resumes_over_stop(200, StopKind::Command, 1);
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: every fault is told at once, with file, line, field and what is allowed.
 
+mod common;
+
 use std::fs;
 use std::net;
 use std::path;
@@ -117,48 +119,64 @@
     .assert_eq(&file.faults().join("\n"));
 }
 
-#[test]
-fn an_address_that_others_cannot_reach_is_refused() {
-    let faults = replaced("listen: 127.0.0.1:18080", "listen: 0.0.0.0:18080").faults();
-    assert_eq!(
-        faults,
-        ["3: listen: must be an address that others can reach; give the VM's own IP address"]
-    );
+/// The one fault of sound settings in which `line` is replaced.
+fn refuses(line: &str, with: &str, fault: &str) {
+    assert_eq!(replaced(line, with).faults(), [fault]);
 }
 
-#[test]
-fn a_port_that_others_cannot_know_is_refused() {
-    let faults = replaced("127.0.0.1:18081", "127.0.0.1:0").faults();
+/// The one fault of sound settings with one more line.
+fn refuses_added(line: &str, fault: &str) {
     assert_eq!(
-        faults,
-        ["4: peer_listen: must have a port that others can know; use 1 to 65535"]
+        SettingsFile::new(&format!("{SOUND}{line}\n")).faults(),
+        [fault]
     );
 }
 
-#[test]
-fn an_old_yaml_boolean_is_text_and_no_number() {
-    let faults = SettingsFile::new(&format!("{SOUND}max_connections: yes\n")).faults();
-    assert_eq!(
-        faults,
-        ["7: max_connections: must be 1 to 1000000 connections"]
+common::cases! {
+    an_address_that_others_cannot_reach_is_refused: refuses(
+        "listen: 127.0.0.1:18080",
+        "listen: 0.0.0.0:18080",
+        "3: listen: must be an address that others can reach; give the VM's own IP address",
     );
-}
-
-#[test]
-fn a_name_is_not_taken_from_a_number() {
-    let faults = replaced("zone: nl-west-a", "zone: 12").faults();
-    assert_eq!(
-        faults,
-        ["2: zone: must be 1 to 63 lower-case letters, digits and hyphens, such as r1"]
+    a_port_that_others_cannot_know_is_refused: refuses(
+        "127.0.0.1:18081",
+        "127.0.0.1:0",
+        "4: peer_listen: must have a port that others can know; use 1 to 65535",
     );
-}
-
-#[test]
-fn a_negative_limit_is_refused() {
-    let faults = SettingsFile::new(&format!("{SOUND}drain_timeout_ms: -1\n")).faults();
-    assert_eq!(
-        faults,
-        ["7: drain_timeout_ms: must be 0 to 3600000 milliseconds"]
+    a_name_is_not_taken_from_a_number: refuses(
+        "zone: nl-west-a",
+        "zone: 12",
+        "2: zone: must be 1 to 63 lower-case letters, digits and hyphens, such as r1",
+    );
+    a_name_does_not_end_with_a_hyphen: refuses(
+        "router: r1",
+        "router: r1-",
+        "1: router: must be 1 to 63 lower-case letters, digits and hyphens, such as r1",
+    );
+    an_address_of_the_platform_needs_a_port: refuses(
+        "platform: 127.0.0.1:18083",
+        "platform: 127.0.0.1",
+        "6: platform: must be an IP address and port, such as 10.0.0.7:8080",
+    );
+    an_old_yaml_boolean_is_text_and_no_number: refuses_added(
+        "max_connections: yes",
+        "7: max_connections: must be 1 to 1000000 connections",
+    );
+    a_negative_time_is_refused: refuses_added(
+        "drain_timeout_ms: -1",
+        "7: drain_timeout_ms: must be 0 to 3600000 milliseconds",
+    );
+    a_body_limit_beyond_its_bounds_is_refused: refuses_added(
+        "max_body_bytes: 1073741825",
+        "7: max_body_bytes: must be 1024 to 1073741824 bytes",
+    );
+    seeds_are_a_list: refuses_added(
+        "seeds: 127.0.0.1:18084",
+        "7: seeds: must be a list, each an IP address and port, such as 10.0.0.7:8080",
+    );
+    log_is_a_mapping: refuses_added(
+        "log: json",
+        "7: log: must be a mapping with the fields format and level",
     );
 }
 
