Send a change of configuration to peers in place of the whole text

Ruled out: compression, which would still be far above it. A change that does not fit is dropped and the whole text asked for. The version and the log change under one lock, so that no text is ever sent under another number.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -241,6 +241,20 @@
 pub struct VersionWire {
     /// Its number.
     pub number: u64,
-    /// The declarations in YAML.
-    pub yaml: String,
+    /// Its declarations.
+    pub text: VersionText,
+}
+
+/// The declarations of a version in YAML.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum VersionText {
+    /// The whole text.
+    Whole(String),
+    /// What changed since a version that the receiver has, step by step.
+    Deltas {
+        /// Number of that version.
+        from: u64,
+        /// Each makes the next text.
+        deltas: Vec<crate::version::delta::TextDelta>,
+    },
 }
--- a/src/process/catch_up.rs
+++ b/src/process/catch_up.rs
@@ -67,7 +67,7 @@
 }
 
 async fn ask_peers(node: &node::RouterNode) -> bool {
-    let number = node.config.number();
+    let number = node.config.known_number();
     let own = &node.settings.router;
     let mut peers = node.members.ready_members();
     peers.retain(|member| member.router != *own);
@@ -83,7 +83,7 @@
             continue;
         };
         if let Some(version) = version {
-            node.config.offer(version.number, &version.yaml);
+            node.config.take(&version);
         }
         return true;
     }
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -6,6 +6,9 @@
 
 use parking_lot::Mutex;
 
+use crate::connection::peer_wire;
+use crate::process::step;
+use crate::version::delta;
 use crate::version::route;
 
 /// What became of a version that was offered.
@@ -19,6 +22,8 @@
     Older,
     /// It cannot be read; the version before it stays in force.
     Unparsable,
+    /// The changes do not fit the version in force; the whole text is asked for next.
+    WrongBase,
 }
 
 type Subscriber = Box<dyn Fn(&sync::Arc<route::ActiveVersion>) + Send + Sync>;
@@ -29,6 +34,8 @@
     current: Mutex<Option<sync::Arc<route::ActiveVersion>>>,
     /// Held during a whole offer, so that subscribers see versions in order.
     subscribers: Mutex<Vec<Subscriber>>,
+    steps: Mutex<step::StepLog>,
+    needs_whole: atomic::AtomicBool,
     refused: atomic::AtomicU64,
     highest_refused: atomic::AtomicU64,
 }
@@ -81,13 +88,69 @@
             return OfferOutcome::Unparsable;
         };
         let version = sync::Arc::new(version);
-        *self.current.lock() = Some(sync::Arc::clone(&version));
+        self.put_in_force(&version);
+        self.needs_whole.store(false, atomic::Ordering::Relaxed);
         for subscriber in subscribers.iter() {
             subscriber(&version);
         }
         OfferOutcome::InForce
     }
 
+    fn put_in_force(&self, version: &sync::Arc<route::ActiveVersion>) {
+        let previous = self.current();
+        let change = previous.map(|previous| {
+            let delta = delta::TextDelta::between(previous.yaml(), version.yaml());
+            (previous.number(), delta)
+        });
+        // Held over both changes: the log always ends at the version in force.
+        let mut steps = self.steps.lock();
+        if let Some((from, delta)) = change {
+            steps.add(from, delta);
+        }
+        *self.current.lock() = Some(sync::Arc::clone(version));
+    }
+
+    /// Puts a version from a peer in force if it is higher and readable.
+    pub fn take(&self, wire: &peer_wire::VersionWire) -> OfferOutcome {
+        let (from, deltas) = match &wire.text {
+            peer_wire::VersionText::Whole(yaml) => return self.offer(wire.number, yaml),
+            peer_wire::VersionText::Deltas { from, deltas } => (*from, deltas),
+        };
+        if wire.number <= self.number() {
+            return OfferOutcome::Older;
+        }
+        let base = self.current().filter(|version| version.number() == from);
+        let text = base.and_then(|base| step::apply_all(base.yaml(), deltas).ok());
+        let Some(text) = text else {
+            self.needs_whole.store(true, atomic::Ordering::Relaxed);
+            return OfferOutcome::WrongBase;
+        };
+        self.offer(wire.number, &text)
+    }
+
+    /// The version in force for a peer that has version `number`; `None` when that is as new.
+    #[must_use]
+    pub fn newer_than(&self, number: u64) -> Option<peer_wire::VersionWire> {
+        let steps = self.steps.lock();
+        let current = self.current()?;
+        if current.number() <= number {
+            return None;
+        }
+        Some(peer_wire::VersionWire {
+            number: current.number(),
+            text: steps.text_since(number, &current),
+        })
+    }
+
+    /// Number to name to a peer that is asked for a newer version; 0 asks for a whole text.
+    #[must_use]
+    pub fn known_number(&self) -> u64 {
+        if self.needs_whole.load(atomic::Ordering::Relaxed) {
+            return 0;
+        }
+        self.number()
+    }
+
     /// Calls `subscriber` with each version that comes into force from now on, in order.
     pub fn subscribe(
         &self,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -42,6 +42,7 @@
 pub mod share;
 pub mod start;
 pub mod status;
+pub mod step;
 pub mod timeline;
 pub mod view;
 pub mod watch;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -214,23 +214,11 @@
                 peer_wire::ReplyBody::Call(self.calls.run_at_home(wire).await)
             }
             peer_wire::QueryBody::NewerVersion { number } => {
-                peer_wire::ReplyBody::NewerVersion(self.newer_version(number))
+                peer_wire::ReplyBody::NewerVersion(self.config.newer_than(number))
             }
             _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
         }
     }
-
-    fn newer_version(&self, number: u64) -> Option<peer_wire::VersionWire> {
-        let version = self.config.current()?;
-        if version.number() <= number {
-            return None;
-        }
-        let yaml = version.yaml().to_owned();
-        Some(peer_wire::VersionWire {
-            number: version.number(),
-            yaml,
-        })
-    }
 }
 
 impl peer::PeerHandler for RouterNode {
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -361,15 +361,15 @@
         .await
         .is_ok()
     {
-        let number = node.config.number();
-        let Some(member) = node.gossip.newest_config_peer(number) else {
+        let Some(member) = node.gossip.newest_config_peer(node.config.number()) else {
             continue;
         };
+        let number = node.config.known_number();
         let query = peer_wire::QueryBody::NewerVersion { number };
         let link = sync::Arc::clone(&node.intake.link);
         let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
         if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
-            node.config.offer(version.number, &version.yaml);
+            node.config.take(&version);
         }
     }
 }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod declaration;
 pub mod declare;
+pub mod delta;
 pub mod diff;
 pub mod lines;
 pub mod route;
