Let pollers read the change of a version in place of its whole text

Change: apply writes the change from the version before into a row of its own, in the same transaction as head and text; a poller that has an earlier version reads the changes since, at most 32, and falls back to the whole text where one is missing, damaged or does not fit. The rows moved to a module of their own. Ruled out: storing only changes, since a router that starts needs the whole text in one read.

--- a/src/process/poll.rs
+++ b/src/process/poll.rs
@@ -68,12 +68,27 @@
     if cell.has_seen(head.number) {
         return Ok(());
     }
-    if let Some(yaml) = store.read(head.number).await? {
+    if let Some(yaml) = read_version(cell, store, head.number).await? {
         cell.offer(head.number, &yaml);
     }
     Ok(())
 }
 
+/// Reads the changes since the version in force where that is possible, else the whole text.
+async fn read_version(
+    cell: &config::ConfigCell,
+    store: &store::VersionStore,
+    number: u64,
+) -> store::Result<Option<String>> {
+    if let Some(current) = cell.current() {
+        let followed = store.follow(current.number(), current.yaml(), number);
+        if let Some(yaml) = followed.await? {
+            return Ok(Some(yaml));
+        }
+    }
+    store.read(number).await
+}
+
 /// Interval after a failed read.
 #[must_use]
 pub fn next_interval(interval: time::Duration) -> time::Duration {
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -7,6 +7,7 @@
 pub mod diff;
 pub mod lines;
 pub mod route;
+pub mod row;
 pub mod rules;
 pub mod store;
 pub mod syntax;
--- a/src/version/store.rs
+++ b/src/version/store.rs
@@ -9,12 +9,14 @@
 use crate::connection::platform;
 use crate::connection::platform_wire;
 use crate::version::check;
+use crate::version::delta;
+use crate::version::row;
 
 /// Outcome of a call to the version store.
 pub type Result<T> = std::result::Result<T, StoreError>;
 
-/// Row that names the newest version.
-pub const HEAD_ROW: &str = "config/head";
+/// Versions that are followed by their changes at most.
+const MAX_FOLLOWED: u64 = 32;
 
 /// Tries to settle a write whose answer was lost.
 pub const SETTLE_TRIES: u32 = 8;
@@ -25,12 +27,6 @@
 /// Longest pause between two tries.
 pub const MAX_SETTLE_PAUSE: time::Duration = time::Duration::from_secs(2);
 
-/// Row of version `number`.
-#[must_use]
-pub fn version_row(number: u64) -> String {
-    format!("config/versions/{number}")
-}
-
 /// Why the version store gave no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
@@ -122,34 +118,12 @@
     row_version: u64,
 }
 
-/// Value of the head row.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-struct HeadWire {
-    number: u64,
-    nonce: String,
-}
-
-/// Value of a version row.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-struct VersionWire {
-    nonce: String,
-    yaml: String,
-}
-
 /// Versions in the table service.
 #[derive(Clone, Debug)]
 pub struct VersionStore {
     platform: sync::Arc<dyn platform::PlatformService>,
 }
 
-/// A write that takes effect at most once, however often it is sent.
-#[derive(Clone, Debug)]
-struct PendingVersion {
-    number: u64,
-    nonce: String,
-    writes: Vec<platform_wire::RowWrite>,
-}
-
 impl VersionStore {
     /// A store in the tables of `platform`.
     #[must_use]
@@ -162,10 +136,10 @@
     /// # Errors
     /// [`StoreError::Unreachable`] or [`StoreError::Malformed`].
     pub async fn head(&self) -> Result<Option<VersionHead>> {
-        let Some(row) = self.row(HEAD_ROW.to_owned()).await? else {
+        let Some(row) = self.row(row::HEAD_ROW.to_owned()).await? else {
             return Ok(None);
         };
-        let wire: HeadWire = decode(&row)?;
+        let wire: row::HeadWire = row::decode(&row)?;
         Ok(Some(VersionHead {
             number: wire.number,
             nonce: wire.nonce,
@@ -194,6 +168,29 @@
         Ok(Some((head.number, yaml)))
     }
 
+    /// Makes the text of version `to` out of the text of version `from` by the changes between
+    /// them; `None` when that is not possible and the whole text has to be read.
+    ///
+    /// # Errors
+    /// [`StoreError::Unreachable`].
+    pub async fn follow(&self, from: u64, yaml: &str, to: u64) -> Result<Option<String>> {
+        if to.saturating_sub(from) > MAX_FOLLOWED {
+            return Ok(None);
+        }
+        let keys = (from + 1..=to).map(row::delta_row).collect();
+        let rows = self.platform.read(keys).await;
+        let rows = rows.map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        let mut text = yaml.to_owned();
+        for row in rows {
+            let delta = row.and_then(|row| row::decode::<delta::TextDelta>(&row).ok());
+            let Some(next) = delta.and_then(|delta| delta.apply(&text).ok()) else {
+                return Ok(None);
+            };
+            text = next;
+        }
+        Ok(Some(text))
+    }
+
     /// Makes `yaml` the next version, provided that the newest one is still `base`.
     ///
     /// Without `base` the newest version at the time of the call is meant; 0 is the state before
@@ -205,11 +202,16 @@
         check::parse("declarations", yaml).map_err(StoreError::Refused)?;
         let head = self.head().await?;
         let present = head.as_ref().map_or(0, |head| head.number);
-        if let Some(outcome) = self.compare_present(present, base, yaml).await? {
+        let previous = match present {
+            0 => None,
+            number => Some(self.existing(number).await?),
+        };
+        if let Some(outcome) = compare_present(present, previous.as_deref(), base, yaml)? {
             return Ok(outcome);
         }
         let row_version = head.map_or(0, |head| head.row_version);
-        let pending = PendingVersion::new(present + 1, row_version, yaml)?;
+        let previous = previous.as_deref();
+        let pending = row::PendingVersion::new(present + 1, row_version, previous, yaml)?;
         self.commit(&pending).await
     }
 
@@ -223,31 +225,8 @@
         self.apply(&yaml, Some(present)).await
     }
 
-    async fn compare_present(
-        &self,
-        present: u64,
-        base: Option<u64>,
-        yaml: &str,
-    ) -> Result<Option<ApplyOutcome>> {
-        let moved_on = base.is_some_and(|base| base != present);
-        if present == 0 && moved_on {
-            return Err(StoreError::NoVersion(base.unwrap_or_default()));
-        }
-        if present == 0 {
-            return Ok(None);
-        }
-        let present_yaml = self.existing(present).await?;
-        if present_yaml == yaml {
-            return Ok(Some(ApplyOutcome::Unchanged { number: present }));
-        }
-        Ok(moved_on.then_some(ApplyOutcome::Lost {
-            number: present,
-            yaml: present_yaml,
-        }))
-    }
-
     /// Sends the write until it is known to have taken effect or to be refused.
-    async fn commit(&self, pending: &PendingVersion) -> Result<ApplyOutcome> {
+    async fn commit(&self, pending: &row::PendingVersion) -> Result<ApplyOutcome> {
         let mut sent = false;
         let mut message = String::new();
         let mut pause = SETTLE_PAUSE;
@@ -286,7 +265,7 @@
     }
 
     /// Reads back whose write became version `pending.number`; `None` when there is none yet.
-    async fn settle(&self, pending: &PendingVersion) -> Result<Option<ApplyOutcome>> {
+    async fn settle(&self, pending: &row::PendingVersion) -> Result<Option<ApplyOutcome>> {
         let Some(head) = self.head().await? else {
             return Ok(None);
         };
@@ -309,14 +288,14 @@
     async fn existing(&self, number: u64) -> Result<String> {
         let yaml = self.read(number).await?;
         yaml.ok_or_else(|| StoreError::Malformed {
-            row: version_row(number),
+            row: row::version_row(number),
             message: "the head names it, but there is no such row".to_owned(),
         })
     }
 
-    async fn version(&self, number: u64) -> Result<Option<VersionWire>> {
-        let row = self.row(version_row(number)).await?;
-        row.as_ref().map(decode).transpose()
+    async fn version(&self, number: u64) -> Result<Option<row::VersionWire>> {
+        let row = self.row(row::version_row(number)).await?;
+        row.as_ref().map(row::decode).transpose()
     }
 
     async fn row(&self, key: String) -> Result<Option<platform_wire::TableRow>> {
@@ -326,46 +305,25 @@
     }
 }
 
-impl PendingVersion {
-    fn new(number: u64, head_row_version: u64, yaml: &str) -> Result<Self> {
-        let nonce = uuid::Uuid::new_v4().simple().to_string();
-        let head = HeadWire {
-            number,
-            nonce: nonce.clone(),
-        };
-        let version = VersionWire {
-            nonce: nonce.clone(),
-            yaml: yaml.to_owned(),
-        };
-        let head_write = platform_wire::RowWrite {
-            key: HEAD_ROW.to_owned(),
-            if_version: Some(head_row_version),
-            value: Some(encode(HEAD_ROW, &head)?),
-        };
-        let key = version_row(number);
-        let version_write = platform_wire::RowWrite {
-            value: Some(encode(&key, &version)?),
-            key,
-            if_version: Some(0),
-        };
-        Ok(Self {
-            number,
-            nonce,
-            writes: vec![head_write, version_write],
-        })
+/// What is to be told before anything is written; `None` when the write may be tried.
+fn compare_present(
+    present: u64,
+    present_yaml: Option<&str>,
+    base: Option<u64>,
+    yaml: &str,
+) -> Result<Option<ApplyOutcome>> {
+    let moved_on = base.is_some_and(|base| base != present);
+    let Some(present_yaml) = present_yaml else {
+        if moved_on {
+            return Err(StoreError::NoVersion(base.unwrap_or_default()));
+        }
+        return Ok(None);
+    };
+    if present_yaml == yaml {
+        return Ok(Some(ApplyOutcome::Unchanged { number: present }));
     }
-}
-
-fn decode<T: serde::de::DeserializeOwned>(row: &platform_wire::TableRow) -> Result<T> {
-    serde_json::from_str(&row.value).map_err(|error| StoreError::Malformed {
-        row: row.key.clone(),
-        message: error.to_string(),
-    })
-}
-
-fn encode<T: serde::Serialize>(row: &str, value: &T) -> Result<String> {
-    serde_json::to_string(value).map_err(|error| StoreError::Malformed {
-        row: row.to_owned(),
-        message: error.to_string(),
-    })
+    Ok(moved_on.then(|| ApplyOutcome::Lost {
+        number: present,
+        yaml: present_yaml.to_owned(),
+    }))
 }
--- a/tests/common_platform/mod.rs
+++ b/tests/common_platform/mod.rs
@@ -38,6 +38,7 @@
     late: Vec<Vec<platform_wire::RowWrite>>,
     reads: u64,
     writes: u64,
+    bytes_read: usize,
 }
 
 impl fmt::Debug for FakePlatform {
@@ -62,6 +63,21 @@
         self.state.lock().down = down;
     }
 
+    /// Bytes of the values that were read.
+    pub fn bytes_read(&self) -> usize {
+        self.state.lock().bytes_read
+    }
+
+    /// Puts a value into a row, or deletes the row.
+    pub fn replace(&self, key: &str, value: Option<&str>) {
+        let write = platform_wire::RowWrite {
+            key: key.to_owned(),
+            if_version: None,
+            value: value.map(str::to_owned),
+        };
+        rows::transact(&mut self.state.lock().rows, &[write]);
+    }
+
     /// Keys of all rows.
     pub fn keys(&self) -> Vec<String> {
         self.state.lock().rows.keys().cloned().collect()
@@ -120,7 +136,13 @@
             return future::ready(Err(unreachable_error())).boxed();
         }
         let rows = keys.iter().map(|key| state.rows.get(key).cloned());
-        future::ready(Ok(rows.collect())).boxed()
+        let rows: Vec<_> = rows.collect();
+        state.bytes_read += rows
+            .iter()
+            .flatten()
+            .map(|row| row.value.len())
+            .sum::<usize>();
+        future::ready(Ok(rows)).boxed()
     }
 
     fn write(
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -12,6 +12,7 @@
 use kumquatpulley::connection::platform_client;
 use kumquatpulley::process::config;
 use kumquatpulley::process::poll;
+use kumquatpulley::version::row;
 use kumquatpulley::version::store;
 use parking_lot::Mutex;
 use proptest::prelude::*;
@@ -48,9 +49,8 @@
 fn write_other(rows: &mut rows::RowMap, number: u64, name: &str) {
     let head = serde_json::json!({"number": number, "nonce": "other"});
     let version = serde_json::json!({"nonce": "other", "yaml": declared(name)});
-    rows::put(rows, store::HEAD_ROW, &head.to_string());
-    let row = store::version_row(number);
-    rows::put(rows, &row, &version.to_string());
+    rows::put(rows, row::HEAD_ROW, &head.to_string());
+    rows::put(rows, &row::version_row(number), &version.to_string());
 }
 
 #[test]
@@ -371,6 +371,52 @@
     assert!(worst < IN_FORCE_LIMIT, "{worst:?}");
 }
 
+/// Declarations of 200 services, the last of the given name.
+fn large(name: &str) -> String {
+    let services = (0..200).map(|index| format!("  - name: service-{index}\n"));
+    format!(
+        "services:\n{}  - name: {name}\n",
+        services.collect::<String>()
+    )
+}
+
+/// A cell that polled `large("a")` as version 1 before `large("b")` and `large("c")` followed.
+fn cell_behind(platform: &sync::Arc<common_platform::FakePlatform>) -> config::ConfigCell {
+    let store = store_on(platform);
+    let cell = config::ConfigCell::new();
+    let apply = |name: &str| task::block_on(store.apply(&large(name), None)).expect("no fault");
+    apply("a");
+    task::block_on(poll::poll_once(&cell, &store)).expect("no fault");
+    apply("b");
+    apply("c");
+    assert_eq!(cell.number(), 1);
+    cell
+}
+
+#[test]
+fn a_poller_reads_only_what_changed() {
+    let platform = common_platform::FakePlatform::shared();
+    let cell = cell_behind(&platform);
+    let before = platform.bytes_read();
+    task::block_on(poll::poll_once(&cell, &store_on(&platform))).unwrap();
+    let version = cell.current().unwrap();
+    assert_eq!((version.number(), version.yaml()), (3, large("c").as_str()));
+    let read = platform.bytes_read() - before;
+    assert!(read < large("c").len() / 4, "{read} bytes");
+}
+
+#[test]
+fn a_poller_that_finds_no_fitting_change_reads_the_whole_text() {
+    for damage in [None, Some("{}"), Some(r#"{"digest":1,"parts":[]}"#)] {
+        let platform = common_platform::FakePlatform::shared();
+        let cell = cell_behind(&platform);
+        platform.replace(&row::delta_row(2), damage);
+        task::block_on(poll::poll_once(&cell, &store_on(&platform))).unwrap();
+        let version = cell.current().unwrap();
+        assert_eq!((version.number(), version.yaml()), (3, large("c").as_str()));
+    }
+}
+
 #[test]
 fn a_router_without_a_version_reads_it_though_it_is_no_poller() {
     let platform = common_platform::FakePlatform::shared();
