--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -45,6 +45,7 @@
 pub mod share;
 pub mod start;
 pub mod status;
+pub mod step;
 pub mod subset;
 pub mod timeline;
 pub mod view;
