--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -49,4 +49,5 @@
 pub mod subset;
 pub mod timeline;
 pub mod view;
+pub mod wall_clock;
 pub mod watch;
