--- a/examples/plain_service.rs
+++ b/examples/plain_service.rs
@@ -1,6 +1,9 @@
 //! Stand-in for a plain service: logs each execution before it answers, and fault switches.
 
 use std::collections;
+use std::fs;
+use std::io::Write as _;
+use std::path;
 use std::sync;
 use std::time;
 
@@ -57,6 +60,7 @@
     work: time::Duration,
     switches: Mutex<ServiceSwitches>,
     executions: Mutex<Vec<ExecutionRecord>>,
+    journal: Option<path::PathBuf>,
 }
 
 impl service::ServiceHandler for PlainHandler {
@@ -139,9 +143,22 @@
         };
         let mut executions = self.executions.lock();
         executions.push(record.clone());
+        self.write_journal(&record);
         (executions.len(), record)
     }
 
+    /// Adds a line to the journal, which outlives the process.
+    fn write_journal(&self, record: &ExecutionRecord) {
+        let Some(journal) = &self.journal else { return };
+        let line = serde_json::to_string(record).expect("records are plain data");
+        let file = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(journal);
+        let written = file.and_then(|mut file| writeln!(file, "{line}"));
+        written.expect("an execution that cannot be logged must not be answered");
+    }
+
     fn stats(&self) -> serde_json::Value {
         let executions = self.executions.lock();
         let mut keys = collections::BTreeMap::new();
@@ -202,6 +219,13 @@
                 .value_parser(clap::value_parser!(u64))
                 .help("Time between an execution and its answer"),
         )
+        .arg(
+            clap::Arg::new("journal")
+                .long("journal")
+                .value_name("FILE")
+                .value_parser(clap::value_parser!(path::PathBuf))
+                .help("File to which each execution is added as a JSON line"),
+        )
 }
 
 fn main() -> std::io::Result<()> {
@@ -213,6 +237,7 @@
         work: time::Duration::from_millis(work.unwrap_or_default()),
         switches: Mutex::default(),
         executions: Mutex::default(),
+        journal: matches.get_one::<path::PathBuf>("journal").cloned(),
     });
     task::block_on(service::run(&matches, handler))
 }
--- a/tests/fault_matrix/bench.rs
+++ b/tests/fault_matrix/bench.rs
@@ -177,7 +177,8 @@
 
     fn start_service(&self, plan: BenchPlan) -> Result<EndpointUnit> {
         let name = "stock-1".to_owned();
-        let stand_in = process::StandIn::start("plain_service", self.log(&name), &[])?;
+        let journal = format!("--journal={}", self.journal().display());
+        let stand_in = process::StandIn::start("plain_service", self.log(&name), &[&journal])?;
         self.endpoint(name, stand_in, plan)
     }
 
@@ -361,6 +362,24 @@
         relay.map_or_else(|| listen.to_owned(), |relay| relay.listen.to_string())
     }
 
+    /// File to which the plain service adds each execution.
+    fn journal(&self) -> path::PathBuf {
+        self.folder.path().join("executions")
+    }
+
+    /// Arrival times of the executions with the given key, in microseconds since the Unix epoch.
+    pub fn executions(&self, key: &str) -> Result<Vec<u64>> {
+        let journal = fs::read_to_string(self.journal()).unwrap_or_default();
+        let mut arrivals = Vec::new();
+        for line in journal.lines() {
+            let record: serde_json::Value = serde_json::from_str(line)?;
+            if record["key"] == key {
+                arrivals.push(record["arrived_micros"].as_u64().unwrap_or_default());
+            }
+        }
+        Ok(arrivals)
+    }
+
     /// Log of a process, for the report of a failed cell.
     pub fn read_log(&self, name: &str) -> String {
         fs::read_to_string(self.log(name)).unwrap_or_default()
--- a/tests/fault_matrix/caller.rs
+++ b/tests/fault_matrix/caller.rs
@@ -1,6 +1,7 @@
 //! A caller that goes on at another router, written against the HTTP contract alone.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use async_std::future;
@@ -55,8 +56,6 @@
     pub refusals: Vec<String>,
     /// What was seen of lost connections.
     pub losses: Vec<String>,
-    /// Whether the connection is to be dropped, as by a caller that goes away.
-    pub drops: bool,
     /// Whether the whole answer came.
     pub is_done: bool,
     cursor: Option<String>,
@@ -72,6 +71,7 @@
     key: String,
     prompt: String,
     progress: SharedProgress,
+    drops: sync::Arc<atomic::AtomicBool>,
 }
 
 /// How one connection ended.
@@ -111,6 +111,7 @@
             key: key::RequestKey::mint(&home).to_string(),
             prompt: format!("{} {}", "venue notes ".repeat(32), fastrand::u64(..)),
             progress: SharedProgress::default(),
+            drops: sync::Arc::default(),
         })
     }
 
@@ -124,6 +125,11 @@
         sync::Arc::clone(&self.progress)
     }
 
+    /// Set to make the caller go away and come back.
+    pub fn drops(&self) -> sync::Arc<atomic::AtomicBool> {
+        sync::Arc::clone(&self.drops)
+    }
+
     /// Runs the request to its end and checks that the answer is whole and its own.
     pub async fn run(mut self) -> Result<()> {
         let running = self.run_tries();
@@ -185,7 +191,7 @@
                 Ok(Err(error)) => return Ok(StreamEnd::Lost(error.to_string(), Vec::new())),
                 Err(_elapsed) => return Ok(StreamEnd::Lost("silence".to_owned(), Vec::new())),
             };
-            if std::mem::take(&mut self.progress.lock().drops) {
+            if self.drops.swap(false, atomic::Ordering::SeqCst) {
                 return Ok(StreamEnd::Lost("went away".to_owned(), Vec::new()));
             }
             if let sse::StreamItem::Event(event) = item
--- a/tests/fault_matrix/cell.rs
+++ b/tests/fault_matrix/cell.rs
@@ -22,6 +22,20 @@
 pub struct CellFigures {
     /// Longest wait for a token after the fault.
     pub resume: Option<time::Duration>,
+    /// What the caller got in the end.
+    pub ending: CellEnding,
+}
+
+/// What the caller got in the end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CellEnding {
+    /// The whole answer, or what was asked for.
+    #[default]
+    Answered,
+    /// A refusal of a request that did not run.
+    NotRun,
+    /// A refusal of a request that may have run.
+    MayHaveRun,
 }
 
 /// Runs a cell.
@@ -98,8 +112,8 @@
 /// The table: for each fault the cells run, passed and failed, and the worst resume latency.
 pub fn table(reports: &[CellReport], missing: &[MissingCell]) -> String {
     let mut text = format!(
-        "{:<44} {:>4} {:>6} {:>6} {:>12}\n",
-        "fault", "run", "passed", "failed", "worst resume"
+        "{:<56} {:>4} {:>6} {:>6} {:>8} {:>7} {:>12} {:>12}\n",
+        "fault", "run", "passed", "failed", "answered", "not-run", "may-have-run", "worst resume"
     );
     let mut faults: Vec<&str> = Vec::new();
     for report in reports {
@@ -121,6 +135,10 @@
 fn write_row(text: &mut String, name: &str, reports: &[&CellReport]) {
     let failed = reports.iter().filter(|row| row.outcome.is_err()).count();
     let resumes = reports.iter().filter_map(|row| row.outcome.as_ref().ok());
+    let ended = |ending: CellEnding| {
+        let passed = reports.iter().filter_map(|row| row.outcome.as_ref().ok());
+        passed.filter(|figures| figures.ending == ending).count()
+    };
     let worst = resumes.filter_map(|figures| figures.resume).max();
     let worst = worst.map_or_else(
         || "-".to_owned(),
@@ -128,8 +146,11 @@
     );
     let _ = writeln!(
         text,
-        "{name:<44} {:>4} {:>6} {failed:>6} {worst:>12}",
+        "{name:<56} {:>4} {:>6} {failed:>6} {:>8} {:>7} {:>12} {worst:>12}",
         reports.len(),
         reports.len() - failed,
+        ended(CellEnding::Answered),
+        ended(CellEnding::NotRun),
+        ended(CellEnding::MayHaveRun),
     );
 }
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -1,8 +1,10 @@
 //! Every fault at every step, with real processes.
 
 mod bench;
+mod call;
 mod caller;
 mod cell;
+mod fault;
 mod generation;
 #[path = "../../examples/support/oracle.rs"]
 mod oracle;
@@ -13,10 +15,10 @@
 
 fn generation_cells() -> Vec<cell::MatrixCell> {
     let mut cells = Vec::new();
-    for fault in generation::FAULTS {
+    for fault in fault::COMMON {
         for step in generation::STEPS {
             cells.push(cell::MatrixCell {
-                fault: fault.name(),
+                fault: format!("generation: {}", fault.name()),
                 step: step.name().to_owned(),
                 run: Box::new(move || {
                     Box::pin(async move { generation::run(&[fault], step).await })
@@ -27,10 +29,37 @@
     cells
 }
 
+fn call_cells() -> Vec<cell::MatrixCell> {
+    let mut rows: Vec<_> = fault::COMMON
+        .iter()
+        .map(|&fault| ("call", fault, call::KeyKind::Home))
+        .collect();
+    rows.push((
+        "call",
+        fault::SystemFault::ServiceAnswerLost,
+        call::KeyKind::Home,
+    ));
+    for fault in fault::TABLE {
+        rows.push(("call with own key", fault, call::KeyKind::Own));
+    }
+    let mut cells = Vec::new();
+    for (row, fault, kind) in rows {
+        for step in call::STEPS {
+            cells.push(cell::MatrixCell {
+                fault: format!("{row}: {}", fault.name()),
+                step: step.name().to_owned(),
+                run: Box::new(move || Box::pin(call::run(fault, step, kind))),
+            });
+        }
+    }
+    cells
+}
+
 #[test]
 fn every_promise_holds_under_every_fault_at_every_step() {
     let filter = std::env::var(FILTER_VARIABLE).unwrap_or_default();
     let mut cells = generation_cells();
+    cells.extend(call_cells());
     cells.retain(|cell| format!("{} at {}", cell.fault, cell.step).contains(&filter));
     assert!(!cells.is_empty(), "no cell is named like {filter:?}");
     let reports = cell::run_all(&cells);
