--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -1,13 +1,13 @@
 //! The command line through the real program: results, failures and exit codes.
 
 mod support {
+    pub mod program;
     pub mod stand_in;
 }
 
 use std::fs;
 
-use assert_cmd::Command;
-
+use support::program;
 use support::stand_in;
 
 const SUCCESS: i32 = 0;
@@ -35,14 +35,6 @@
     folder: tempfile::TempDir,
 }
 
-/// What the program printed, and how it ended.
-#[derive(Debug)]
-struct CommandOutput {
-    code: i32,
-    stdout: String,
-    stderr: String,
-}
-
 impl CommandFolder {
     fn new() -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
@@ -55,25 +47,12 @@
         fs::write(self.folder.path().join(name), text).expect("file");
     }
 
-    fn run(&self, arguments: &[&str]) -> CommandOutput {
-        let output = Command::cargo_bin("kumquatpulley")
-            .expect("program")
-            .current_dir(self.folder.path())
-            .env_clear()
-            .args(arguments)
-            .timeout(std::time::Duration::from_secs(30))
-            .output()
-            .expect("output");
-        let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
-        CommandOutput {
-            code: output.status.code().expect("exit code"),
-            stdout: text(output.stdout),
-            stderr: text(output.stderr),
-        }
+    fn run(&self, arguments: &[&str]) -> program::ProgramOutput {
+        program::run(self.folder.path(), arguments)
     }
 
     /// Runs a command that talks to the platform stand-in.
-    fn run_at(&self, platform: &stand_in::StandIn, arguments: &[&str]) -> CommandOutput {
+    fn run_at(&self, platform: &stand_in::StandIn, arguments: &[&str]) -> program::ProgramOutput {
         let platform = platform.listen.to_string();
         let mut all = arguments.to_vec();
         all.extend(["--platform", &platform]);
@@ -89,7 +68,7 @@
 
 #[test]
 fn short_help_lists_every_subcommand() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Declares what routers serve, watches them and generates through them
 
         Usage: kumquatpulley [OPTIONS] <COMMAND>
@@ -113,12 +92,12 @@
           -V, --version          Print version
 
         Exit codes are listed in docs/OPERATING.md.
-    "#]].assert_eq(&help_of(&["-h"]));
+    "]].assert_eq(&help_of(&["-h"]));
 }
 
 #[test]
 fn apply_explains_units_and_defaults() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Make a declaration file the next configuration version
 
         Usage: kumquatpulley apply [OPTIONS] --platform <ADDR> <FILE>
@@ -135,12 +114,12 @@
               --wait-ms <MS>     Time to wait with --wait, in milliseconds [default: 5000]
               --router <ADDR>    Operator address of a router to ask with --wait [env: KUMQUATPULLEY_ADMIN=]
           -h, --help             Print help (see more with '--help')
-    "#]].assert_eq(&help_of(&["apply", "-h"]));
+    "]].assert_eq(&help_of(&["apply", "-h"]));
 }
 
 #[test]
 fn generate_explains_units_and_defaults() {
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         Generate an answer and go on at another router after a loss
 
         Usage: kumquatpulley generate [OPTIONS] --router <ADDR> --key <BEARER> --model <M>
@@ -148,6 +127,7 @@
         Options:
               --output <FORMAT>     Form of results and errors [default: text] [possible values: text, json]
               --router <ADDR>       Address of a router for callers [env: KUMQUATPULLEY_ROUTER=]
+              --zone <ZONE>         Availability zone to prefer [default: none]
               --key <BEARER>        Bearer key of the workspace [env: KUMQUATPULLEY_KEY]
               --model <M>           Model name
               --prompt <TEXT>       The prompt
@@ -157,7 +137,7 @@
                                     [default: 30000]
               --json                End with a JSON line: tokens, resumes, restarts, longest gaps in ms
           -h, --help                Print help (see more with '--help')
-    "#]].assert_eq(&help_of(&["generate", "-h"]));
+    "]].assert_eq(&help_of(&["generate", "-h"]));
 }
 
 #[test]
@@ -209,11 +189,11 @@
     let output = folder.run(&["check", "faulty.yaml"]);
     assert_eq!(output.code, DECLARATIONS);
     assert_eq!(output.stdout, "");
-    expect_test::expect![[r#"
+    expect_test::expect![[r"
         error: faulty.yaml:2: services[0].name: `Stock` is not a name; use 1 to 63 lower-case letters, digits and hyphens
         error: faulty.yaml:6: routes[0].service: no service is named `stock`; declare it under `services` or name one of them
         error: 2 faults; correct them and try again
-    "#]].assert_eq(&output.stderr);
+    "]].assert_eq(&output.stderr);
 }
 
 #[test]
@@ -333,7 +313,7 @@
         );
         folder.run_at(&platform, &["apply", &name, "--base", "1"])
     };
-    let outputs: Vec<CommandOutput> = std::thread::scope(|scope| {
+    let outputs: Vec<program::ProgramOutput> = std::thread::scope(|scope| {
         let race = &race;
         let operators = 10..10 + OPERATORS;
         let threads = operators.map(|operator| scope.spawn(move || race(operator)));
