Add the fault matrix's cells for configuration

Cause: an accepted configuration has to be in force everywhere within 5 s and never revert, whatever fails around its write. Ruled out: asking the command line alone, which cannot show a router that goes back; each router's number is watched through the whole cell.

--- a/tests/fault_matrix/bench.rs
+++ b/tests/fault_matrix/bench.rs
@@ -1,6 +1,7 @@
 //! One small system of real processes: platform, endpoints and routers on loopback ports.
 
 use std::fs;
+use std::io;
 use std::net;
 use std::path;
 use std::process as std_process;
@@ -22,6 +23,9 @@
 /// Model that the engines run.
 pub const MODEL: &str = "quote-writer";
 
+/// Workspace limit of the first declarations.
+const FIRST_LIMIT: usize = 100;
+
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 const TOKEN_GAP_MS: &str = "--token-ms=20";
 const PREFILL_US: &str = "--prefill-us-per-token=3000";
@@ -151,8 +155,10 @@
             bench.service = Some(bench.start_service(plan)?);
         }
         bench.start_routers(plan)?;
-        bench.write_declarations("v1")?;
-        bench.apply(&[]).await?;
+        let file = bench.write_declarations("v1", FIRST_LIMIT)?;
+        let output = bench.apply_file(&file, &[]).await?;
+        let errors = String::from_utf8_lossy(&output.stderr);
+        eyre::ensure!(output.status.success(), "apply failed: {errors}");
         bench.wait_ready().await?;
         Ok(bench)
     }
@@ -251,8 +257,12 @@
         self.folder.path().join(format!("{name}.log"))
     }
 
-    /// Writes the declarations with the given model version, and returns the file.
-    pub fn write_declarations(&self, model_version: &str) -> Result<path::PathBuf> {
+    /// Writes the declarations with a model version and a workspace limit, and returns the file.
+    pub fn write_declarations(
+        &self,
+        model_version: &str,
+        max_in_flight: usize,
+    ) -> Result<path::PathBuf> {
         use std::fmt::Write as _;
         let mut yaml = format!(
             "services:\n  - name: quotes\n    model: {{name: {MODEL}, version: {model_version}}}\n    \
@@ -279,38 +289,32 @@
         writeln!(
             yaml,
             "workspaces:\n  - name: planners\n    key_hashes: [{BEARER_HASH}]\n    \
-             max_in_flight: 100\nroutes:\n  - {{model: {MODEL}, service: quotes}}"
+             max_in_flight: {max_in_flight}\nroutes:\n  - {{model: {MODEL}, service: quotes}}"
         )?;
         if self.service.is_some() {
             writeln!(yaml, "  - {{path: /, service: stock}}")?;
         }
-        let file = self.folder.path().join(format!("{model_version}.yaml"));
+        let file = self
+            .folder
+            .path()
+            .join(format!("{model_version}-{max_in_flight}.yaml"));
         fs::write(&file, yaml)?;
         Ok(file)
     }
 
-    /// Applies the first declarations with the command line.
-    async fn apply(&self, more: &[&str]) -> Result<std_process::Output> {
-        let file = self.folder.path().join("v1.yaml");
-        let output = self.apply_file(&file, more).await?;
-        let errors = String::from_utf8_lossy(&output.stderr);
-        eyre::ensure!(output.status.success(), "apply failed: {errors}");
-        Ok(output)
-    }
-
     /// Applies a declaration file with the command line.
-    pub async fn apply_file(
+    pub fn apply_file(
         &self,
         file: &path::Path,
         more: &[&str],
-    ) -> Result<std_process::Output> {
+    ) -> task::JoinHandle<io::Result<std_process::Output>> {
         let mut command = std_process::Command::new(process::program("kumquatpulley"));
         command
             .arg("apply")
             .arg(file)
             .arg(format!("--platform={}", self.platform_address()))
             .args(more);
-        Ok(task::spawn_blocking(move || command.output()).await?)
+        task::spawn_blocking(move || command.output())
     }
 
     /// Waits until every router names all routers and knows what all endpoints hold.
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -6,6 +6,7 @@
 mod cell;
 mod fault;
 mod generation;
+mod operator;
 #[path = "../../examples/support/oracle.rs"]
 mod oracle;
 mod process;
@@ -55,11 +56,43 @@
     cells
 }
 
+fn operator_cells() -> Vec<cell::MatrixCell> {
+    let mut rows = vec![(None, 2)];
+    for fault in operator::FAULTS {
+        rows.push((Some(fault), 1));
+        rows.push((Some(fault), 2));
+    }
+    let mut cells = Vec::new();
+    for (fault, operators) in rows {
+        let name = fault.map_or_else(|| "no other fault".to_owned(), fault::SystemFault::name);
+        let row = if operators == 1 {
+            "apply"
+        } else {
+            "two operators"
+        };
+        for step in operator::STEPS {
+            // An answer can only be lost after the effect.
+            let is_lost = fault == Some(fault::SystemFault::TableAnswerLost);
+            let is_made = step == operator::EffectStep::After || !(is_lost || fault.is_none());
+            if !is_made {
+                continue;
+            }
+            cells.push(cell::MatrixCell {
+                fault: format!("{row}: {name}"),
+                step: step.name().to_owned(),
+                run: Box::new(move || Box::pin(operator::run(fault, step, operators))),
+            });
+        }
+    }
+    cells
+}
+
 #[test]
 fn every_promise_holds_under_every_fault_at_every_step() {
     let filter = std::env::var(FILTER_VARIABLE).unwrap_or_default();
     let mut cells = generation_cells();
     cells.extend(call_cells());
+    cells.extend(operator_cells());
     cells.retain(|cell| format!("{} at {}", cell.fault, cell.step).contains(&filter));
     assert!(!cells.is_empty(), "no cell is named like {filter:?}");
     let reports = cell::run_all(&cells);
