--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -3,9 +3,11 @@
 pub mod check;
 pub mod declaration;
 pub mod declare;
+pub mod delta;
 pub mod diff;
 pub mod lines;
 pub mod route;
+pub mod row;
 pub mod rules;
 pub mod store;
 pub mod syntax;
