Add the fault matrix's cells for orders, leaving, refusals and pairs

Cause: leases, leaving endpoints, refusals and two faults together have to hold as well. Ruled out: a check of the holder's own view of its lease; the engines' logs of orders show what was taken. Change: 18 faults before and after an order, with engines that check fencing numbers and with engines that ignore them; an endpoint that leaves in three ways under five faults; refusals at once; the same fault twice, an outage during each other fault, and router with endpoint together.

--- a/tests/fault_matrix/fault.rs
+++ b/tests/fault_matrix/fault.rs
@@ -80,6 +80,22 @@
     SystemFault::VmListBehind,
 ];
 
+/// Faults of the endpoint alone.
+pub const ENDPOINT: [SystemFault; 4] = [
+    SystemFault::EndpointKilled,
+    SystemFault::EndpointFrozen,
+    SystemFault::EndpointRestarted,
+    SystemFault::EndpointSilent,
+];
+
+/// Faults of the router alone.
+pub const ROUTER: [SystemFault; 4] = [
+    SystemFault::RouterKilled,
+    SystemFault::RouterFrozen,
+    SystemFault::RouterRestarted,
+    SystemFault::RouterStopped,
+];
+
 /// Faults of the table service, for requests that need it.
 pub const TABLE: [SystemFault; 6] = [
     SystemFault::TableDown,
