--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -229,6 +229,17 @@
     assert_eq!(planned[0].wanted.loaded, [loaded("8")]);
 }
 
+#[test]
+fn an_engine_that_restarts_during_a_load_is_ordered_again_at_once() {
+    let mut bench = PlanBench::new(1);
+    assert_eq!(bench.plan(1, "7").len(), 1);
+    let restart = |engine: &mut FakeEngine| {
+        engine.report.as_mut().unwrap().incarnation = 2;
+    };
+    bench.engines.change(0, restart);
+    assert_eq!(bench.plan(2, "7").len(), 1);
+}
+
 #[test]
 fn a_failed_order_is_planned_again() {
     let mut bench = PlanBench::new(1);
@@ -336,7 +347,7 @@
 proptest! {
     #[test]
     fn loads_never_exceed_the_shared_rate(
-        pauses in proptest::collection::vec((0_u64..3_000, 0_usize..4), 1..200),
+        pauses in proptest::collection::vec((0_u64..400, 0_usize..4), 20..200),
     ) {
         const ISSUERS: usize = 4;
         let start = time::Instant::now();
