--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -1,9 +1,12 @@
 //! Every fault at every step, with real processes.
 
 mod bench;
+mod call;
 mod caller;
 mod cell;
+mod fault;
 mod generation;
+mod operator;
 #[path = "../../examples/support/oracle.rs"]
 mod oracle;
 mod process;
@@ -13,10 +16,10 @@
 
 fn generation_cells() -> Vec<cell::MatrixCell> {
     let mut cells = Vec::new();
-    for fault in generation::FAULTS {
+    for fault in fault::COMMON {
         for step in generation::STEPS {
             cells.push(cell::MatrixCell {
-                fault: fault.name(),
+                fault: format!("generation: {}", fault.name()),
                 step: step.name().to_owned(),
                 run: Box::new(move || {
                     Box::pin(async move { generation::run(&[fault], step).await })
@@ -27,10 +30,69 @@
     cells
 }
 
+fn call_cells() -> Vec<cell::MatrixCell> {
+    let mut rows: Vec<_> = fault::COMMON
+        .iter()
+        .map(|&fault| ("call", fault, call::KeyKind::Home))
+        .collect();
+    rows.push((
+        "call",
+        fault::SystemFault::ServiceAnswerLost,
+        call::KeyKind::Home,
+    ));
+    for fault in fault::TABLE {
+        rows.push(("call with own key", fault, call::KeyKind::Own));
+    }
+    let mut cells = Vec::new();
+    for (row, fault, kind) in rows {
+        for step in call::STEPS {
+            cells.push(cell::MatrixCell {
+                fault: format!("{row}: {}", fault.name()),
+                step: step.name().to_owned(),
+                run: Box::new(move || Box::pin(call::run(fault, step, kind))),
+            });
+        }
+    }
+    cells
+}
+
+fn operator_cells() -> Vec<cell::MatrixCell> {
+    let mut rows = vec![(None, 2)];
+    for fault in operator::FAULTS {
+        rows.push((Some(fault), 1));
+        rows.push((Some(fault), 2));
+    }
+    let mut cells = Vec::new();
+    for (fault, operators) in rows {
+        let name = fault.map_or_else(|| "no other fault".to_owned(), fault::SystemFault::name);
+        let row = if operators == 1 {
+            "apply"
+        } else {
+            "two operators"
+        };
+        for step in operator::STEPS {
+            // An answer can only be lost after the effect.
+            let is_lost = fault == Some(fault::SystemFault::TableAnswerLost);
+            let is_made = step == operator::EffectStep::After || !(is_lost || fault.is_none());
+            if !is_made {
+                continue;
+            }
+            cells.push(cell::MatrixCell {
+                fault: format!("{row}: {name}"),
+                step: step.name().to_owned(),
+                run: Box::new(move || Box::pin(operator::run(fault, step, operators))),
+            });
+        }
+    }
+    cells
+}
+
 #[test]
 fn every_promise_holds_under_every_fault_at_every_step() {
     let filter = std::env::var(FILTER_VARIABLE).unwrap_or_default();
     let mut cells = generation_cells();
+    cells.extend(call_cells());
+    cells.extend(operator_cells());
     cells.retain(|cell| format!("{} at {}", cell.fault, cell.step).contains(&filter));
     assert!(!cells.is_empty(), "no cell is named like {filter:?}");
     let reports = cell::run_all(&cells);
--- a/tests/support/daemon.rs
+++ b/tests/operators/daemon.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time;
 
-use super::program;
+use crate::program;
 
 /// Time within which a router has to do what it is asked.
 const LIMIT: time::Duration = time::Duration::from_secs(15);
@@ -15,14 +15,16 @@
 
 /// A running router.
 #[derive(Debug)]
-pub struct Daemon {
+pub struct RouterDaemon {
+    /// Address for callers.
+    pub listen: net::SocketAddr,
     /// Address for operators.
     pub admin: net::SocketAddr,
     process: process::Child,
     folder: tempfile::TempDir,
 }
 
-impl Daemon {
+impl RouterDaemon {
     /// Starts the router `name` with the table service at `platform`.
     pub fn start(name: &str, platform: net::SocketAddr) -> Self {
         Self::start_with(name, platform, "")
@@ -45,6 +47,7 @@
             .spawn()
             .expect("daemon");
         Self {
+            listen,
             admin,
             process,
             folder,
@@ -115,7 +118,7 @@
     }
 }
 
-impl Drop for Daemon {
+impl Drop for RouterDaemon {
     fn drop(&mut self) {
         // A process that has ended already needs no signal.
         let _ended = self.process.kill();
