Add the bench of control

Cause: the cost of control has a bound of 3.1 % of a core, 64 MB and 5 KB a second, and nothing measured it. Ruled out: divan, which times functions and not groups that run; a simulator of clusters. Change: benches/control runs 4 to 128 routers in one process over h2, varies workspaces, leaving endpoints and version size, and sets one router among 2,800 that a fake link plays. Memory figures of later scenarios hold what earlier ones left and say nothing yet.

--- /dev/null
+++ b/benches/control/main.rs
@@ -0,0 +1,187 @@
+//! What control costs a router: processor time, bytes and memory as routers, workspaces, leaving
+//! endpoints and versions grow, over h2 on loopback in one process.
+//!
+//! Prints one JSON object; ends with status 1 when a figure of a running group exceeds its bound.
+
+use std::fs;
+use std::process;
+use std::time;
+
+use async_std::task;
+
+mod crowd;
+mod group;
+
+/// Processor time of a router, as a part of one core.
+const CORE_BOUND: f64 = 0.031;
+/// Bytes that a router sends and receives, a second.
+const BYTES_BOUND: f64 = 5_000.0;
+/// Resident memory of a router.
+const MEMORY_BOUND: f64 = 64.0 * 1024.0 * 1024.0;
+/// Time until a version is in force everywhere.
+const VERSION_BOUND: time::Duration = time::Duration::from_secs(5);
+/// Time until a silent router is dead everywhere, among up to sixteen.
+const DEATH_BOUND: time::Duration = time::Duration::from_secs(3);
+
+const WINDOW: time::Duration = time::Duration::from_secs(8);
+const ROUTER_COUNTS: [usize; 5] = [4, 16, 32, 64, 128];
+const WORKSPACE_COUNTS: [usize; 3] = [1, 50, 200];
+const LEAVING_COUNTS: [usize; 3] = [0, 1_000, 10_000];
+const ENDPOINT_COUNTS: [usize; 3] = [40, 1_000, 10_000];
+const TODAY_ROUTERS: usize = 16;
+const TODAY_WORKSPACES: usize = 10;
+const TICKS_PER_SECOND: f64 = 100.0;
+const PAGE_BYTES: f64 = 4096.0;
+
+/// What one router of a group cost.
+#[derive(Clone, Copy, Debug)]
+struct ControlCost {
+    core: f64,
+    bytes: f64,
+    memory: f64,
+}
+
+fn main() {
+    let mut report = Vec::new();
+    let mut misses = Vec::new();
+    task::block_on(async {
+        for count in ROUTER_COUNTS {
+            routers(count, &mut report, &mut misses).await;
+        }
+        for count in WORKSPACE_COUNTS {
+            let group = group::start(TODAY_ROUTERS, count).await;
+            let name = format!("{count} workspaces, {TODAY_ROUTERS} routers");
+            cost(&name, &group, &mut report, &mut misses).await;
+        }
+        for count in LEAVING_COUNTS {
+            let group = group::start(TODAY_ROUTERS, TODAY_WORKSPACES).await;
+            group.mark_leaving(count).await;
+            let name = format!("{count} leaving endpoints, {TODAY_ROUTERS} routers");
+            cost(&name, &group, &mut report, &mut misses).await;
+        }
+        for count in ENDPOINT_COUNTS {
+            versions(count, &mut report, &mut misses).await;
+        }
+        report.extend(crowd::measure(WINDOW).await);
+    });
+    let summary = serde_json::json!({
+        "bench": "control",
+        "bounds": {
+            "core": CORE_BOUND,
+            "bytes_per_second": BYTES_BOUND,
+            "memory_bytes": MEMORY_BOUND,
+            "version_seconds": VERSION_BOUND.as_secs_f64(),
+            "death_seconds": DEATH_BOUND.as_secs_f64(),
+        },
+        "figures": report,
+        "misses": misses,
+    });
+    println!("{summary}");
+    if !misses.is_empty() {
+        process::exit(1);
+    }
+}
+
+async fn routers(count: usize, report: &mut Vec<serde_json::Value>, misses: &mut Vec<String>) {
+    let group = group::start(count, TODAY_WORKSPACES).await;
+    let name = format!("{count} routers");
+    cost(&name, &group, report, misses).await;
+    let spread = group.spread_version(1, "").await;
+    let death = group.kill_one().await;
+    report.push(serde_json::json!({
+        "name": name,
+        "version_seconds": spread.as_secs_f64(),
+        "death_seconds": death.as_secs_f64(),
+    }));
+    if spread > VERSION_BOUND {
+        misses.push(format!("{name}: version in force after {spread:?}"));
+    }
+    if count <= TODAY_ROUTERS && death > DEATH_BOUND {
+        misses.push(format!("{name}: dead everywhere after {death:?}"));
+    }
+}
+
+async fn versions(endpoints: usize, report: &mut Vec<serde_json::Value>, misses: &mut Vec<String>) {
+    let group = group::start(TODAY_ROUTERS, TODAY_WORKSPACES).await;
+    let yaml = group::declarations(endpoints);
+    let parse = group::parse_time(&yaml);
+    let (bytes, core) = (group.bytes(), core_seconds());
+    let spread = group.spread_version(1, &yaml).await;
+    let routers = float(TODAY_ROUTERS as u64);
+    report.push(serde_json::json!({
+        "name": format!("version of {endpoints} endpoints, {TODAY_ROUTERS} routers"),
+        "yaml_bytes": yaml.len(),
+        "parse_seconds": parse.as_secs_f64(),
+        "version_seconds": spread.as_secs_f64(),
+        "bytes_per_router": float(group.bytes() - bytes) / routers,
+        "core_seconds_per_router": (core_seconds() - core) / routers,
+    }));
+    if spread > VERSION_BOUND {
+        misses.push(format!(
+            "{endpoints} endpoints: version in force after {spread:?}"
+        ));
+    }
+}
+
+/// Measures a group for one window.
+async fn cost(
+    name: &str,
+    group: &group::RouterGroup,
+    report: &mut Vec<serde_json::Value>,
+    misses: &mut Vec<String>,
+) {
+    let routers = float(group.len());
+    let (bytes, core, began) = (group.bytes(), core_seconds(), time::Instant::now());
+    let exchanges = group.exchanges();
+    group.vary_demand(WINDOW).await;
+    let seconds = began.elapsed().as_secs_f64();
+    let cost = ControlCost {
+        core: (core_seconds() - core) / seconds / routers,
+        bytes: float(group.bytes() - bytes) / seconds / routers,
+        memory: resident_bytes() / routers,
+    };
+    report.push(serde_json::json!({
+        "name": name,
+        "core": cost.core,
+        "bytes_per_second": cost.bytes,
+        "memory_bytes": cost.memory,
+        "exchanges_per_second": float(group.exchanges() - exchanges) / seconds / routers,
+    }));
+    if cost.core > CORE_BOUND {
+        misses.push(format!("{name}: {:.4} of a core", cost.core));
+    }
+    if cost.bytes > BYTES_BOUND {
+        misses.push(format!("{name}: {:.0} bytes a second", cost.bytes));
+    }
+    if cost.memory > MEMORY_BOUND {
+        misses.push(format!("{name}: {:.0} bytes of memory", cost.memory));
+    }
+}
+
+/// Processor time of this process so far, in seconds.
+fn core_seconds() -> f64 {
+    const USER_FIELD: usize = 11;
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<f64> = after_name
+        .split_whitespace()
+        .map(|field| field.parse().unwrap_or_default())
+        .collect();
+    let ticks: f64 = fields.iter().skip(USER_FIELD).take(2).sum();
+    ticks / TICKS_PER_SECOND
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> f64 {
+    let pages = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = pages.split_whitespace().nth(1);
+    let pages: f64 = pages
+        .and_then(|pages| pages.parse().ok())
+        .unwrap_or_default();
+    pages * PAGE_BYTES
+}
+
+/// A count as a number to divide.
+fn float(count: u64) -> f64 {
+    u32::try_from(count).map_or(f64::MAX, f64::from)
+}
