Pass loads on by number and in parts

Ruled out: more forwards, which cost 12 times each load and still miss at random; fewer workspaces told. Change: a load is told in parts of about twelve workspaces, each holder numbers the changes it learns, and a peer gets those that it has not seen, oldest first, within 320 bytes a message. None is lost; more changes arrive later instead of costing more. The refresh of unchanged loads falls away.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -98,11 +98,15 @@
     pub members: Vec<MemberWire>,
     /// Endpoints that take no new work.
     pub leaving: Vec<LeavingWire>,
-    /// Loads of members, newest first as far as the byte budget goes.
+    /// Loads of members, as far as the byte budget goes.
     pub loads: Vec<LoadWire>,
+    /// Number of the receiver's load changes that the sender has seen.
+    pub load_have: u64,
+    /// Number of the sender's load changes that this message completes.
+    pub load_upto: u64,
 }
 
-/// Load of one router; on the way its member fact carries none.
+/// Part of the load of one router; on the way its member fact carries none.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadWire {
     /// Router name.
@@ -111,6 +115,10 @@
     pub incarnation: u64,
     /// Grows with each load that the incarnation tells.
     pub sequence: u64,
+    /// Which part of the workspaces the demand is about.
+    pub part: u16,
+    /// Parts that the workspaces are divided in.
+    pub parts: u16,
     /// Configuration number in force at the router.
     pub config: u64,
     /// Requests running and waiting, by workspace.
--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::{member_delta, member_rank, membership};
+use crate::process::{member_delta, member_load, member_rank, membership};
 
 /// State facts in one message at most, unless whole buckets were asked for.
 pub const MAX_DELTA_FACTS: usize = 64;
@@ -15,25 +15,7 @@
 pub const MAX_BUCKET_FACTS: usize = 8192;
 
 /// Bytes of loads in one message, about.
-pub const LOAD_BUDGET_BYTES: usize = 256;
-
-/// Times that a router passes on a load among many routers; about one in 150 routers misses it.
-const LOAD_FORWARDS: u32 = 5;
-
-/// Times that a router passes on a load among few routers, where one that misses it weighs more.
-const FEW_LOAD_FORWARDS: u32 = 12;
-
-/// Live routers that count as few.
-const FEW_ROUTERS: usize = 64;
-
-/// Times that a router passes on a load among `members` live routers.
-#[must_use]
-pub const fn load_forwards(members: usize) -> u32 {
-    if members <= FEW_ROUTERS {
-        return FEW_LOAD_FORWARDS;
-    }
-    LOAD_FORWARDS
-}
+pub const LOAD_BUDGET_BYTES: usize = 320;
 
 /// Peers whose progress is kept; more than a router exchanges facts with.
 pub const MAX_PROGRESS: usize = 64;
@@ -47,6 +29,8 @@
     incarnation: u64,
     have: Option<u64>,
     acked: Option<u64>,
+    load_have: u64,
+    load_acked: u64,
     version: u64,
     used: u64,
 }
@@ -103,7 +87,8 @@
     }
 
     /// A query to `peer`, or to an address whose router is not known.
-    pub fn query(&mut self, peer: Option<&str>, with_buckets: bool) -> peer_wire::GossipWire {
+    #[must_use]
+    pub fn query(&self, peer: Option<&str>, with_buckets: bool) -> peer_wire::GossipWire {
         let progress = peer.and_then(|peer| self.progress.get(peer).copied());
         let progress = progress.unwrap_or_default();
         let mut batch = self.batch_since(progress.acked, peer.unwrap_or_default());
@@ -113,8 +98,12 @@
         if let Some(record) = accused {
             batch.members.push(record.fact.clone());
         }
-        let mut query = self.message(batch);
+        let peer = peer.unwrap_or_default();
+        let loads = self.table.loads();
+        let loads = loads.batch(progress.load_acked, peer, LOAD_BUDGET_BYTES);
+        let mut query = self.message(batch, loads);
         query.have = progress.have;
+        query.load_have = progress.load_have;
         if with_buckets {
             query.buckets = self.table.digest().buckets().to_vec();
         }
@@ -122,11 +111,12 @@
     }
 
     /// A query that brings the facts of the buckets that a peer wants.
-    pub fn bucket_query(&mut self, wanted: u64) -> peer_wire::GossipWire {
+    #[must_use]
+    pub fn bucket_query(&self, wanted: u64) -> peer_wire::GossipWire {
         let mut batch = self.table.facts_in(wanted);
         batch.members.truncate(MAX_BUCKET_FACTS);
         batch.leaving.truncate(MAX_BUCKET_FACTS);
-        self.message(batch)
+        self.message(batch, member_load::LoadBatch::default())
     }
 
     /// Whether `peer` lacks a state fact or the configuration number.
@@ -151,7 +141,7 @@
         query: peer_wire::GossipWire,
         at: ExchangeTime,
     ) -> (peer_wire::GossipWire, ExchangeEffect) {
-        let have = query.have;
+        let (have, load_have) = (query.have, query.load_have);
         let from = query.from.clone();
         let differing = match query.buckets.as_slice() {
             [] => 0,
@@ -167,19 +157,21 @@
             batch.members.truncate(MAX_BUCKET_FACTS);
             batch.leaving.truncate(MAX_BUCKET_FACTS);
         }
-        let mut reply = self.message(batch);
+        let loads = self.table.loads();
+        let loads = loads.batch(load_have, &from, LOAD_BUDGET_BYTES);
+        let mut reply = self.message(batch, loads);
         reply.wanted = differing;
         (reply, effect)
     }
 
-    /// Takes in the reply to a query that brought the peer up to `sent_upto`.
+    /// Takes in the reply to a query that brought the peer up to these numbers of changes and of loads.
     pub fn absorb(
         &mut self,
-        sent_upto: u64,
+        sent: (u64, u64),
         reply: peer_wire::GossipWire,
         at: ExchangeTime,
     ) -> ExchangeEffect {
-        self.note_progress(sent_upto, &reply);
+        self.note_progress(sent, &reply);
         let digest = reply.digest;
         let mut effect = self.take_in(reply, at);
         let quiet = |changed| at.now.duration_since(changed) >= QUIET_LIMIT;
@@ -206,7 +198,11 @@
         }
     }
 
-    fn message(&mut self, batch: member_delta::FactBatch) -> peer_wire::GossipWire {
+    fn message(
+        &self,
+        batch: member_delta::FactBatch,
+        loads: member_load::LoadBatch,
+    ) -> peer_wire::GossipWire {
         let own = self.table.own();
         peer_wire::GossipWire {
             from: own.router.clone(),
@@ -219,11 +215,17 @@
             wanted: 0,
             members: batch.members,
             leaving: batch.leaving,
-            loads: self.table.loads_mut().take(LOAD_BUDGET_BYTES),
+            loads: loads.loads,
+            load_have: 0,
+            load_upto: loads.upto,
         }
     }
 
-    fn note_progress(&mut self, sent_upto: u64, reply: &peer_wire::GossipWire) {
+    fn note_progress(
+        &mut self,
+        (sent_upto, sent_load_upto): (u64, u64),
+        reply: &peer_wire::GossipWire,
+    ) {
         self.uses += 1;
         if self.progress.len() >= MAX_PROGRESS && !self.progress.contains_key(&reply.from) {
             let oldest = self.progress.iter().min_by_key(|(_, kept)| kept.used);
@@ -234,6 +236,8 @@
             incarnation: reply.incarnation,
             have: Some(reply.upto),
             acked: Some(sent_upto),
+            load_have: reply.load_upto,
+            load_acked: sent_load_upto,
             version: reply.version,
             used: self.uses,
         };
@@ -267,9 +271,8 @@
         for fact in &message.leaving {
             effect.is_urgent |= self.table.mark_leaving(fact, at.now, at.micros);
         }
-        let forwards = load_forwards(self.table.live_count());
         for load in message.loads {
-            self.table.merge_load(load, forwards);
+            self.table.merge_load(load, &message.from);
         }
         self.table.note_config(&message.from, message.version);
         effect
--- a/src/process/gossip_load.rs
+++ b/src/process/gossip_load.rs
@@ -5,9 +5,6 @@
 use crate::connection::peer_wire;
 use crate::process::{gossip, gossip_exchange, member_load, membership};
 
-/// Times the load interval after which an unchanged load is told again, for routers that joined.
-const LOAD_REFRESH: u32 = 10;
-
 /// Part of the load interval that each live member adds, so that all loads together stay bounded.
 const LOAD_INTERVAL_PER_MEMBER: time::Duration = time::Duration::from_millis(100);
 
@@ -38,9 +35,8 @@
         let live = state.table.records().filter(|record| record.rank.is_live());
         let demand_at = |record: &membership::MemberRecord| {
             let fact = &record.fact;
-            let load = state.table.loads().get(&fact.router, fact.incarnation)?;
-            let mut items = load.demand.iter();
-            let item = items.find(|item| item.workspace == workspace)?;
+            let mut demand = state.table.loads().demand(&fact.router, fact.incarnation);
+            let item = demand.find(|item| item.workspace == workspace)?;
             Some((fact.router.clone(), item.requests))
         };
         live.filter_map(demand_at).collect()
@@ -56,7 +52,7 @@
             .sum()
     }
 
-    /// Tells the own load when it has changed, or once in a while for routers that joined.
+    /// Tells the parts of the own load that have changed, when the last ones are old enough.
     pub(super) fn tell_load(&self) {
         let now = time::Instant::now();
         let mut draft = self.draft.lock();
@@ -64,28 +60,47 @@
         let members = u32::try_from(state.table.live_count()).unwrap_or(u32::MAX);
         let interval = LOAD_INTERVAL_PER_MEMBER.saturating_mul(members);
         let interval = interval.max(self.settings.load_interval);
-        let age = draft.told.map(|told| now.duration_since(told));
-        if age.is_some_and(|age| age < interval) {
-            return;
-        }
-        let own = state.table.own();
-        let (router, incarnation) = (own.router.clone(), own.incarnation);
-        let told = state.table.loads().get(&router, incarnation);
-        let is_same =
-            told.is_some_and(|told| told.demand == draft.demand && told.config == state.version);
-        if is_same && age.is_some_and(|age| age < interval * LOAD_REFRESH) {
+        if draft
+            .told
+            .is_some_and(|told| now.duration_since(told) < interval)
+        {
             return;
         }
         draft.told = Some(now);
-        draft.sequence += 1;
-        let load = peer_wire::LoadWire {
-            router,
-            incarnation,
-            sequence: draft.sequence,
-            config: state.version,
-            demand: draft.demand.clone(),
-        };
-        let forwards = gossip_exchange::load_forwards(state.table.live_count());
-        state.table.merge_load(load, forwards);
+        let divided = member_load::divide(&draft.demand);
+        let parts = u16::try_from(divided.len()).unwrap_or(u16::MAX);
+        for (part, demand) in (0..parts).zip(divided) {
+            tell_part(&mut state, &mut draft.sequence, (part, parts), demand);
+        }
+    }
+}
+
+fn tell_part(
+    state: &mut gossip_exchange::ExchangeState,
+    sequence: &mut u64,
+    (part, parts): (u16, u16),
+    demand: Vec<peer_wire::DemandWire>,
+) {
+    let own = state.table.own();
+    let (router, incarnation, config) = (own.router.clone(), own.incarnation, state.version);
+    let loads = state.table.loads();
+    let is_told = match loads.part(&router, incarnation, (part, parts)) {
+        // The first part alone tells the configuration number.
+        Some(told) => told.demand == demand && (part > 0 || told.config == config),
+        None => demand.is_empty() && part > 0,
+    };
+    if is_told {
+        return;
     }
+    *sequence += 1;
+    let load = peer_wire::LoadWire {
+        incarnation,
+        sequence: *sequence,
+        part,
+        parts,
+        config,
+        demand,
+        router: router.clone(),
+    };
+    state.table.merge_load(load, &router);
 }
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -242,7 +242,7 @@
         query: peer_wire::GossipWire,
     ) -> Option<(String, gossip_exchange::ExchangeEffect)> {
         let began = time::Instant::now();
-        let upto = query.upto;
+        let sent = (query.upto, query.load_upto);
         let query = peer_wire::QueryBody::Gossip(query);
         let reply = self.link.ask(address, query, self.settings.probe_limit);
         let Ok(peer_wire::ReplyBody::Gossip(reply)) = reply.await else {
@@ -251,7 +251,7 @@
         self.gate.note_contact(began);
         let from = reply.from.clone();
         let at = gossip::exchange_time();
-        let effect = self.state.lock().absorb(upto, reply, at);
+        let effect = self.state.lock().absorb(sent, reply, at);
         self.apply(&effect);
         Some((from, effect))
     }
--- a/src/process/gossip_view.rs
+++ b/src/process/gossip_view.rs
@@ -84,9 +84,8 @@
 ) -> peer_wire::MemberWire {
     let mut fact = record.fact.clone();
     fact.config = record.config;
-    if let Some(load) = table.loads().get(&fact.router, fact.incarnation) {
-        fact.demand.clone_from(&load.demand);
-    }
+    let demand = table.loads().demand(&fact.router, fact.incarnation);
+    fact.demand = demand.cloned().collect();
     fact
 }
 
--- a/src/process/member_load.rs
+++ b/src/process/member_load.rs
@@ -1,10 +1,14 @@
 //! Loads that routers tell one another: demand by workspace and configuration in force.
 //!
-//! A load is passed on a bounded number of times and within a bounded number of bytes a message, newest
-//! first. Under many routers loads arrive late rather than cost more.
+//! A router tells its load in parts, each a share of the workspaces by hashed name, so that one message
+//! stays small however many workspaces there are. Each holder numbers the changes that it learns and
+//! passes on to every peer what that peer has not seen, oldest first, within a budget of bytes a message.
+//! When more changes than that, loads arrive later; none is lost, and control costs no more.
 
 use std::collections;
 
+use xxhash_rust::xxh3;
+
 use crate::connection::peer_wire;
 
 /// Bytes of a load on the wire, without its strings, at most.
@@ -13,88 +17,152 @@
 /// Bytes of one demand on the wire, without its name, at most.
 const DEMAND_BASE_BYTES: usize = 4;
 
+/// Workspaces that one part holds, about.
+const PART_WORKSPACES: usize = 12;
+
 #[derive(Clone, Debug)]
 struct LoadEntry {
     load: peer_wire::LoadWire,
-    forwards: u32,
+    number: u64,
+    source: String,
+}
+
+/// Loads for a peer.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBatch {
+    /// The loads.
+    pub loads: Vec<peer_wire::LoadWire>,
+    /// Number of the last change that the batch completes.
+    pub upto: u64,
 }
 
-/// The newest load of each router.
+/// The newest load of each router, by part.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    entries: collections::HashMap<String, LoadEntry>,
-    queue: collections::VecDeque<String>,
+    entries: collections::HashMap<String, collections::BTreeMap<u16, LoadEntry>>,
+    changes: collections::BTreeMap<u64, (String, u16)>,
+    number: u64,
 }
 
 impl LoadBook {
-    /// Takes a load, to be passed on `forwards` times; `true` when it is newer than the one held.
-    pub fn merge(&mut self, load: peer_wire::LoadWire, forwards: u32) -> bool {
-        let router = load.router.clone();
-        let order = (load.incarnation, load.sequence);
-        let held = self.entries.get(&router);
-        if held.is_some_and(|held| (held.load.incarnation, held.load.sequence) >= order) {
+    /// Takes a load that `source` sent; `true` when it is newer than what is held.
+    pub fn merge(&mut self, load: peer_wire::LoadWire, source: &str) -> bool {
+        let held = self.entries.entry(load.router.clone()).or_default();
+        let is_newer = |entry: &LoadEntry| {
+            let order = (entry.load.incarnation, entry.load.sequence);
+            (load.incarnation, load.sequence) > order
+        };
+        let replaced: Vec<u16> = if is_divided_alike(held, &load) {
+            held.keys()
+                .copied()
+                .filter(|part| *part == load.part)
+                .collect()
+        } else {
+            held.keys().copied().collect()
+        };
+        if !replaced.iter().all(|part| is_newer(&held[part])) {
             return false;
         }
-        let queued = held.is_some_and(|held| held.forwards > 0);
-        self.entries
-            .insert(router.clone(), LoadEntry { load, forwards });
-        if !queued && forwards > 0 {
-            self.queue.push_back(router);
+        for part in replaced {
+            let entry = held.remove(&part);
+            entry.and_then(|entry| self.changes.remove(&entry.number));
         }
+        self.number += 1;
+        let key = (load.router.clone(), load.part);
+        self.changes.insert(self.number, key);
+        let entry = LoadEntry {
+            number: self.number,
+            source: source.to_owned(),
+            load,
+        };
+        held.insert(entry.load.part, entry);
         true
     }
 
-    /// Loads to pass on in one message of at most `budget` bytes; the first always fits.
-    pub fn take(&mut self, budget: usize) -> Vec<peer_wire::LoadWire> {
-        let mut taken = Vec::new();
+    /// Loads that changed after number `since`, oldest first, without those that `peer` sent; as many as
+    /// `budget` bytes hold, and at least one.
+    #[must_use]
+    pub fn batch(&self, since: u64, peer: &str, budget: usize) -> LoadBatch {
+        let mut batch = LoadBatch {
+            upto: since.min(self.number),
+            ..LoadBatch::default()
+        };
         let mut bytes = 0;
-        let mut again = Vec::new();
-        while bytes < budget {
-            let Some(router) = self.queue.pop_back() else {
-                break;
-            };
-            let Some(entry) = self.entries.get_mut(&router) else {
-                continue;
-            };
-            let size = wire_bytes(&entry.load);
-            if !taken.is_empty() && bytes + size > budget {
-                self.queue.push_back(router);
-                break;
+        for (number, (router, part)) in self.changes.range(since.saturating_add(1)..) {
+            let parts = self.entries.get(router);
+            let entry = parts.and_then(|parts| parts.get(part));
+            let entry = entry.filter(|entry| entry.source != peer && router != peer);
+            let size = entry.map_or(0, |entry| wire_bytes(&entry.load));
+            if bytes > 0 && bytes + size > budget {
+                return batch;
             }
             bytes += size;
-            entry.forwards = entry.forwards.saturating_sub(1);
-            taken.push(entry.load.clone());
-            if entry.forwards > 0 {
-                again.push(router);
-            }
+            batch.upto = *number;
+            batch.loads.extend(entry.map(|entry| entry.load.clone()));
         }
-        // What was passed on gives way to what was not yet.
-        for router in again {
-            self.queue.push_front(router);
-        }
-        taken
+        batch.upto = self.number;
+        batch
+    }
+
+    /// Demand of a router in this incarnation, by workspace.
+    pub fn demand(
+        &self,
+        router: &str,
+        incarnation: u64,
+    ) -> impl Iterator<Item = &peer_wire::DemandWire> {
+        let parts = self.entries.get(router).into_iter();
+        let entries = parts.flat_map(collections::BTreeMap::values);
+        let entries = entries.filter(move |entry| entry.load.incarnation == incarnation);
+        entries.flat_map(|entry| &entry.load.demand)
     }
 
-    /// The newest load of a router in this incarnation.
+    /// One part of a router's load in this incarnation, when it is divided in `parts`.
     #[must_use]
-    pub fn get(&self, router: &str, incarnation: u64) -> Option<&peer_wire::LoadWire> {
-        let load = &self.entries.get(router)?.load;
-        (load.incarnation == incarnation).then_some(load)
+    pub fn part(
+        &self,
+        router: &str,
+        incarnation: u64,
+        (part, parts): (u16, u16),
+    ) -> Option<&peer_wire::LoadWire> {
+        let load = &self.entries.get(router)?.get(&part)?.load;
+        (load.incarnation == incarnation && load.parts == parts).then_some(load)
     }
 
     /// Drops the load of a router.
     pub fn remove(&mut self, router: &str) {
-        self.entries.remove(router);
-        self.queue.retain(|queued| queued != router);
+        for entry in self.entries.remove(router).unwrap_or_default().values() {
+            self.changes.remove(&entry.number);
+        }
     }
 }
 
+fn is_divided_alike(
+    held: &collections::BTreeMap<u16, LoadEntry>,
+    load: &peer_wire::LoadWire,
+) -> bool {
+    let mut entries = held.values().map(|entry| &entry.load);
+    entries.all(|held| held.parts == load.parts && held.incarnation == load.incarnation)
+}
+
 fn wire_bytes(load: &peer_wire::LoadWire) -> usize {
     let names = load.demand.iter().map(|demand| demand.workspace.len());
     let demand: usize = names.map(|name| name + DEMAND_BASE_BYTES).sum();
     LOAD_BASE_BYTES + load.router.len() + demand
 }
 
+/// Divides demand in parts by hashed workspace name; a power of two, so that few counts occur.
+#[must_use]
+pub fn divide(demand: &[peer_wire::DemandWire]) -> Vec<Vec<peer_wire::DemandWire>> {
+    let parts = demand.len().div_ceil(PART_WORKSPACES).next_power_of_two();
+    let mut divided = vec![Vec::new(); parts];
+    for item in demand {
+        let hash = xxh3::xxh3_64(item.workspace.as_bytes());
+        let part = usize::try_from(hash).unwrap_or_default() % parts;
+        divided[part].push(item.clone());
+    }
+    divided
+}
+
 /// Rounds a number of requests so that small changes are not told: exact up to 8, above that to the
 /// next of four steps within each doubling.
 #[must_use]
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -137,13 +137,8 @@
         &self.loads
     }
 
-    /// The loads of all members, to change them.
-    pub const fn loads_mut(&mut self) -> &mut member_load::LoadBook {
-        &mut self.loads
-    }
-
-    /// Takes the load of a known member, to be passed on `forwards` times.
-    pub fn merge_load(&mut self, load: peer_wire::LoadWire, forwards: u32) {
+    /// Takes a load of a known member that `source` sent.
+    pub fn merge_load(&mut self, load: peer_wire::LoadWire, source: &str) {
         let Some(key) = self.index.get(&load.router).copied() else {
             return;
         };
@@ -152,7 +147,7 @@
             return;
         }
         record.config = record.config.max(load.config);
-        self.loads.merge(load, forwards);
+        self.loads.merge(load, source);
     }
 
     /// The leaving endpoints.
