Do not count an exchange without a delta as one

Cause: an exchange with an address whose router is not known, and the one that brings whole buckets, carry no delta, yet moved the numbers that the peer counts as having seen. Facts between were left to the comparison of digests, 2 s later or more. Ruled out: sending a delta in those exchanges, as the peer is not known before it answers. Change: such an exchange sets the numbers only at first contact.

--- a/benches/control/crowd.rs
+++ b/benches/control/crowd.rs
@@ -232,7 +232,7 @@
 fn ask_as_predecessor(link: &CrowdLink, node: &gossip::GossipNode, count: usize) {
     let mut query = link.world.lock().query(Some("router-0"), false);
     query.from = format!("router-{}", fastrand::usize(2..count));
-    let sent = (query.upto, query.load_upto);
+    let sent = gossip_exchange::SentNumbers::from(&query);
     let reply = node.handle(query.clone());
     link.note(&query, &reply);
     link.world.lock().absorb(sent, reply, at());
--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -52,6 +52,24 @@
     pub wanted: u64,
 }
 
+/// How far a query brings the peer that takes it in.
+#[derive(Clone, Copy, Debug)]
+pub struct SentNumbers {
+    upto: u64,
+    load_upto: u64,
+    is_delta: bool,
+}
+
+impl From<&peer_wire::GossipWire> for SentNumbers {
+    fn from(query: &peer_wire::GossipWire) -> Self {
+        Self {
+            upto: query.upto,
+            load_upto: query.load_upto,
+            is_delta: query.have.is_some(),
+        }
+    }
+}
+
 /// When something happened, on both clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeTime {
@@ -164,10 +182,10 @@
         (reply, effect)
     }
 
-    /// Takes in the reply to a query that brought the peer up to these numbers of changes and of loads.
+    /// Takes in the reply to a query that brought the peer up to these numbers.
     pub fn absorb(
         &mut self,
-        sent: (u64, u64),
+        sent: SentNumbers,
         reply: peer_wire::GossipWire,
         at: ExchangeTime,
     ) -> ExchangeEffect {
@@ -221,11 +239,11 @@
         }
     }
 
-    fn note_progress(
-        &mut self,
-        (sent_upto, sent_load_upto): (u64, u64),
-        reply: &peer_wire::GossipWire,
-    ) {
+    fn note_progress(&mut self, sent: SentNumbers, reply: &peer_wire::GossipWire) {
+        // Without a delta the peer got none of the changes up to the number; only first contact counts.
+        if !sent.is_delta && self.progress.contains_key(&reply.from) {
+            return;
+        }
         self.uses += 1;
         if self.progress.len() >= MAX_PROGRESS && !self.progress.contains_key(&reply.from) {
             let oldest = self.progress.iter().min_by_key(|(_, kept)| kept.used);
@@ -235,9 +253,9 @@
         let progress = PeerProgress {
             incarnation: reply.incarnation,
             have: Some(reply.upto),
-            acked: Some(sent_upto),
+            acked: Some(sent.upto),
             load_have: reply.load_upto,
-            load_acked: sent_load_upto,
+            load_acked: sent.load_upto,
             version: reply.version,
             used: self.uses,
         };
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -242,7 +242,7 @@
         query: peer_wire::GossipWire,
     ) -> Option<(String, gossip_exchange::ExchangeEffect)> {
         let began = time::Instant::now();
-        let sent = (query.upto, query.load_upto);
+        let sent = gossip_exchange::SentNumbers::from(&query);
         let query = peer_wire::QueryBody::Gossip(query);
         let reply = self.link.ask(address, query, self.settings.probe_limit);
         let Ok(peer_wire::ReplyBody::Gossip(reply)) = reply.await else {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -4,7 +4,8 @@
 
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::{
-    leaving, member_expiry, member_load, member_rank, member_ring, membership, pause,
+    gossip_exchange, leaving, member_expiry, member_load, member_rank, member_ring, membership,
+    pause,
 };
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
 
@@ -412,6 +413,45 @@
     assert_eq!(book.batch(0, "peer", 10_000).loads.len(), 1);
 }
 
+/// Lets `one` send a query to `two` and take in the answer.
+fn exchange(
+    one: &mut gossip_exchange::ExchangeState,
+    two: &mut gossip_exchange::ExchangeState,
+    query: peer_wire::GossipWire,
+    now: time::Instant,
+) {
+    let at = gossip_exchange::ExchangeTime {
+        now,
+        micros: WALL_MICROS,
+    };
+    let sent = gossip_exchange::SentNumbers::from(&query);
+    let (reply, _) = two.answer(query, at);
+    one.absorb(sent, reply, at);
+}
+
+#[test]
+fn an_exchange_without_a_delta_does_not_count_as_one() {
+    let now = time::Instant::now();
+    let state = |name: &str| {
+        let table = membership::MemberTable::new(fact(name, 1, ALIVE, 1), now);
+        gossip_exchange::ExchangeState::new(table)
+    };
+    let (mut one, mut two) = (state("one"), state("two"));
+    let first = one.query(Some("two"), false);
+    exchange(&mut one, &mut two, first, now);
+    one.table.merge(fact("a", 1, ALIVE, 1), "peer", now);
+    two.table.merge(fact("b", 1, ALIVE, 1), "peer", now);
+    for query in [one.query(None, false), one.bucket_query(0)] {
+        exchange(&mut one, &mut two, query, now);
+    }
+    assert!(one.is_behind("two"));
+    let delta = one.query(Some("two"), false);
+    exchange(&mut one, &mut two, delta, now);
+    assert!(two.table.get("a").is_some());
+    assert!(one.table.get("b").is_some());
+    assert!(!one.is_behind("two"));
+}
+
 #[test]
 fn a_gap_between_ticks_is_a_pause_on_either_clock() {
     let now = time::Instant::now();
