--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -35,6 +35,7 @@
 use crate::process::issuer;
 use crate::process::metrics;
 use crate::process::node;
+use crate::process::placement;
 use crate::process::poll;
 use crate::process::readiness;
 use crate::process::registry;
@@ -196,7 +197,12 @@
     ));
     let members: sync::Arc<dyn view::MemberView> = sync::Arc::clone(&gossip) as _;
     let leaving: sync::Arc<dyn view::LeavingView> = sync::Arc::clone(&gossip) as _;
-    let endpoints = sync::Arc::new(endpoint::EndpointTable::new(settings.zone.clone(), leaving));
+    let endpoints = sync::Arc::new(endpoint::EndpointTable::new(
+        settings.router.clone(),
+        settings.zone.clone(),
+        Box::new(placement::PrefixPlacement::default()),
+        leaving,
+    ));
     let registry = sync::Arc::new(registry::GenerationRegistry::default());
     let readiness = sync::Arc::new(readiness::RouterReadiness::default());
     let context = driver::DriverContext {
@@ -361,15 +367,15 @@
         .await
         .is_ok()
     {
-        let number = node.config.number();
-        let Some(member) = node.gossip.newest_config_peer(number) else {
+        let Some(member) = node.gossip.newest_config_peer(node.config.number()) else {
             continue;
         };
+        let number = node.config.known_number();
         let query = peer_wire::QueryBody::NewerVersion { number };
         let link = sync::Arc::clone(&node.intake.link);
         let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
         if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
-            node.config.offer(version.number, &version.yaml);
+            node.config.take(&version);
         }
     }
 }
