--- a/benches/control/group.rs
+++ b/benches/control/group.rs
@@ -53,7 +53,7 @@
         let version = self.version.lock();
         (version.0 > number).then(|| peer_wire::VersionWire {
             number: version.0,
-            yaml: version.1.clone(),
+            text: peer_wire::VersionText::Whole(version.1.clone()),
         })
     }
 
@@ -85,15 +85,18 @@
     }
 
     fn put_in_force(&self, version: peer_wire::VersionWire) {
-        if !version.yaml.is_empty() {
+        let peer_wire::VersionText::Whole(yaml) = version.text else {
+            unreachable!("the bench sends whole texts");
+        };
+        if !yaml.is_empty() {
             let cell = config::ConfigCell::new();
             assert_eq!(
-                cell.offer(version.number, &version.yaml),
+                cell.offer(version.number, &yaml),
                 config::OfferOutcome::InForce
             );
         }
         let number = version.number;
-        *self.version.lock() = (number, version.yaml);
+        *self.version.lock() = (number, yaml);
         self.node.set_config(number);
     }
 
@@ -238,7 +241,7 @@
         let began = time::Instant::now();
         self.routers[0].put_in_force(peer_wire::VersionWire {
             number,
-            yaml: yaml.to_owned(),
+            text: peer_wire::VersionText::Whole(yaml.to_owned()),
         });
         let has_it = |router: &Arc<GroupRouter>| router.version.lock().0 == number;
         reached(SPREAD_LIMIT, || self.routers.iter().all(has_it)).await;
