Keep a call's deadline from its arrival, and its home's own verdict

Cause: the wait for admission was not taken off a call's deadline, so a call could be sent after it; a true not-run of the home was told as may-have-run; a drain did not wait for calls whose caller had gone; shares searched every member's demand for every workspace; after a new model version no engine took new work until one had loaded it. Ruled out: a wider deadline at the home; serving an old version to an answer that has begun on another, which restarts instead. Change: deadlines are instants fixed at arrival; only refusals before the run are qualified; drains wait for the runner's calls; demands are listed by workspace in one pass; a new answer may run on the version that most engines hold while the declared one loads.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -71,11 +71,7 @@
     let node = sync::Arc::clone(request.state());
     let answered = match kind {
         AnswerKind::Completion => complete(request).await,
-        AnswerKind::Service => {
-            let is_known_unsent = is_known_unsent(&request);
-            let answered = call(request).await;
-            answered.map_err(|refusal| request_refusal::qualify_refusal(refusal, is_known_unsent))
-        }
+        AnswerKind::Service => call(request).await,
     };
     Ok(answered.unwrap_or_else(|refusal| {
         node.note_refusal(&refusal);
@@ -127,7 +123,7 @@
     node: sync::Arc<node::RouterNode>,
     version: sync::Arc<route::ActiveVersion>,
     workspace: String,
-    deadline: time::Duration,
+    deadline: time::Instant,
 }
 
 fn authorize(request: NodeRequest) -> verdict::Result<AuthorizedRequest> {
@@ -144,7 +140,7 @@
             let message = "the bearer key is missing or unknown; send Authorization: Bearer <key>";
             verdict::RequestRefusal::not_run(401, verdict::RefusalCode::Unauthorized, message)
         })?;
-    let deadline = parse_deadline(&request)?;
+    let deadline = time::Instant::now() + parse_deadline(&request)?;
     Ok(AuthorizedRequest {
         request,
         node,
@@ -282,7 +278,31 @@
     completion::collect(reader, head).await
 }
 
+/// A call that was admitted and may be sent.
+struct AdmittedCall {
+    node: sync::Arc<node::RouterNode>,
+    wire: peer_wire::CallWire,
+    is_idempotent: bool,
+    permit: admission::AdmissionPermit,
+}
+
 async fn call(request: NodeRequest) -> verdict::Result<tide::Response> {
+    let is_known_unsent = is_known_unsent(&request);
+    let admitted = admit_call(request)
+        .await
+        .map_err(|refusal| request_refusal::qualify_refusal(refusal, is_known_unsent))?;
+    let node = admitted.node;
+    let running = node.calls_running.enter();
+    let outcome = if admitted.is_idempotent {
+        node.calls.run_idempotent(admitted.wire).await
+    } else {
+        node.calls.run(admitted.wire).await
+    };
+    drop((admitted.permit, running));
+    call_response(outcome)
+}
+
+async fn admit_call(request: NodeRequest) -> verdict::Result<AdmittedCall> {
     let mut authorized = authorize(request)?;
     let service = authorized
         .request
@@ -305,6 +325,9 @@
     let permit = node
         .admit(&authorized.workspace, priority, authorized.deadline)
         .await?;
+    let left = authorized
+        .deadline
+        .saturating_duration_since(time::Instant::now());
     let query = url
         .query()
         .map_or_else(String::new, |query| format!("?{query}"));
@@ -317,15 +340,17 @@
         content_type: header(&authorized.request, "content-type").map(str::to_owned),
         body,
         first_send: header(&authorized.request, FIRST_SEND_HEADER) == Some("true"),
-        deadline_millis: u64::try_from(authorized.deadline.as_millis()).unwrap_or(u64::MAX),
-    };
-    let running = node.calls_running.enter();
-    let outcome = if route.idempotent {
-        node.calls.run_idempotent(wire).await
-    } else {
-        node.calls.run(wire).await
+        deadline_millis: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
     };
-    drop((permit, running));
+    Ok(AdmittedCall {
+        node,
+        wire,
+        is_idempotent: route.idempotent,
+        permit,
+    })
+}
+
+fn call_response(outcome: peer_wire::CallOutcomeWire) -> verdict::Result<tide::Response> {
     match outcome {
         peer_wire::CallOutcomeWire::Answered {
             status,
--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -36,7 +36,7 @@
     }
     node.readiness.close();
     move_generations(&node).await;
-    while node.calls_running.running() > 0 {
+    while node.calls_running.running() > 0 || node.calls.running() > 0 {
         task::sleep(DRAIN_STEP).await;
     }
     node.gossip.set_left();
--- a/src/process/endpoint.rs
+++ b/src/process/endpoint.rs
@@ -143,6 +143,15 @@
         })
     }
 
+    /// Versions of the needed model that the endpoint reports.
+    fn versions_of(&self, need: &view::EngineNeed) -> Vec<String> {
+        let report = self.report().unwrap_or_default();
+        let loaded = report.loaded.into_iter();
+        let fitting =
+            loaded.filter(|loaded| loaded.model == need.model && loaded.adapter == need.adapter);
+        fitting.map(|loaded| loaded.version).collect()
+    }
+
     /// Number of the newest cache event taken in.
     pub fn cache_sequence(&self) -> u64 {
         self.status.lock().cache.last_sequence()
@@ -372,6 +381,19 @@
         Some(SlotLease::boxed(self.choose(candidates, &need.prompt)?))
     }
 
+    fn held_version(&self, need: &view::EngineNeed) -> Option<String> {
+        let mut counts = collections::BTreeMap::<String, u32>::new();
+        for entry in self.candidates(&need.service, &[], |_entry| true) {
+            for version in entry.versions_of(need) {
+                *counts.entry(version).or_default() += 1;
+            }
+        }
+        counts
+            .into_iter()
+            .max_by_key(|(_version, count)| *count)
+            .map(|(version, _count)| version)
+    }
+
     fn find(&self, service: &str, endpoint: &str) -> Option<Box<dyn view::EndpointLease>> {
         Some(SlotLease::boxed(self.named(service, endpoint)?))
     }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -105,10 +105,9 @@
         &self,
         workspace: &str,
         priority: admission::Priority,
-        deadline: time::Duration,
+        deadline: time::Instant,
     ) -> verdict::Result<admission::AdmissionPermit> {
         let limit = self.shares.limit(workspace);
-        let deadline = time::Instant::now() + deadline;
         self.gate.admit(workspace, limit, priority, deadline).await
     }
 
--- a/src/process/share.rs
+++ b/src/process/share.rs
@@ -42,6 +42,12 @@
         gate: &sync::Arc<admission::AdmissionGate>,
     ) {
         let mut limits = collections::HashMap::new();
+        let demands = demands_by_workspace(others);
+        let idle = others.iter().map(|member| limit::RouterDemand {
+            router: &member.router,
+            requests: 0,
+        });
+        let idle: Vec<_> = idle.collect();
         for workspace in version.workspaces() {
             let name = workspace.name.as_str();
             let own_demand = own.iter().find(|demand| demand.workspace == name);
@@ -49,10 +55,10 @@
                 router,
                 requests: own_demand.map_or(0, |demand| demand.requests),
             };
-            let others: Vec<_> = others
-                .iter()
-                .map(|member| member_demand(member, name))
-                .collect();
+            let mut others = idle.clone();
+            for (index, requests) in demands.get(name).into_iter().flatten() {
+                others[*index].requests = *requests;
+            }
             let share = limit::split_limit(workspace.max_in_flight, name, own_demand, &others);
             let limit = admission::WorkspaceLimit {
                 share,
@@ -65,17 +71,16 @@
     }
 }
 
-fn member_demand<'a>(
-    member: &'a peer_wire::MemberWire,
-    workspace: &str,
-) -> limit::RouterDemand<'a> {
-    let demand = member
-        .demand
-        .iter()
-        .find(|demand| demand.workspace == workspace);
-    let requests = demand.map_or(0, |demand| demand.requests);
-    limit::RouterDemand {
-        router: &member.router,
-        requests,
+/// Demand by workspace, each with the index of the member that has it.
+fn demands_by_workspace(
+    members: &[peer_wire::MemberWire],
+) -> collections::HashMap<&str, Vec<(usize, u32)>> {
+    let mut demands: collections::HashMap<&str, Vec<(usize, u32)>> = collections::HashMap::new();
+    for (index, member) in members.iter().enumerate() {
+        for demand in &member.demand {
+            let entry = demands.entry(&demand.workspace).or_default();
+            entry.push((index, demand.requests));
+        }
     }
+    demands
 }
--- a/src/process/view.rs
+++ b/src/process/view.rs
@@ -73,6 +73,10 @@
     /// A serving engine that holds the needed model and is not in `excluded`.
     fn pick(&self, need: &EngineNeed, excluded: &[String]) -> Option<Box<dyn EndpointLease>>;
 
+    /// A version of the needed model that most serving engines hold, for the time until the
+    /// declared one is loaded.
+    fn held_version(&self, need: &EngineNeed) -> Option<String>;
+
     /// The named engine of a service, whatever its state.
     fn find(&self, service: &str, endpoint: &str) -> Option<Box<dyn EndpointLease>>;
 
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -423,14 +423,7 @@
             lease = self.context.engines.pick(&need, &self.excluded);
         }
         if lease.is_none() {
-            let declared = self.context.engines.declared_model(&need.service);
-            if let Some(model) = declared.filter(|model| model.version != need.version) {
-                need.version = model.version;
-                lease = self.context.engines.pick(&need, &[]);
-                if lease.is_some() && self.record.position() > 0 {
-                    self.restart(&need.version, "no engine holds the model version any more");
-                }
-            }
+            lease = self.pick_other_version(&mut need);
         }
         let Some(lease) = lease else {
             self.last_sign = time::Instant::now();
@@ -447,6 +440,40 @@
         self.start_attempt(lease, &need);
     }
 
+    /// Looks for an engine that holds another version: the declared one, else any.
+    ///
+    /// An answer that has begun starts again, since two versions are never mixed.
+    fn pick_other_version(
+        &mut self,
+        need: &mut view::EngineNeed,
+    ) -> Option<Box<dyn view::EndpointLease>> {
+        let declared = self.context.engines.declared_model(&need.service);
+        let declared = declared.map(|model| model.version);
+        let versions = declared
+            .into_iter()
+            .chain(self.context.engines.held_version(need));
+        for version in versions {
+            if version == need.version {
+                continue;
+            }
+            let other = view::EngineNeed {
+                version,
+                ..need.clone()
+            };
+            let Some(lease) = self.context.engines.pick(&other, &[]) else {
+                continue;
+            };
+            if self.record.position() > 0 {
+                self.restart(&other.version, "no engine holds the model version any more");
+            } else {
+                self.record.set_version(&other.version);
+            }
+            *need = other;
+            return Some(lease);
+        }
+        None
+    }
+
     fn start_attempt(&mut self, lease: Box<dyn view::EndpointLease>, need: &view::EngineNeed) {
         let attempt = cursor::AttemptId::random();
         let prefix = self.record.tokens();
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -210,6 +210,11 @@
         offer
     }
 
+    /// Sets the model version of an answer that holds no token yet.
+    pub fn set_version(&self, model_version: &str) {
+        model_version.clone_into(&mut self.state.lock().model_version);
+    }
+
     /// Starts the answer again with another model version; readers are told the reason.
     pub fn restart(&self, model_version: &str, reason: &str) {
         let mut state = self.state.lock();
