Split the long tests of configuration and orders, and name cases by the macro

Change: folders by job (operators that write, routers that take; planning, issuing and the fake engines), and one line a case in tests/declarations.rs. Ruled out: cases for tests whose steps differ. Conclusion: no check was changed.

--- /dev/null
+++ b/tests/configuration/main.rs
@@ -0,0 +1,7 @@
+//! An accepted configuration is in force everywhere within 5 s and never reverts.
+
+#[path = "../common_platform/mod.rs"]
+mod common_platform;
+mod operator;
+mod polling;
+mod writing;
--- /dev/null
+++ b/tests/configuration/writing.rs
@@ -0,0 +1,196 @@
+//! Operators that write versions.
+
+use async_std::task;
+use kumquatpulley::version::row;
+use kumquatpulley::version::store;
+
+use crate::common_platform;
+use crate::common_platform::rows;
+use crate::operator;
+
+fn newest(store: &store::VersionStore) -> (u64, String) {
+    let newest = task::block_on(store.newest()).expect("the table service answers");
+    newest.expect("there is a version")
+}
+
+/// Makes another operator's version the newest one, in the rows themselves.
+fn write_other(rows: &mut rows::RowMap, number: u64, name: &str) {
+    let head = serde_json::json!({"number": number, "nonce": "other"});
+    let version = serde_json::json!({"nonce": "other", "yaml": operator::declared(name)});
+    rows::put(rows, row::HEAD_ROW, &head.to_string());
+    rows::put(rows, &row::version_row(number), &version.to_string());
+}
+#[test]
+fn versions_are_numbered_from_one_and_read_back() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    assert_eq!(task::block_on(store.newest()).unwrap(), None);
+    let outcome = operator::apply(&store, "a", None).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
+    let outcome = operator::apply(&store, "b", Some(1)).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 2 });
+    assert_eq!(newest(&store), (2, operator::declared("b")));
+    assert_eq!(
+        task::block_on(store.read(1)).unwrap(),
+        Some(operator::declared("a"))
+    );
+    assert_eq!(task::block_on(store.read(3)).unwrap(), None);
+}
+
+#[test]
+fn the_same_declarations_make_no_version() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    operator::apply(&store, "a", None).unwrap();
+    let outcome = operator::apply(&store, "a", Some(1)).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Unchanged { number: 1 });
+    assert_eq!(newest(&store).0, 1);
+}
+
+#[test]
+fn faulty_declarations_are_never_stored() {
+    let platform = common_platform::FakePlatform::shared();
+    let outcome = operator::apply(&operator::store_on(&platform), "Not.A.Name", None);
+    assert!(matches!(outcome, Err(store::StoreError::Refused(_))));
+    assert_eq!(platform.keys(), Vec::<String>::new());
+}
+
+#[test]
+fn the_second_of_two_operators_on_one_base_changes_nothing() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    operator::apply(&store, "a", None).unwrap();
+    operator::apply(&store, "first", Some(1)).unwrap();
+    let lost = operator::apply(&store, "second", Some(1)).unwrap();
+    let yaml = operator::declared("first");
+    assert_eq!(lost, store::ApplyOutcome::Lost { number: 2, yaml });
+    assert_eq!(newest(&store), (2, operator::declared("first")));
+}
+
+#[test]
+fn an_operator_overtaken_between_read_and_write_changes_nothing() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    operator::apply(&store, "a", None).unwrap();
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "first");
+    platform.plan(common_platform::WriteFault::Overtaken(Box::new(other)));
+    let lost = operator::apply(&store, "second", None).unwrap();
+    let yaml = operator::declared("first");
+    assert_eq!(lost, store::ApplyOutcome::Lost { number: 2, yaml });
+    assert_eq!(newest(&store), (2, operator::declared("first")));
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    platform.plan(common_platform::WriteFault::AnswerLost(Box::new(
+        |_rows| {},
+    )));
+    let outcome = operator::apply(&store, "a", None).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
+    assert_eq!(platform.counts().1, 1, "the write was not sent again");
+}
+
+#[test]
+fn a_lost_answer_is_settled_although_another_version_followed() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "next");
+    platform.plan(common_platform::WriteFault::AnswerLost(Box::new(other)));
+    let outcome = operator::apply(&store, "a", None).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
+    assert_eq!(newest(&store), (2, operator::declared("next")));
+}
+
+#[test]
+fn a_lost_request_is_sent_again() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    platform.plan(common_platform::WriteFault::RequestLost);
+    let outcome = operator::apply(&store, "a", None).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
+}
+
+#[test]
+fn a_late_write_never_makes_a_second_version() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    platform.plan(common_platform::WriteFault::Late);
+    let outcome = operator::apply(&store, "a", None).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 1 });
+    assert_eq!(newest(&store), (1, operator::declared("a")));
+    assert_eq!(platform.keys().len(), 2, "one head and one version");
+}
+
+#[test]
+fn a_late_write_loses_to_the_version_that_overtook_it() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    operator::apply(&store, "a", None).unwrap();
+    platform.plan(common_platform::WriteFault::Late);
+    let other = |rows: &mut rows::RowMap| write_other(rows, 2, "first");
+    platform.plan(common_platform::WriteFault::Overtaken(Box::new(other)));
+    let lost = operator::apply(&store, "second", Some(1)).unwrap();
+    assert!(matches!(lost, store::ApplyOutcome::Lost { number: 2, .. }));
+    assert_eq!(newest(&store), (2, operator::declared("first")));
+}
+
+#[test]
+fn an_outage_refuses_an_apply_at_once() {
+    let platform = common_platform::FakePlatform::shared();
+    platform.set_down(true);
+    let outcome = operator::apply(&operator::store_on(&platform), "a", None);
+    assert!(matches!(outcome, Err(store::StoreError::Unreachable(_))));
+}
+
+#[test]
+fn an_outage_after_the_write_is_told_as_unsettled() {
+    let platform = common_platform::FakePlatform::shared();
+    for _write in 0..store::SETTLE_TRIES {
+        platform.plan(common_platform::WriteFault::RequestLost);
+    }
+    let outcome = operator::apply(&operator::store_on(&platform), "a", None);
+    let unsettled = matches!(outcome, Err(store::StoreError::Unsettled { number: 1, .. }));
+    assert!(unsettled, "{outcome:?}");
+    assert_eq!(platform.counts().1, u64::from(store::SETTLE_TRIES));
+}
+
+#[test]
+fn a_rollback_is_a_new_version_with_the_old_text() {
+    let platform = common_platform::FakePlatform::shared();
+    let store = operator::store_on(&platform);
+    operator::apply(&store, "a", None).unwrap();
+    operator::apply(&store, "b", None).unwrap();
+    let outcome = task::block_on(store.rollback(1)).unwrap();
+    assert_eq!(outcome, store::ApplyOutcome::Applied { number: 3 });
+    assert_eq!(newest(&store), (3, operator::declared("a")));
+    let missing = task::block_on(store.rollback(9));
+    assert_eq!(missing, Err(store::StoreError::NoVersion(9)));
+}
+
+#[test]
+fn of_many_operators_at_once_each_version_has_one_writer() {
+    const OPERATORS: usize = 8;
+    let platform = common_platform::FakePlatform::shared();
+    let threads = (0..OPERATORS).map(|operator| {
+        let store = operator::store_on(&platform);
+        std::thread::spawn(move || {
+            operator::apply(&store, &format!("operator-{operator}"), None).unwrap()
+        })
+    });
+    let threads: Vec<_> = threads.collect();
+    let outcomes: Vec<_> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    let number = |outcome: &store::ApplyOutcome| match outcome {
+        store::ApplyOutcome::Applied { number } => Some(*number),
+        _ => None,
+    };
+    let mut applied: Vec<u64> = outcomes.iter().filter_map(number).collect();
+    applied.sort_unstable();
+    let expected: Vec<u64> = (1..=applied.len() as u64).collect();
+    assert_eq!(applied, expected);
+    assert_eq!(
+        newest(&operator::store_on(&platform)).0,
+        applied.len() as u64
+    );
+}
--- a/tests/declarations.rs
+++ b/tests/declarations.rs
@@ -5,6 +5,8 @@
     reason = "expect-test writes its snapshots with hashes"
 )]
 
+mod common;
+
 use expect_test::expect;
 use kumquatpulley::version::check;
 use kumquatpulley::version::route;
@@ -45,10 +47,99 @@
     route::ActiveVersion::build(3, VALID).expect("the declarations are valid")
 }
 
-/// Checks what is told when `from` in the valid declarations becomes `to`.
-fn assert_fault(from: &str, to: &str, expected: &expect_test::Expect) {
+/// Checks line, field and message told when `from` in the valid declarations becomes `to`.
+fn assert_fault(from: &str, to: &str, expected: &str) {
     assert!(VALID.contains(from), "{from} is in the declarations");
-    expected.assert_eq(&told(&VALID.replacen(from, to, 1)));
+    let told = told(&VALID.replacen(from, to, 1));
+    assert_eq!(told, format!("kumquat.yaml:{expected}\n"));
+}
+
+common::cases! {
+    unknown_key_is_refused: assert_fault(
+        "max_queue",
+        "max_queued",
+        "18: workspaces[1].max_queued: unknown field `max_queued`; use one of `name`, `key_hashes`, `max_in_flight`, `max_queue`",
+    );
+    duplicate_key_is_refused: assert_fault(
+        "    max_in_flight: 40\n",
+        "    max_in_flight: 40\n    max_in_flight: 50\n",
+        "15: workspaces[0].max_in_flight: given twice; keep one of them",
+    );
+    loose_boolean_is_refused: assert_fault(
+        "leaving: true",
+        "leaving: yes",
+        "7: services[0].endpoints[1].leaving: not a Boolean; use `true` or `false`",
+    );
+    merge_key_is_refused: assert_fault(
+        "services:\n",
+        "services:\n  - &base {name: base}\n  - {<<: *base, recovery: fast}\n",
+        "3: services[1].<<: merge keys are not read; write the fields out",
+    );
+    broken_yaml_is_refused: assert_fault(
+        "routes:",
+        "routes: [",
+        "20: document: \"-\" is only valid inside a block; correct the YAML",
+    );
+    negative_limit_is_refused: assert_fault(
+        "max_in_flight: 40",
+        "max_in_flight: -1",
+        "14: workspaces[0].max_in_flight: not a whole number; use 0 to 4294967295",
+    );
+    missing_field_is_refused: assert_fault(
+        "    max_in_flight: 40\n",
+        "",
+        "13: workspaces[0]: field `max_in_flight` is missing; add it",
+    );
+    host_name_as_address_is_refused: assert_fault(
+        "10.0.1.1:8000",
+        "portal.example:8000",
+        "10: services[1].endpoints[0].address: `portal.example:8000` is not an IP address and port; write it as in `10.0.0.7:8000`",
+    );
+    empty_model_version_is_refused: assert_fault(
+        "version: '7'",
+        "version: ''",
+        "3: services[0].model.version: `` is empty or has spaces; use one word",
+    );
+    model_route_to_plain_service_is_refused: assert_fault(
+        "service: quotes}",
+        "service: portal}",
+        "20: routes[0].model: service `portal` runs no model; use `path` instead",
+    );
+    path_route_to_model_service_is_refused: assert_fault(
+        "{path: /, service: portal}",
+        "{path: /, service: quotes}",
+        "21: routes[1].path: service `quotes` runs a model; use `model` instead",
+    );
+    model_route_by_another_model_is_refused: assert_fault(
+        "{model: quote-writer,",
+        "{model: quotes,",
+        "20: routes[0].model: service `quotes` runs model `quote-writer`, not `quotes`; use that model's name",
+    );
+    route_with_model_and_path_is_refused: assert_fault(
+        "{path: /,",
+        "{path: /, model: a,",
+        "21: routes[1]: both `model` and `path` are given; keep one of them",
+    );
+    route_without_model_and_path_is_refused: assert_fault(
+        "{path: /,",
+        "{",
+        "21: routes[1]: neither `model` nor `path` is given; add one of them",
+    );
+    equal_routes_are_refused: assert_fault(
+        "path: /,",
+        "path: /stock,",
+        "22: routes[2]: route `/s/portal/stock for all workspaces` is already used in line 21; use another",
+    );
+    relative_prefix_is_refused: assert_fault(
+        "path: /stock,",
+        "path: stock/,",
+        "22: routes[2].path: `stock/` is not a path prefix; start with `/`, end without it, as in `/stock`",
+    );
+    unknown_method_is_refused: assert_fault(
+        "[GET, PUT]",
+        "[GET, put]",
+        "22: routes[2].idempotent_methods[1]: `put` is not a known method; use one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS",
+    );
 }
 
 #[test]
@@ -75,83 +166,6 @@
     "#]].assert_eq(&told(&yaml));
 }
 
-#[test]
-fn unknown_key_is_refused() {
-    assert_fault(
-        "max_queue",
-        "max_queued",
-        &expect![[r#"
-        kumquat.yaml:18: workspaces[1].max_queued: unknown field `max_queued`; use one of `name`, `key_hashes`, `max_in_flight`, `max_queue`
-    "#]],
-    );
-}
-
-#[test]
-fn duplicate_key_is_refused() {
-    assert_fault(
-        "    max_in_flight: 40\n",
-        "    max_in_flight: 40\n    max_in_flight: 50\n",
-        &expect![[r#"
-            kumquat.yaml:15: workspaces[0].max_in_flight: given twice; keep one of them
-        "#]],
-    );
-}
-
-#[test]
-fn loose_boolean_is_refused() {
-    assert_fault(
-        "leaving: true",
-        "leaving: yes",
-        &expect![[r#"
-        kumquat.yaml:7: services[0].endpoints[1].leaving: not a Boolean; use `true` or `false`
-    "#]],
-    );
-}
-
-#[test]
-fn merge_key_is_refused() {
-    assert_fault(
-        "services:\n",
-        "services:\n  - &base {name: base}\n  - {<<: *base, recovery: fast}\n",
-        &expect![[r#"
-            kumquat.yaml:3: services[1].<<: merge keys are not read; write the fields out
-        "#]],
-    );
-}
-
-#[test]
-fn broken_yaml_is_refused() {
-    assert_fault(
-        "routes:",
-        "routes: [",
-        &expect![[r#"
-        kumquat.yaml:20: document: "-" is only valid inside a block; correct the YAML
-    "#]],
-    );
-}
-
-#[test]
-fn negative_limit_is_refused() {
-    assert_fault(
-        "max_in_flight: 40",
-        "max_in_flight: -1",
-        &expect![[r#"
-        kumquat.yaml:14: workspaces[0].max_in_flight: not a whole number; use 0 to 4294967295
-    "#]],
-    );
-}
-
-#[test]
-fn missing_field_is_refused() {
-    assert_fault(
-        "    max_in_flight: 40\n",
-        "",
-        &expect![[r#"
-        kumquat.yaml:13: workspaces[0]: field `max_in_flight` is missing; add it
-    "#]],
-    );
-}
-
 #[test]
 fn empty_file_is_refused() {
     expect![[r#"
@@ -184,28 +198,6 @@
     "#]].assert_eq(&told(&yaml));
 }
 
-#[test]
-fn host_name_as_address_is_refused() {
-    assert_fault(
-        "10.0.1.1:8000",
-        "portal.example:8000",
-        &expect![[r#"
-        kumquat.yaml:10: services[1].endpoints[0].address: `portal.example:8000` is not an IP address and port; write it as in `10.0.0.7:8000`
-    "#]],
-    );
-}
-
-#[test]
-fn empty_model_version_is_refused() {
-    assert_fault(
-        "version: '7'",
-        "version: ''",
-        &expect![[r#"
-        kumquat.yaml:3: services[0].model.version: `` is empty or has spaces; use one word
-    "#]],
-    );
-}
-
 #[test]
 fn bearer_key_in_place_of_its_hash_is_refused_and_not_repeated() {
     let yaml = VALID.replace("key_hashes: []", "key_hashes: [secret-key]");
@@ -216,94 +208,6 @@
     assert!(!told.contains("secret-key"));
 }
 
-#[test]
-fn model_route_to_plain_service_is_refused() {
-    assert_fault(
-        "service: quotes}",
-        "service: portal}",
-        &expect![[r#"
-        kumquat.yaml:20: routes[0].model: service `portal` runs no model; use `path` instead
-    "#]],
-    );
-}
-
-#[test]
-fn path_route_to_model_service_is_refused() {
-    assert_fault(
-        "{path: /, service: portal}",
-        "{path: /, service: quotes}",
-        &expect![[r#"
-            kumquat.yaml:21: routes[1].path: service `quotes` runs a model; use `model` instead
-        "#]],
-    );
-}
-
-#[test]
-fn model_route_by_another_model_is_refused() {
-    assert_fault(
-        "{model: quote-writer,",
-        "{model: quotes,",
-        &expect![[r#"
-        kumquat.yaml:20: routes[0].model: service `quotes` runs model `quote-writer`, not `quotes`; use that model's name
-    "#]],
-    );
-}
-
-#[test]
-fn route_with_model_and_path_is_refused() {
-    assert_fault(
-        "{path: /,",
-        "{path: /, model: a,",
-        &expect![[r#"
-        kumquat.yaml:21: routes[1]: both `model` and `path` are given; keep one of them
-    "#]],
-    );
-}
-
-#[test]
-fn route_without_model_and_path_is_refused() {
-    assert_fault(
-        "{path: /,",
-        "{",
-        &expect![[r#"
-        kumquat.yaml:21: routes[1]: neither `model` nor `path` is given; add one of them
-    "#]],
-    );
-}
-
-#[test]
-fn equal_routes_are_refused() {
-    assert_fault(
-        "path: /,",
-        "path: /stock,",
-        &expect![[r#"
-        kumquat.yaml:22: routes[2]: route `/s/portal/stock for all workspaces` is already used in line 21; use another
-    "#]],
-    );
-}
-
-#[test]
-fn relative_prefix_is_refused() {
-    assert_fault(
-        "path: /stock,",
-        "path: stock/,",
-        &expect![[r#"
-        kumquat.yaml:22: routes[2].path: `stock/` is not a path prefix; start with `/`, end without it, as in `/stock`
-    "#]],
-    );
-}
-
-#[test]
-fn unknown_method_is_refused() {
-    assert_fault(
-        "[GET, PUT]",
-        "[GET, put]",
-        &expect![[r#"
-        kumquat.yaml:22: routes[2].idempotent_methods[1]: `put` is not a known method; use one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS
-    "#]],
-    );
-}
-
 #[test]
 fn impossible_limits_are_refused() {
     let yaml = VALID
