Check and compile versions on a thread that holds up no request

Cause: a version of 10,000 endpoints takes 213 ms to check and compile (release build, trial), and the poller, the peers' follower and the catch-up did that on the threads that carry tokens, where 27 ms between tokens is meant. Change: these three hand it to the pool for blocking work and wait for the outcome. Ruled out: compiling in steps, which would need a parser that can be suspended.

--- a/src/process/catch_up.rs
+++ b/src/process/catch_up.rs
@@ -8,6 +8,7 @@
 
 use crate::connection::peer_wire;
 use crate::connection::platform;
+use crate::process::config;
 use crate::process::node;
 use crate::process::timeline;
 use crate::version::store;
@@ -61,7 +62,7 @@
         return false;
     };
     if let Some((number, yaml)) = newest {
-        node.config.offer(number, &yaml);
+        config::offer_apart(&node.config, number, yaml).await;
     }
     true
 }
@@ -83,7 +84,7 @@
             continue;
         };
         if let Some(version) = version {
-            node.config.take(&version);
+            config::take_apart(&node.config, version).await;
         }
         return true;
     }
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::sync::atomic;
 
+use async_std::task;
 use parking_lot::Mutex;
 
 use crate::connection::peer_wire;
@@ -172,3 +173,19 @@
         number <= self.number().max(refused)
     }
 }
+
+/// As [`ConfigCell::offer`], on a thread where it holds up no request: a large version takes a
+/// good part of a second to check and compile.
+pub async fn offer_apart(cell: &sync::Arc<ConfigCell>, number: u64, yaml: String) -> OfferOutcome {
+    let cell = sync::Arc::clone(cell);
+    task::spawn_blocking(move || cell.offer(number, &yaml)).await
+}
+
+/// As [`ConfigCell::take`], on a thread where it holds up no request.
+pub async fn take_apart(
+    cell: &sync::Arc<ConfigCell>,
+    wire: peer_wire::VersionWire,
+) -> OfferOutcome {
+    let cell = sync::Arc::clone(cell);
+    task::spawn_blocking(move || cell.take(&wire)).await
+}
--- a/src/process/poll.rs
+++ b/src/process/poll.rs
@@ -35,7 +35,7 @@
 }
 
 async fn poll_forever(
-    cell: &config::ConfigCell,
+    cell: &sync::Arc<config::ConfigCell>,
     store: &store::VersionStore,
     is_poller: &(dyn Fn() -> bool + Send + Sync),
 ) {
@@ -59,7 +59,7 @@
 /// # Errors
 /// [`store::StoreError`] when the table service gave no readable answer.
 pub async fn poll_once(
-    cell: &config::ConfigCell,
+    cell: &sync::Arc<config::ConfigCell>,
     store: &store::VersionStore,
 ) -> store::Result<()> {
     let Some(head) = store.head().await? else {
@@ -69,7 +69,7 @@
         return Ok(());
     }
     if let Some(yaml) = read_version(cell, store, head.number).await? {
-        cell.offer(head.number, &yaml);
+        config::offer_apart(cell, head.number, yaml).await;
     }
     Ok(())
 }
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -375,7 +375,7 @@
         let link = sync::Arc::clone(&node.intake.link);
         let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
         if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
-            node.config.take(&version);
+            config::take_apart(&node.config, version).await;
         }
     }
 }
--- a/tests/configuration/polling.rs
+++ b/tests/configuration/polling.rs
@@ -191,9 +191,11 @@
 }
 
 /// A cell that polled `large("a")` as version 1 before `large("b")` and `large("c")` followed.
-fn cell_behind(platform: &sync::Arc<common_platform::FakePlatform>) -> config::ConfigCell {
+fn cell_behind(
+    platform: &sync::Arc<common_platform::FakePlatform>,
+) -> sync::Arc<config::ConfigCell> {
     let store = operator::store_on(platform);
-    let cell = config::ConfigCell::new();
+    let cell = sync::Arc::new(config::ConfigCell::new());
     let apply_large =
         |name: &str| task::block_on(store.apply(&large(name), None)).expect("no fault");
     apply_large("a");
@@ -246,7 +248,7 @@
     let platform = common_platform::FakePlatform::shared();
     let store = operator::store_on(&platform);
     operator::apply(&store, "a", None).unwrap();
-    let cell = config::ConfigCell::new();
+    let cell = sync::Arc::new(config::ConfigCell::new());
     cell.offer(7, &operator::declared("peer"));
     task::block_on(poll::poll_once(&cell, &store)).unwrap();
     assert_eq!(cell.number(), 7);
