Read the reports of engines that a router orders but does not use

Cause: a router reads the reports of the 128 engines of a service that it uses, and orders go by report, so a service with more engines would never have had the others ordered. Ruled out: reading all engines each second, 60 KB a second for 500 of them. Conclusion: today's sizes are unaffected, the wider ones are ordered; the holder's cost at that size is not measured.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod node;
 pub mod order;
+pub mod order_watch;
 pub mod pace;
 pub mod pause;
 pub mod placement;
--- a/src/process/order.rs
+++ b/src/process/order.rs
@@ -13,7 +13,7 @@
 
 /// Time after which an engine that still reports another state is ordered again. It covers the
 /// time for a load and the lag of the report.
-pub const REPEAT_AFTER: time::Duration = time::Duration::from_secs(15);
+pub const REPEAT_AFTER: time::Duration = time::Duration::from_secs(30);
 
 /// Time after which an order that failed is sent again.
 pub const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
--- /dev/null
+++ b/src/process/order_watch.rs
@@ -0,0 +1,96 @@
+//! Load reports of the engines that this router orders but sends no requests to.
+//!
+//! A router reads each second the reports of the engines that it uses. The holder of a service's
+//! lease orders the others too, and reads them in turn, more slowly.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+use futures::StreamExt as _;
+use futures::stream;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::engine;
+use crate::process::endpoint;
+use crate::process::issuer;
+
+/// Time between two groups of reports.
+pub const GROUP_PERIOD: time::Duration = time::Duration::from_secs(5);
+
+/// Reports read in one group at most; 372 engines take 30 s.
+pub const GROUP_SIZE: usize = 64;
+
+/// Reports read at the same time.
+const REPORTS_TOGETHER: usize = 8;
+
+/// Reads the reports of one process in turn.
+#[derive(Debug)]
+pub struct OrderWatch {
+    endpoints: sync::Arc<endpoint::EndpointTable>,
+    issuer: sync::Arc<issuer::OrderIssuer>,
+    /// Name of the endpoint that was read last.
+    last: String,
+}
+
+impl OrderWatch {
+    /// A watch that begins with the first engine by name.
+    #[must_use]
+    pub fn new(
+        endpoints: sync::Arc<endpoint::EndpointTable>,
+        issuer: sync::Arc<issuer::OrderIssuer>,
+    ) -> Self {
+        Self {
+            endpoints,
+            issuer,
+            last: String::new(),
+        }
+    }
+
+    /// Reads a group after the other until `token` is cancelled.
+    pub async fn run(mut self, token: stop_token::StopToken) {
+        while task::sleep(GROUP_PERIOD)
+            .timeout_at(token.clone())
+            .await
+            .is_ok()
+        {
+            self.read_group().await;
+        }
+    }
+
+    /// Reads the next [`GROUP_SIZE`] engines.
+    pub async fn read_group(&mut self) {
+        let group = self.next_group();
+        if let Some(entry) = group.last() {
+            self.last.clone_from(&entry.declared.name);
+        }
+        stream::iter(group)
+            .for_each_concurrent(REPORTS_TOGETHER, |entry| async move {
+                read_report(&entry).await;
+            })
+            .await;
+    }
+
+    fn next_group(&self) -> Vec<sync::Arc<endpoint::EndpointEntry>> {
+        let used = self.endpoints.used();
+        let is_used = |entry: &sync::Arc<endpoint::EndpointEntry>| {
+            used.iter().any(|used| sync::Arc::ptr_eq(used, entry))
+        };
+        let mut entries = self.endpoints.all();
+        entries.retain(|entry| {
+            entry.is_engine && !is_used(entry) && self.issuer.fence(&entry.service).is_some()
+        });
+        entries.sort_by(|left, right| left.declared.name.cmp(&right.declared.name));
+        let next = entries.partition_point(|entry| entry.declared.name <= self.last);
+        entries.rotate_left(next);
+        entries.truncate(GROUP_SIZE);
+        entries
+    }
+}
+
+async fn read_report(entry: &endpoint::EndpointEntry) {
+    match engine::report(&entry.declared.address).await {
+        Ok(report) => entry.set_report(report),
+        Err(_unreachable) => entry.set_suspect(),
+    }
+}
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -35,6 +35,7 @@
 use crate::process::issuer;
 use crate::process::metrics;
 use crate::process::node;
+use crate::process::order_watch;
 use crate::process::placement;
 use crate::process::poll;
 use crate::process::readiness;
@@ -350,6 +351,9 @@
     task::spawn(follow_peers(sync::Arc::clone(node), process.token()));
     task::spawn(node.watcher.clone().watch_reports(process.token()));
     task::spawn(node.watcher.clone().watch_vms(process.token()));
+    let endpoints = sync::Arc::clone(&node.endpoints);
+    let watch = order_watch::OrderWatch::new(endpoints, sync::Arc::clone(&orders));
+    task::spawn(watch.run(process.token()));
     let token = process.token();
     task::spawn(async move { orders.run(token).await });
     task::spawn(catch_up::watch(
--- a/tests/orders/issuing.rs
+++ b/tests/orders/issuing.rs
@@ -15,7 +15,7 @@
 
 /// What one router knows of the engines.
 #[derive(Debug)]
-struct FakeDirectory {
+pub struct FakeDirectory {
     engines: sync::Arc<fakes::FakeEngines>,
     candidate: atomic::AtomicBool,
     declared: atomic::AtomicBool,
@@ -38,20 +38,20 @@
     }
 }
 
-struct IssuerBench {
+pub struct IssuerBench {
     platform: sync::Arc<common_platform::FakePlatform>,
     engines: sync::Arc<fakes::FakeEngines>,
 }
 
 impl IssuerBench {
-    fn new(engines: usize) -> Self {
+    pub fn new(engines: usize) -> Self {
         Self {
             platform: common_platform::FakePlatform::shared(),
             engines: fakes::FakeEngines::shared(engines),
         }
     }
 
-    fn router(&self, name: &str) -> (sync::Arc<issuer::OrderIssuer>, sync::Arc<FakeDirectory>) {
+    pub fn router(&self, name: &str) -> (sync::Arc<issuer::OrderIssuer>, sync::Arc<FakeDirectory>) {
         let directory = sync::Arc::new(FakeDirectory {
             engines: sync::Arc::clone(&self.engines),
             candidate: atomic::AtomicBool::new(true),
@@ -71,7 +71,7 @@
 }
 
 /// Runs rounds of all issuers in turn, for at most 5 s, until `done`.
-fn rounds_until(issuers: &[&issuer::OrderIssuer], done: impl Fn() -> bool) {
+pub fn rounds_until(issuers: &[&issuer::OrderIssuer], done: impl Fn() -> bool) {
     let start = time::Instant::now();
     while start.elapsed() < time::Duration::from_secs(5) {
         for issuer in issuers {
--- a/tests/orders/main.rs
+++ b/tests/orders/main.rs
@@ -6,3 +6,4 @@
 mod fakes;
 mod issuing;
 mod planning;
+mod watching;
