Claim ports across test processes, and let the caller of a call grow impatient

Cause: one of 471 cells failed since a relay found its port taken: two benches of different processes had picked the same free port. And no cell of a frozen home asked another router while the home was still frozen, since the caller waited longer than the freeze. Ruled out: retrying a failed start, which would also hide a stand-in that cannot start; a longer freeze, which costs every cell time. Change: a bench holds the UDP port of the same number for each port it claims, so that other benches pass it over; the first exchange of a call is left after 1.5 s, the later ones after 5 s. Declarations of the bench get a file of their own.

--- a/tests/fault_matrix/bench.rs
+++ b/tests/fault_matrix/bench.rs
@@ -17,16 +17,14 @@
 /// Bearer key of the only workspace.
 pub const BEARER: &str = "matrix-key";
 
-/// SHA-256 of [`BEARER`].
-const BEARER_HASH: &str = "1cf1e8c6aa06c12cb2ae474e62834c1238305711704e2d28b9efc44358c161fa";
-
 /// Model that the engines run.
 pub const MODEL: &str = "quote-writer";
 
 /// Workspace limit of the first declarations.
 const FIRST_LIMIT: usize = 100;
 
-const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+/// Availability zones, taken in turn.
+pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 const TOKEN_GAP_MS: &str = "--token-ms=20";
 const PREFILL_US: &str = "--prefill-us-per-token=3000";
 const READY_LIMIT: time::Duration = time::Duration::from_secs(20);
@@ -111,6 +109,7 @@
     pub process: process::TestProcess,
     /// The relay before the caller port.
     pub relay: Option<process::StandIn>,
+    _claims: Vec<process::PortClaim>,
 }
 
 /// The system.
@@ -126,7 +125,8 @@
     pub service: Option<EndpointUnit>,
     /// Routers.
     pub routers: Vec<RouterUnit>,
-    folder: tempfile::TempDir,
+    /// Settings, declarations and logs.
+    pub folder: tempfile::TempDir,
 }
 
 impl TestBench {
@@ -211,12 +211,14 @@
     fn start_routers(&mut self, plan: BenchPlan) -> Result<()> {
         let mut places = Vec::new();
         for _index in 0..plan.routers {
-            let listen = process::free_address()?;
-            let peer = process::free_address()?;
-            places.push((listen, peer, process::free_address()?));
+            let claims = [(); 3].map(|()| process::PortClaim::take());
+            let claims: Vec<_> = claims.into_iter().collect::<Result<_>>()?;
+            places.push(claims);
         }
-        let seeds: Vec<String> = places.iter().map(|place| place.1.to_string()).collect();
-        for (index, &(listen, peer, admin)) in places.iter().enumerate() {
+        let seeds = places.iter().map(|claims| claims[1].address.to_string());
+        let seeds: Vec<String> = seeds.collect();
+        for (index, claims) in places.into_iter().enumerate() {
+            let [listen, peer, admin] = [0, 1, 2].map(|port: usize| claims[port].address);
             let name = format!("r{}", index + 1);
             let yaml = format!(
                 "router: {name}\nzone: {}\nlisten: {listen}\npeer_listen: {peer}\n\
@@ -243,6 +245,7 @@
                 admin,
                 process: started,
                 relay,
+                _claims: claims,
             });
         }
         Ok(())
@@ -258,51 +261,6 @@
         self.folder.path().join(format!("{name}.log"))
     }
 
-    /// Writes the declarations with a model version and a workspace limit, and returns the file.
-    pub fn write_declarations(
-        &self,
-        model_version: &str,
-        max_in_flight: usize,
-    ) -> Result<path::PathBuf> {
-        use std::fmt::Write as _;
-        let mut yaml = format!(
-            "services:\n  - name: quotes\n    model: {{name: {MODEL}, version: {model_version}}}\n    \
-             endpoints:\n"
-        );
-        for (index, engine) in self.engines.iter().enumerate() {
-            writeln!(
-                yaml,
-                "      - {{name: {}, address: \"{}\", zone: {}, slots: 8, checks_fencing: true}}",
-                engine.name,
-                engine.address(),
-                ZONES[index % ZONES.len()],
-            )?;
-        }
-        if let Some(service) = &self.service {
-            writeln!(
-                yaml,
-                "  - name: stock\n    endpoints:\n      - {{name: {}, address: \"{}\", zone: {}}}",
-                service.name,
-                service.address(),
-                ZONES[0],
-            )?;
-        }
-        writeln!(
-            yaml,
-            "workspaces:\n  - name: planners\n    key_hashes: [{BEARER_HASH}]\n    \
-             max_in_flight: {max_in_flight}\nroutes:\n  - {{model: {MODEL}, service: quotes}}"
-        )?;
-        if self.service.is_some() {
-            writeln!(yaml, "  - {{path: /, service: stock}}")?;
-        }
-        let file = self
-            .folder
-            .path()
-            .join(format!("{model_version}-{max_in_flight}.yaml"));
-        fs::write(&file, yaml)?;
-        Ok(file)
-    }
-
     /// Applies a declaration file with the command line.
     pub fn apply_file(
         &self,
--- a/tests/fault_matrix/call.rs
+++ b/tests/fault_matrix/call.rs
@@ -70,8 +70,9 @@
 /// A refusal is there within this time.
 const ANSWER_BOUND: time::Duration = time::Duration::from_secs(5);
 
-/// Silence after which the caller asks another router.
-const CALLER_PATIENCE: time::Duration = ANSWER_BOUND;
+/// Silence after which the caller asks another router for the first time, while a frozen process
+/// is still frozen.
+const FIRST_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
 /// Time in which a late copy of a request would reach the service.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
@@ -195,8 +196,13 @@
             request.insert_header("x-kumquatpulley-first-send", "true");
         }
         request.set_body(self.body.as_str());
+        let patience = if is_first {
+            FIRST_PATIENCE
+        } else {
+            ANSWER_BOUND
+        };
         let limits = http::ExchangeLimits {
-            head: CALLER_PATIENCE,
+            head: patience,
             ..http::ExchangeLimits::default()
         };
         let sent = Box::pin(http::send(router, request, limits)).await;
@@ -205,7 +211,7 @@
         let header = response.header("retry-after");
         let delay = header.and_then(|values| values.as_str().parse().ok());
         let mut body = response.take_body();
-        let body = http::read_body(&mut body, CALLER_PATIENCE, MAX_BODY_BYTES);
+        let body = http::read_body(&mut body, patience, MAX_BODY_BYTES);
         let body = body.await.map_err(|error| error.to_string())?;
         Ok((status, delay, body))
     }
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod caller;
 mod cell;
+mod declarations;
 mod fault;
 mod generation;
 mod lease;
--- a/tests/fault_matrix/process.rs
+++ b/tests/fault_matrix/process.rs
@@ -20,18 +20,35 @@
 
 static NEXT_PORT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
-/// A loopback address on which nobody listens.
-pub fn free_address() -> Result<net::SocketAddr> {
-    for _try in 0..PORT_COUNT {
-        let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
-        let offset = (process::id().wrapping_mul(997) + step) % PORT_COUNT;
-        let port = u16::try_from(FIRST_PORT + offset)?;
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
-        if net::TcpListener::bind(address).is_ok() {
-            return Ok(address);
+/// A loopback address that no other bench takes while the claim lives.
+#[derive(Debug)]
+pub struct PortClaim {
+    /// The address.
+    pub address: net::SocketAddr,
+    /// The same port of UDP, held so that benches of other test processes see the claim.
+    _held: net::UdpSocket,
+}
+
+impl PortClaim {
+    /// Claims an address on which nobody listens.
+    pub fn take() -> Result<Self> {
+        for _try in 0..PORT_COUNT {
+            let step = NEXT_PORT.fetch_add(1, atomic::Ordering::Relaxed);
+            let offset = (process::id().wrapping_mul(997) + step) % PORT_COUNT;
+            let port = u16::try_from(FIRST_PORT + offset)?;
+            let address = net::SocketAddr::from(([127, 0, 0, 1], port));
+            let Ok(held) = net::UdpSocket::bind(address) else {
+                continue;
+            };
+            if net::TcpListener::bind(address).is_ok() {
+                return Ok(Self {
+                    address,
+                    _held: held,
+                });
+            }
         }
+        Err(eyre::eyre!("no free port"))
     }
-    Err(eyre::eyre!("no free port"))
 }
 
 /// A program of this build.
@@ -136,13 +153,14 @@
     pub admin: net::SocketAddr,
     /// The process.
     pub process: TestProcess,
+    _claims: [PortClaim; 2],
 }
 
 impl StandIn {
     /// Starts the example `name` and waits until it listens.
     pub fn start(name: &str, log: path::PathBuf, arguments: &[&str]) -> Result<Self> {
-        let listen = free_address()?;
-        let admin = free_address()?;
+        let claims = [PortClaim::take()?, PortClaim::take()?];
+        let [listen, admin] = [claims[0].address, claims[1].address];
         let mut all = vec![format!("--listen={listen}"), format!("--admin={admin}")];
         all.extend(arguments.iter().map(|&argument| argument.to_owned()));
         let program = program("examples").join(name);
@@ -150,6 +168,7 @@
             listen,
             admin,
             process: TestProcess::start(program, all, log)?,
+            _claims: claims,
         };
         started.wait_ready()?;
         Ok(started)
