Split the engine stand-in's options from its state

Change: fixed options and the switches that faults change live in a file of their own. Conclusion: no behaviour changes.

--- a/examples/model_engine.rs
+++ b/examples/model_engine.rs
@@ -13,6 +13,7 @@
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::sse;
 
+use crate::support::engine::options;
 use crate::support::engine::state;
 use crate::support::engine::stream;
 use crate::support::server;
@@ -311,7 +312,7 @@
         let values = matches.get_many::<String>(id).unwrap_or_default();
         values.cloned().collect::<Vec<_>>()
     };
-    let options = state::EngineOptions {
+    let options = options::EngineOptions {
         name: text("name").unwrap_or_default(),
         zone: text("zone").unwrap_or_default(),
         slots: u32::try_from(count("slots")).unwrap_or(u32::MAX),
@@ -320,7 +321,7 @@
         load_ms: count("load-ms"),
         weights: text("weights"),
     };
-    let switches = state::EngineSwitches {
+    let switches = options::EngineSwitches {
         token_gap: time::Duration::from_millis(count("token-ms")),
         report_lag: time::Duration::from_millis(count("report-lag-ms")),
         checks_fencing: matches.get_flag("checks-fencing"),
--- a/examples/support/engine/state.rs
+++ b/examples/support/engine/state.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 
 use super::cache;
+use super::options;
 use super::records;
 use super::slots;
 use super::stream;
@@ -29,42 +30,6 @@
 /// Reports kept until their lag has passed.
 const KEPT_REPORTS: usize = 256;
 
-/// Fixed properties of an engine.
-#[derive(Clone, Debug)]
-pub struct EngineOptions {
-    /// Endpoint name.
-    pub name: String,
-    /// Availability zone.
-    pub zone: String,
-    /// Requests that run together.
-    pub slots: u32,
-    /// Time to compute one prompt token, in microseconds.
-    pub prefill_us_per_token: u64,
-    /// Blocks of the prefix cache.
-    pub cache_blocks: usize,
-    /// Time to load a model, in milliseconds.
-    pub load_ms: u64,
-    /// Weight store, host and port.
-    pub weights: Option<String>,
-}
-
-/// Properties that faults change.
-#[derive(Clone, Debug)]
-pub struct EngineSwitches {
-    /// Gap between tokens.
-    pub token_gap: time::Duration,
-    /// Age of reports.
-    pub report_lag: time::Duration,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fencing: bool,
-    /// Tokens until the process ends.
-    pub tokens_left: Option<u64>,
-    /// No progress before this time.
-    pub frozen_until: Option<time::Instant>,
-    /// Whether reports say that the engine is leaving.
-    pub leaving: bool,
-}
-
 #[derive(Debug)]
 struct EngineCore {
     records: Vec<records::AttemptRecord>,
@@ -80,10 +45,10 @@
 /// The engine.
 #[derive(Debug)]
 pub struct EngineState {
-    options: EngineOptions,
+    options: options::EngineOptions,
     incarnation: u64,
     slots: sync::Arc<slots::SlotQueue>,
-    switches: Mutex<EngineSwitches>,
+    switches: Mutex<options::EngineSwitches>,
     core: Mutex<EngineCore>,
     running: atomic::AtomicU32,
     silences: atomic::AtomicU64,
@@ -92,8 +57,8 @@
 impl EngineState {
     /// An engine that holds the given models.
     pub fn new(
-        options: EngineOptions,
-        switches: EngineSwitches,
+        options: options::EngineOptions,
+        switches: options::EngineSwitches,
         loaded: Vec<engine_wire::LoadedModel>,
     ) -> Self {
         Self {
@@ -117,7 +82,7 @@
     }
 
     /// Changes properties by a fault.
-    pub fn change(&self, change: impl FnOnce(&mut EngineSwitches)) {
+    pub fn change(&self, change: impl FnOnce(&mut options::EngineSwitches)) {
         change(&mut self.switches.lock());
     }
 
