Follow the claimed ports in two tests, and prove leaving by a declaration

And of the ways to say that an endpoint leaves, a declaration had no cell. Ruled out: the old function beside the claims, which gave a port away without holding it. Conclusion: no check of either file changed.

--- a/tests/call_races/main.rs
+++ b/tests/call_races/main.rs
@@ -14,6 +14,8 @@
 )]
 #[path = "../fault_matrix/bench.rs"]
 mod bench;
+#[path = "../fault_matrix/declarations.rs"]
+mod declarations;
 #[expect(
     dead_code,
     reason = "shared with the fault matrix, which uses the rest"
--- a/tests/configuration_routers.rs
+++ b/tests/configuration_routers.rs
@@ -12,6 +12,7 @@
 use std::time;
 
 use async_std::task;
+use parking_lot::Mutex;
 
 /// Time within which an accepted version is in force everywhere.
 const IN_FORCE_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -29,6 +30,16 @@
 
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
+/// Ports that the tests of this process claimed.
+static CLAIMS: Mutex<Vec<process::PortClaim>> = Mutex::new(Vec::new());
+
+fn claim_address() -> net::SocketAddr {
+    let claim = process::PortClaim::take().expect("a free port");
+    let address = claim.address;
+    CLAIMS.lock().push(claim);
+    address
+}
+
 /// A platform and routers, under a watch that notes each step back.
 struct RouterGroup {
     platform: process::StandIn,
@@ -56,8 +67,7 @@
             folder,
             watch: stop_token::StopSource::new(),
         };
-        let free = || process::free_address().expect("a free port");
-        let peers: Vec<_> = (0..ROUTERS).map(|_router| free()).collect();
+        let peers: Vec<_> = (0..ROUTERS).map(|_router| claim_address()).collect();
         for index in 0..ROUTERS {
             let router = group.start_router(index, &peers);
             group.routers.push(router);
@@ -68,14 +78,13 @@
     }
 
     fn start_router(&self, index: usize, peers: &[net::SocketAddr]) -> RouterUnit {
-        let free = || process::free_address().expect("a free port");
-        let admin = free();
+        let admin = claim_address();
         let seeds: Vec<_> = peers.iter().map(ToString::to_string).collect();
         let settings = format!(
             "router: r{index}\nzone: {}\nlisten: {}\npeer_listen: {}\nadmin_listen: {admin}\n\
              platform: {}\nseeds: [{}]\n",
             ZONES[index % ZONES.len()],
-            free(),
+            claim_address(),
             peers[index],
             self.platform.listen,
             seeds.join(", "),
--- a/tests/fault_matrix/leaving.rs
+++ b/tests/fault_matrix/leaving.rs
@@ -1,5 +1,6 @@
 //! Cells of leaving: an endpoint that says so, in each way, gets no new work after a few seconds.
 
+use std::fs;
 use std::sync;
 use std::time;
 
@@ -27,13 +28,16 @@
     VmList,
     /// The VM list, seconds late.
     LateVmList,
+    /// A declaration.
+    Declaration,
 }
 
 /// All sources.
-pub const SOURCES: [LeavingSource; 3] = [
+pub const SOURCES: [LeavingSource; 4] = [
     LeavingSource::Endpoint,
     LeavingSource::VmList,
     LeavingSource::LateVmList,
+    LeavingSource::Declaration,
 ];
 
 impl LeavingSource {
@@ -43,12 +47,13 @@
             Self::Endpoint => "said by endpoint",
             Self::VmList => "said by VM list",
             Self::LateVmList => "said late by VM list",
+            Self::Declaration => "said by declaration",
         }
     }
 
     const fn lag(self) -> time::Duration {
         match self {
-            Self::Endpoint => time::Duration::ZERO,
+            Self::Endpoint | Self::Declaration => time::Duration::ZERO,
             Self::VmList => time::Duration::from_millis(500),
             Self::LateVmList => time::Duration::from_secs(3),
         }
@@ -137,6 +142,9 @@
         let leaving = json!({"leaving": true});
         return bench.engines[0].stand_in.fault(leaving).await;
     }
+    if source == LeavingSource::Declaration {
+        return declare_leaving(bench).await;
+    }
     let lag = u64::try_from(source.lag().as_millis())?;
     bench.platform.fault(json!({ "vm_lag_ms": lag })).await?;
     // The first list is visible at once, so that an unchanged one goes ahead.
@@ -148,6 +156,19 @@
     Ok(())
 }
 
+/// Declares that the first engine is leaving.
+async fn declare_leaving(bench: &bench::TestBench) -> Result<()> {
+    let file = bench.write_declarations("v1", 100)?;
+    let yaml = fs::read_to_string(&file)?;
+    let name = format!("name: {},", bench.engines[0].name);
+    let leaving = yaml.replace(&name, &format!("{name} leaving: true,"));
+    eyre::ensure!(leaving != yaml, "the declarations do not name the engine");
+    fs::write(&file, leaving)?;
+    let output = bench.apply_file(&file, &[]).await?;
+    eyre::ensure!(output.status.success(), "apply failed");
+    Ok(())
+}
+
 fn vm_list(bench: &bench::TestBench, is_leaving: bool) -> serde_json::Value {
     let entries = bench.engines.iter().enumerate().map(|(index, engine)| {
         json!({
