Measure versions with their changes and what a version holds

Cause: the bench spread whole versions through a cell of its own, while the daemon now takes changes; and the memory and processor time that a version's endpoints take apart from gossip were not measured. Ruled out: only timing the parse, which leaves out the endpoint table and the VM list. Change: the group uses ConfigCell as the daemon does and spreads a first and a changed version; a scenario holds a version of up to 10,000 endpoints in the endpoint table and reads a VM list of as many.

--- a/benches/control/group.rs
+++ b/benches/control/group.rs
@@ -28,7 +28,7 @@
     node: Arc<gossip::GossipNode>,
     client: Arc<peer_client::PeerClient>,
     server_meter: Arc<peer_stream::PeerMeter>,
-    version: Mutex<(u64, String)>,
+    config: config::ConfigCell,
     workspaces: usize,
     is_silent: atomic::AtomicBool,
 }
@@ -40,7 +40,7 @@
                 return future::pending().await;
             }
             if let peer_wire::QueryBody::NewerVersion { number } = query {
-                return peer_wire::ReplyBody::NewerVersion(self.newer_version(number));
+                return peer_wire::ReplyBody::NewerVersion(self.config.newer_than(number));
             }
             let reply = self.node.handle_query(&query).await;
             reply.unwrap_or_else(|| peer_wire::ReplyBody::Refused("not asked here".to_owned()))
@@ -49,14 +49,6 @@
 }
 
 impl GroupRouter {
-    fn newer_version(&self, number: u64) -> Option<peer_wire::VersionWire> {
-        let version = self.version.lock();
-        (version.0 > number).then(|| peer_wire::VersionWire {
-            number: version.0,
-            yaml: version.1.clone(),
-        })
-    }
-
     fn bytes(&self) -> u64 {
         let meters = [self.client.meter(), &self.server_meter];
         let counters = meters
@@ -69,34 +61,19 @@
     async fn follow(self: Arc<Self>) {
         loop {
             self.node.wait_for_config().await;
-            let number = self.version.lock().0;
-            let Some(peer) = self.node.newest_config_peer(number) else {
+            let Some(peer) = self.node.newest_config_peer(self.config.number()) else {
                 continue;
             };
+            let number = self.config.known_number();
             let query = peer_wire::QueryBody::NewerVersion { number };
-            let reply = self
-                .client
-                .ask(&peer.peer_address, query, FETCH_LIMIT)
-                .await;
-            if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
-                self.put_in_force(version);
+            let reply = self.client.ask(&peer.peer_address, query, FETCH_LIMIT);
+            if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply.await {
+                self.config.take(&version);
+                self.node.set_config(self.config.number());
             }
         }
     }
 
-    fn put_in_force(&self, version: peer_wire::VersionWire) {
-        if !version.yaml.is_empty() {
-            let cell = config::ConfigCell::new();
-            assert_eq!(
-                cell.offer(version.number, &version.yaml),
-                config::OfferOutcome::InForce
-            );
-        }
-        let number = version.number;
-        *self.version.lock() = (number, version.yaml);
-        self.node.set_config(number);
-    }
-
     fn draw_demand(&self) {
         let demand = (0..self.workspaces).map(|index| peer_wire::DemandWire {
             workspace: format!("workspace-{index}"),
@@ -174,7 +151,7 @@
         node,
         client,
         server_meter: Arc::default(),
-        version: Mutex::default(),
+        config: config::ConfigCell::new(),
         workspaces,
         is_silent: atomic::AtomicBool::new(false),
     });
@@ -236,11 +213,11 @@
     /// Puts a version in force at the first router; gives the time until it is everywhere.
     pub async fn spread_version(&self, number: u64, yaml: &str) -> time::Duration {
         let began = time::Instant::now();
-        self.routers[0].put_in_force(peer_wire::VersionWire {
-            number,
-            yaml: yaml.to_owned(),
-        });
-        let has_it = |router: &Arc<GroupRouter>| router.version.lock().0 == number;
+        let first = &self.routers[0];
+        let outcome = first.config.offer(number, yaml);
+        assert_eq!(outcome, config::OfferOutcome::InForce);
+        first.node.set_config(number);
+        let has_it = |router: &Arc<GroupRouter>| router.config.number() == number;
         reached(SPREAD_LIMIT, || self.routers.iter().all(has_it)).await;
         began.elapsed()
     }
@@ -313,11 +290,3 @@
     }
     yaml
 }
-
-/// Time to read and check declarations.
-pub fn parse_time(yaml: &str) -> time::Duration {
-    let cell = config::ConfigCell::new();
-    let began = time::Instant::now();
-    assert_eq!(cell.offer(1, yaml), config::OfferOutcome::InForce);
-    began.elapsed()
-}
--- a/benches/control/main.rs
+++ b/benches/control/main.rs
@@ -11,6 +11,7 @@
 use async_std::task;
 
 mod crowd;
+mod declared;
 mod group;
 
 /// Processor time of a router, as a part of one core.
@@ -34,6 +35,7 @@
 /// Time for facts that were told at once to reach everybody, and for their echoes to end.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(6);
 const TODAY_ROUTERS: usize = 16;
+const TODAY_ENDPOINTS: usize = 40;
 const TODAY_WORKSPACES: usize = 10;
 const TICKS_PER_SECOND: f64 = 100.0;
 const PAGE_BYTES: f64 = 4096.0;
@@ -75,6 +77,7 @@
         ("workspaces", WORKSPACE_COUNTS.as_slice()),
         ("leaving", LEAVING_COUNTS.as_slice()),
         ("version", ENDPOINT_COUNTS.as_slice()),
+        ("declared", ENDPOINT_COUNTS.as_slice()),
         ("crowd", CROWD_COUNTS.as_slice()),
     ];
     let mut report = ScenarioReport::default();
@@ -130,6 +133,7 @@
             "workspaces" => workspaces(count, &mut report).await,
             "leaving" => leaving(count, &mut report).await,
             "version" => versions(count, &mut report).await,
+            "declared" => report.figures.push(declared::measure(count, WINDOW).await),
             "crowd" => report.figures.push(crowd::measure(count, WINDOW).await),
             _ => report.misses.push(format!("{kind} is no scenario")),
         }
@@ -160,7 +164,9 @@
     let group = group::start(count, TODAY_WORKSPACES).await;
     let name = format!("{count} routers");
     cost(&name, &group, report).await;
-    let spread = group.spread_version(1, "").await;
+    let spread = group
+        .spread_version(1, &group::declarations(TODAY_ENDPOINTS))
+        .await;
     let death = group.kill_one().await;
     report.figures.push(serde_json::json!({
         "name": name,
@@ -179,25 +185,28 @@
     }
 }
 
+/// Spreads a first version, then one in which a single endpoint has changed.
 async fn versions(endpoints: usize, report: &mut ScenarioReport) {
     let group = group::start(TODAY_ROUTERS, TODAY_WORKSPACES).await;
-    let yaml = group::declarations(endpoints);
-    let parse = group::parse_time(&yaml);
-    let (bytes, core) = (group.bytes(), core_seconds());
-    let spread = group.spread_version(1, &yaml).await;
-    let routers = float(TODAY_ROUTERS as u64);
-    report.figures.push(serde_json::json!({
-        "name": format!("version of {endpoints} endpoints, {TODAY_ROUTERS} routers"),
-        "yaml_bytes": yaml.len(),
-        "parse_seconds": parse.as_secs_f64(),
-        "version_seconds": spread.as_secs_f64(),
-        "bytes_per_router": float(group.bytes() - bytes) / routers,
-        "core_seconds_per_router": (core_seconds() - core) / routers,
-    }));
-    if spread > VERSION_BOUND {
-        report.misses.push(format!(
-            "{endpoints} endpoints: version in force after {spread:?}"
-        ));
+    let first = group::declarations(endpoints);
+    let changed = first.replacen(":9000", ":9001", 1);
+    for (number, kind, yaml) in [(1, "first version", first), (2, "changed version", changed)] {
+        let (bytes, core) = (group.bytes(), core_seconds());
+        let spread = group.spread_version(number, &yaml).await;
+        let name = format!("{kind} of {endpoints} endpoints, {TODAY_ROUTERS} routers");
+        report.figures.push(serde_json::json!({
+            "name": name,
+            "yaml_bytes": yaml.len(),
+            "version_seconds": spread.as_secs_f64(),
+            "bytes_per_router": float(group.bytes() - bytes) / float(group.len()),
+            "core_seconds_per_router": (core_seconds() - core) / float(group.len()),
+        }));
+        if spread > VERSION_BOUND {
+            report
+                .misses
+                .push(format!("{name}: in force after {spread:?}"));
+        }
+        task::sleep(SETTLE_TIME).await;
     }
 }
 
