Push urgent facts without loads

Ruled out: fewer peers, which makes a version slower everywhere; no push, which takes some nine rounds. Change: a push carries state facts and the configuration number alone, and the budget of loads in a round goes from 320 to 256 bytes. The bench reports what one push costs.

--- a/benches/control/crowd.rs
+++ b/benches/control/crowd.rs
@@ -20,6 +20,8 @@
 const FACTS_PER_DAY: f64 = 88.0 * 2.0 + 670.0 * 4.0;
 const VERSIONS_PER_DAY: f64 = 6_300.0;
 const MEMBER_LOAD_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time in which a version is pushed to all usual peers.
+const PUSH_TIME: time::Duration = time::Duration::from_millis(400);
 const STEP: time::Duration = time::Duration::from_millis(100);
 
 /// Everybody but the measured router, as one table that all share.
@@ -129,12 +131,29 @@
     let (core, began) = (core_seconds(), time::Instant::now());
     play_world(&link, &node, count, window).await;
     let seconds = began.elapsed().as_secs_f64();
+    let used = core_seconds() - core;
+    let payload = float(read(&link.bytes) - bytes) / seconds;
+    let rate = float(read(&link.exchanges) - exchanges) / seconds;
+    let (bytes, exchanges) = (read(&link.bytes), read(&link.exchanges));
+    let pushed = time::Instant::now();
+    let number = {
+        let mut world = link.world.lock();
+        world.version += 1;
+        world.version
+    };
+    node.set_config(number);
+    task::sleep(PUSH_TIME).await;
     drop(stop);
+    // Only rounds that the node itself begins go on meanwhile.
+    let rounds =
+        pushed.elapsed().as_secs_f64() / gossip::GossipSettings::default().round.as_secs_f64();
     serde_json::json!({
         "name": format!("one router among {count}, the others a fake link"),
-        "core": (core_seconds() - core) / seconds,
-        "payload_bytes_per_second": float(read(&link.bytes) - bytes) / seconds,
-        "exchanges_per_second": float(read(&link.exchanges) - exchanges) / seconds,
+        "core": used / seconds,
+        "payload_bytes_per_second": payload,
+        "exchanges_per_second": rate,
+        "push_exchanges": float(read(&link.exchanges) - exchanges) - rounds,
+        "push_payload_bytes": float(read(&link.bytes) - bytes) - rounds * payload / rate,
         "table_memory_bytes": memory,
     })
 }
@@ -230,7 +249,10 @@
 }
 
 fn ask_as_predecessor(link: &CrowdLink, node: &gossip::GossipNode, count: usize) {
-    let mut query = link.world.lock().query(Some("router-0"), false);
+    let mut query = link
+        .world
+        .lock()
+        .query(Some("router-0"), gossip_exchange::ExchangeKind::Round);
     query.from = format!("router-{}", fastrand::usize(2..count));
     let sent = gossip_exchange::SentNumbers::from(&query);
     let reply = node.handle(query.clone());
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -100,8 +100,8 @@
     pub leaving: Vec<LeavingWire>,
     /// Loads of members, as far as the byte budget goes.
     pub loads: Vec<LoadWire>,
-    /// Number of the receiver's load changes that the sender has seen.
-    pub load_have: u64,
+    /// Number of the receiver's load changes that the sender has seen; `None` when it wants none now.
+    pub load_have: Option<u64>,
     /// Number of the sender's load changes that this message completes.
     pub load_upto: u64,
 }
--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -15,7 +15,7 @@
 pub const MAX_BUCKET_FACTS: usize = 8192;
 
 /// Bytes of loads in one message, about.
-pub const LOAD_BUDGET_BYTES: usize = 320;
+pub const LOAD_BUDGET_BYTES: usize = 256;
 
 /// Peers whose progress is kept; more than a router exchanges facts with.
 pub const MAX_PROGRESS: usize = 64;
@@ -52,12 +52,24 @@
     pub wanted: u64,
 }
 
+/// What an exchange is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeKind {
+    /// A regular round: changes, and loads within their budget.
+    Round,
+    /// An urgent change, without loads.
+    Push,
+    /// A round that compares buckets.
+    Compare,
+}
+
 /// How far a query brings the peer that takes it in.
 #[derive(Clone, Copy, Debug)]
 pub struct SentNumbers {
     upto: u64,
     load_upto: u64,
     is_delta: bool,
+    has_loads: bool,
 }
 
 impl From<&peer_wire::GossipWire> for SentNumbers {
@@ -66,6 +78,7 @@
             upto: query.upto,
             load_upto: query.load_upto,
             is_delta: query.have.is_some(),
+            has_loads: query.load_have.is_some(),
         }
     }
 }
@@ -106,7 +119,7 @@
 
     /// A query to `peer`, or to an address whose router is not known.
     #[must_use]
-    pub fn query(&self, peer: Option<&str>, with_buckets: bool) -> peer_wire::GossipWire {
+    pub fn query(&self, peer: Option<&str>, kind: ExchangeKind) -> peer_wire::GossipWire {
         let progress = peer.and_then(|peer| self.progress.get(peer).copied());
         let progress = progress.unwrap_or_default();
         let mut batch = self.batch_since(progress.acked, peer.unwrap_or_default());
@@ -117,12 +130,12 @@
             batch.members.push(record.fact.clone());
         }
         let peer = peer.unwrap_or_default();
-        let loads = self.table.loads();
-        let loads = loads.batch(progress.load_acked, peer, LOAD_BUDGET_BYTES);
+        let load_acked = (kind != ExchangeKind::Push).then_some(progress.load_acked);
+        let loads = self.loads_since(load_acked, peer);
         let mut query = self.message(batch, loads);
         query.have = progress.have;
-        query.load_have = progress.load_have;
-        if with_buckets {
+        query.load_have = load_acked.map(|_| progress.load_have);
+        if kind == ExchangeKind::Compare {
             query.buckets = self.table.digest().buckets().to_vec();
         }
         query
@@ -175,8 +188,7 @@
             batch.members.truncate(MAX_BUCKET_FACTS);
             batch.leaving.truncate(MAX_BUCKET_FACTS);
         }
-        let loads = self.table.loads();
-        let loads = loads.batch(load_have, &from, LOAD_BUDGET_BYTES);
+        let loads = self.loads_since(load_have, &from);
         let mut reply = self.message(batch, loads);
         reply.wanted = differing;
         (reply, effect)
@@ -216,6 +228,11 @@
         }
     }
 
+    fn loads_since(&self, since: Option<u64>, peer: &str) -> member_load::LoadBatch {
+        let batch = |since| self.table.loads().batch(since, peer, LOAD_BUDGET_BYTES);
+        since.map(batch).unwrap_or_default()
+    }
+
     fn message(
         &self,
         batch: member_delta::FactBatch,
@@ -234,7 +251,7 @@
             members: batch.members,
             leaving: batch.leaving,
             loads: loads.loads,
-            load_have: 0,
+            load_have: None,
             load_upto: loads.upto,
         }
     }
@@ -250,12 +267,18 @@
             let oldest = oldest.map(|(peer, _)| peer.clone());
             oldest.and_then(|peer| self.progress.remove(&peer));
         }
+        let earlier = self.progress.get(&reply.from).copied().unwrap_or_default();
+        let loads = if sent.has_loads {
+            (reply.load_upto, sent.load_upto)
+        } else {
+            (earlier.load_have, earlier.load_acked)
+        };
         let progress = PeerProgress {
             incarnation: reply.incarnation,
             have: Some(reply.upto),
             acked: Some(sent.upto),
-            load_have: reply.load_upto,
-            load_acked: sent.load_upto,
+            load_have: loads.0,
+            load_acked: loads.1,
             version: reply.version,
             used: self.uses,
         };
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -123,7 +123,8 @@
             let records = behind.filter_map(|router| state.table.get(router));
             records.map(gossip_target::target_of).collect()
         };
-        let exchanges = targets.iter().map(|target| self.exchange(target, false));
+        let kind = gossip_exchange::ExchangeKind::Push;
+        let exchanges = targets.iter().map(|target| self.exchange(target, kind));
         future::join_all(exchanges).await;
     }
 
@@ -166,7 +167,11 @@
             return;
         };
         let began = time::Instant::now();
-        if self.exchange(&target, false).await == ProbeOutcome::Alive {
+        if self
+            .exchange(&target, gossip_exchange::ExchangeKind::Round)
+            .await
+            == ProbeOutcome::Alive
+        {
             return;
         }
         gossip::count(&self.counters.failures);
@@ -205,11 +210,11 @@
     async fn exchange(
         &self,
         target: &gossip_target::RoundTarget,
-        is_comparing: bool,
+        kind: gossip_exchange::ExchangeKind,
     ) -> ProbeOutcome {
         gossip::count(&self.counters.exchanges);
         let router = target.expected.as_ref().map(|fact| fact.router.as_str());
-        let query = self.state.lock().query(router, is_comparing);
+        let query = self.state.lock().query(router, kind);
         let reply = self.tell(&target.address, query).await;
         let Some((reply, effect)) = reply else {
             return ProbeOutcome::Unknown;
@@ -217,12 +222,13 @@
         if router.is_some_and(|router| router != reply) {
             return ProbeOutcome::Dead;
         }
-        if is_comparing {
+        if kind == gossip_exchange::ExchangeKind::Compare {
             self.state.lock().note_synced();
             self.send_buckets(target, effect.wanted).await;
         } else if effect.needs_buckets {
             gossip::count(&self.counters.comparisons);
-            Box::pin(self.exchange(target, true)).await;
+            let kind = gossip_exchange::ExchangeKind::Compare;
+            Box::pin(self.exchange(target, kind)).await;
         }
         ProbeOutcome::Alive
     }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -437,21 +437,46 @@
         gossip_exchange::ExchangeState::new(table)
     };
     let (mut one, mut two) = (state("one"), state("two"));
-    let first = one.query(Some("two"), false);
+    let first = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
     exchange(&mut one, &mut two, first, now);
     one.table.merge(fact("a", 1, ALIVE, 1), "peer", now);
     two.table.merge(fact("b", 1, ALIVE, 1), "peer", now);
-    for query in [one.query(None, false), one.bucket_query(0)] {
+    for query in [
+        one.query(None, gossip_exchange::ExchangeKind::Round),
+        one.bucket_query(0),
+    ] {
         exchange(&mut one, &mut two, query, now);
     }
     assert!(one.is_behind("two"));
-    let delta = one.query(Some("two"), false);
+    let delta = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
     exchange(&mut one, &mut two, delta, now);
     assert!(two.table.get("a").is_some());
     assert!(one.table.get("b").is_some());
     assert!(!one.is_behind("two"));
 }
 
+#[test]
+fn a_push_carries_no_loads_and_loses_none() {
+    let now = time::Instant::now();
+    let state = |name: &str| {
+        let table = membership::MemberTable::new(fact(name, 1, ALIVE, 1), now);
+        gossip_exchange::ExchangeState::new(table)
+    };
+    let (mut one, mut two) = (state("one"), state("two"));
+    one.table.merge_load(load("one", 1, (0, 1)), "one");
+    two.table.merge_load(load("two", 1, (0, 1)), "two");
+    for _ in 0..2 {
+        let push = one.query(Some("two"), gossip_exchange::ExchangeKind::Push);
+        assert!(push.loads.is_empty());
+        exchange(&mut one, &mut two, push, now);
+    }
+    assert_eq!(two.table.loads().demand("one", 1).count(), 0);
+    let round = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    exchange(&mut one, &mut two, round, now);
+    assert_eq!(two.table.loads().demand("one", 1).count(), 1);
+    assert_eq!(one.table.loads().demand("two", 1).count(), 1);
+}
+
 #[test]
 fn a_gap_between_ticks_is_a_pause_on_either_clock() {
     let now = time::Instant::now();
