Split the membership tests by job and name their cases by the macro

Ruled out: dropping tests; all are kept, the one of earlier processes is now three cases, that of a silent router two (among four and among sixteen), and one for the gate after a pause is new. Change: tests/gossip and tests/membership are folders with the test bed and the facts apart. Trial: with the gate ignored, after_a_pause_a_router_names_itself_again fails. Conclusion: no check is weaker than before.

--- /dev/null
+++ b/tests/gossip/bed.rs
@@ -0,0 +1,229 @@
+//! Routers in one process, with faults between them.
+
+use std::collections;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use async_std::{net, task};
+use futures::future;
+use kumquatpulley::connection::{peer, peer_client, peer_server, peer_wire};
+use kumquatpulley::process::view::MemberView as _;
+use kumquatpulley::process::{gossip, member_rank, timeline};
+use parking_lot::Mutex;
+
+pub const ZONES: usize = 4;
+pub const AGREE_LIMIT: time::Duration = time::Duration::from_secs(8);
+pub const DETECT_LIMIT: time::Duration = time::Duration::from_secs(3);
+pub const BASE_INCARNATION: u64 = 1_000_000;
+
+/// Packets from the first address to the second are lost.
+#[derive(Debug, Default)]
+pub struct CutSet(Mutex<collections::HashSet<(String, String)>>);
+
+impl CutSet {
+    pub fn cut(&self, from: &str, to: &str) {
+        self.0.lock().insert((from.to_owned(), to.to_owned()));
+    }
+
+    pub fn heal(&self) {
+        self.0.lock().clear();
+    }
+
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        self.0.lock().contains(&(from.to_owned(), to.to_owned()))
+    }
+}
+
+#[derive(Debug)]
+struct FaultyLink {
+    own: String,
+    cuts: Arc<CutSet>,
+    client: peer_client::PeerClient,
+}
+
+impl peer::PeerLink for FaultyLink {
+    fn ask<'a>(
+        &'a self,
+        address: &'a str,
+        query: peer_wire::QueryBody,
+        limit: time::Duration,
+    ) -> future::BoxFuture<'a, peer::Result<peer_wire::ReplyBody>> {
+        Box::pin(async move {
+            let silent = || peer::PeerError::NoReply("cut".to_owned());
+            if self.cuts.is_cut(&self.own, address) {
+                task::sleep(limit).await;
+                return Err(silent());
+            }
+            let reply = self.client.ask(address, query, limit).await;
+            if self.cuts.is_cut(address, &self.own) {
+                task::sleep(limit).await;
+                return Err(silent());
+            }
+            reply
+        })
+    }
+}
+
+#[derive(Debug)]
+struct PausableHandler {
+    node: Arc<gossip::GossipNode>,
+    is_paused: atomic::AtomicBool,
+}
+
+impl peer::PeerHandler for PausableHandler {
+    fn handle(&self, query: peer_wire::QueryBody) -> future::BoxFuture<'_, peer_wire::ReplyBody> {
+        Box::pin(async move {
+            while self.is_paused.load(atomic::Ordering::Relaxed) {
+                task::sleep(time::Duration::from_millis(10)).await;
+            }
+            let reply = self.node.handle_query(&query).await;
+            reply.unwrap_or_else(|| peer_wire::ReplyBody::Refused("not asked here".to_owned()))
+        })
+    }
+}
+
+/// One router; stops when dropped.
+pub struct TestRouter {
+    pub node: Arc<gossip::GossipNode>,
+    handler: Arc<PausableHandler>,
+    pub address: String,
+    rounds: Option<stop_token::StopSource>,
+    server: Option<stop_token::StopSource>,
+}
+
+impl TestRouter {
+    fn start_rounds(&mut self) {
+        let stop = stop_token::StopSource::new();
+        task::spawn(Arc::clone(&self.node).run(stop.token()));
+        self.rounds = Some(stop);
+    }
+
+    /// Answers nothing and begins nothing, as a stopped process on a live VM.
+    pub fn pause(&mut self) {
+        self.handler
+            .is_paused
+            .store(true, atomic::Ordering::Relaxed);
+        self.rounds = None;
+    }
+
+    pub fn wake(&mut self) {
+        self.handler
+            .is_paused
+            .store(false, atomic::Ordering::Relaxed);
+        self.start_rounds();
+    }
+
+    pub fn kill(mut self) -> String {
+        self.rounds = None;
+        self.server = None;
+        self.address.clone()
+    }
+
+    pub fn rank_of(&self, router: &str) -> Option<member_rank::MemberRank> {
+        let members = self.node.members();
+        let member = members.iter().find(|member| member.router == router)?;
+        member_rank::MemberRank::try_from(member.rank).ok()
+    }
+
+    pub fn sees(&self, router: &str, verdict: member_rank::PeerVerdict) -> bool {
+        let rank = self.rank_of(router);
+        rank.is_some_and(|rank| rank.verdict == verdict)
+    }
+
+    pub fn counts_ready(&self, count: usize) -> bool {
+        self.node.ready_members().len() == count
+    }
+}
+
+/// What the routers of one test share.
+#[derive(Default)]
+pub struct TestBed {
+    pub cuts: Arc<CutSet>,
+    seeds: Vec<String>,
+    started: usize,
+}
+
+impl TestBed {
+    pub async fn start(&mut self, router: &str) -> TestRouter {
+        let listener = net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("no free port");
+        self.started += 1;
+        let incarnation = BASE_INCARNATION + self.started as u64;
+        self.start_at(router, listener, incarnation)
+    }
+
+    pub fn start_at(
+        &mut self,
+        router: &str,
+        listener: net::TcpListener,
+        incarnation: u64,
+    ) -> TestRouter {
+        let address = listener.local_addr().expect("no address").to_string();
+        let ring = Arc::new(timeline::EventRing::new(router));
+        let link = Arc::new(FaultyLink {
+            own: address.clone(),
+            cuts: Arc::clone(&self.cuts),
+            client: peer_client::PeerClient::new(Arc::clone(&ring)),
+        });
+        let zone = self.started % ZONES;
+        let identity = gossip::MemberIdentity {
+            router: router.to_owned(),
+            incarnation,
+            zone: format!("zone-{zone}"),
+            caller_address: address.clone(),
+            peer_address: address.clone(),
+            admin_address: address.clone(),
+        };
+        let seeds = Arc::new(self.seeds.clone());
+        let settings = gossip::GossipSettings::default();
+        let node = gossip::GossipNode::new(identity, settings, seeds, link, Arc::clone(&ring));
+        let node = Arc::new(node);
+        node.set_ready();
+        let handler = Arc::new(PausableHandler {
+            node: Arc::clone(&node),
+            is_paused: atomic::AtomicBool::new(false),
+        });
+        let stop = stop_token::StopSource::new();
+        let service = Arc::clone(&handler);
+        task::spawn(peer_server::serve(listener, service, ring, stop.token()));
+        if self.seeds.len() < 2 {
+            self.seeds.push(address.clone());
+        }
+        let mut router = TestRouter {
+            node,
+            handler,
+            address,
+            rounds: None,
+            server: Some(stop),
+        };
+        router.start_rounds();
+        router
+    }
+
+    pub async fn start_many(&mut self, count: usize) -> Vec<TestRouter> {
+        let mut routers = Vec::new();
+        for index in 0..count {
+            routers.push(self.start(&format!("router-{index}")).await);
+        }
+        let is_whole = || routers.iter().all(|router| router.counts_ready(count));
+        assert!(within(AGREE_LIMIT, is_whole).await, "routers never met");
+        routers
+    }
+}
+
+pub async fn within(limit: time::Duration, mut is_true: impl FnMut() -> bool) -> bool {
+    let deadline = time::Instant::now() + limit;
+    while time::Instant::now() < deadline {
+        if is_true() {
+            return true;
+        }
+        task::sleep(time::Duration::from_millis(20)).await;
+    }
+    is_true()
+}
+
+pub fn run<F: Future<Output = ()>>(test: F) {
+    task::block_on(test);
+}
--- /dev/null
+++ b/tests/membership/exchange.rs
@@ -0,0 +1,121 @@
+//! Loads, and exchanges between two states.
+
+use std::time;
+
+use kumquatpulley::connection::peer_wire;
+use kumquatpulley::process::{gossip_exchange, member_load, membership};
+
+use crate::facts;
+
+fn load(router: &str, sequence: u64, (part, parts): (u16, u16)) -> peer_wire::LoadWire {
+    peer_wire::LoadWire {
+        router: router.to_owned(),
+        incarnation: 1,
+        sequence,
+        part,
+        parts,
+        config: 1,
+        demand: vec![peer_wire::DemandWire {
+            workspace: format!("workspace-{part}"),
+            requests: 1,
+        }],
+    }
+}
+
+#[test]
+fn loads_reach_a_peer_whole_within_the_budget_of_each_message() {
+    let mut book = member_load::LoadBook::default();
+    for index in 0..20 {
+        assert!(book.merge(load(&format!("router-{index}"), 2, (0, 1)), "source"));
+        assert!(!book.merge(load(&format!("router-{index}"), 1, (0, 1)), "source"));
+    }
+    let (mut seen, mut passed) = (0, 0);
+    for _ in 0..20 {
+        let batch = book.batch(seen, "peer", 100);
+        assert!(batch.loads.len() <= 2);
+        passed += batch.loads.len();
+        seen = batch.upto;
+    }
+    assert_eq!(passed, 20);
+    assert!(book.batch(0, "source", 100).loads.is_empty());
+}
+
+#[test]
+fn a_load_divided_anew_replaces_all_parts() {
+    let mut book = member_load::LoadBook::default();
+    for part in 0..4 {
+        assert!(book.merge(load("a", 1 + u64::from(part), (part, 4)), "source"));
+    }
+    assert_eq!(book.demand("a", 1).count(), 4);
+    assert!(book.merge(load("a", 5, (0, 1)), "source"));
+    assert!(!book.merge(load("a", 4, (3, 4)), "late"));
+    assert_eq!(book.demand("a", 1).count(), 1);
+    assert_eq!(book.demand("a", 2).count(), 0);
+    assert_eq!(book.batch(0, "peer", 10_000).loads.len(), 1);
+}
+
+/// Lets `one` send a query to `two` and take in the answer.
+fn exchange(
+    one: &mut gossip_exchange::ExchangeState,
+    two: &mut gossip_exchange::ExchangeState,
+    query: peer_wire::GossipWire,
+    now: time::Instant,
+) {
+    let at = gossip_exchange::ExchangeTime {
+        now,
+        micros: facts::WALL_MICROS,
+    };
+    let sent = gossip_exchange::SentNumbers::from(&query);
+    let (reply, _) = two.answer(query, at);
+    one.absorb(sent, reply, at);
+}
+
+#[test]
+fn an_exchange_without_a_delta_does_not_count_as_one() {
+    let now = time::Instant::now();
+    let state = |name: &str| {
+        let table = membership::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
+        gossip_exchange::ExchangeState::new(table)
+    };
+    let (mut one, mut two) = (state("one"), state("two"));
+    let first = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    exchange(&mut one, &mut two, first, now);
+    one.table
+        .merge(facts::fact("a", 1, facts::ALIVE, 1), "peer", now);
+    two.table
+        .merge(facts::fact("b", 1, facts::ALIVE, 1), "peer", now);
+    for query in [
+        one.query(None, gossip_exchange::ExchangeKind::Round),
+        one.bucket_query(0),
+    ] {
+        exchange(&mut one, &mut two, query, now);
+    }
+    assert!(one.is_behind("two"));
+    let delta = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    exchange(&mut one, &mut two, delta, now);
+    assert!(two.table.get("a").is_some());
+    assert!(one.table.get("b").is_some());
+    assert!(!one.is_behind("two"));
+}
+
+#[test]
+fn a_push_carries_no_loads_and_loses_none() {
+    let now = time::Instant::now();
+    let state = |name: &str| {
+        let table = membership::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
+        gossip_exchange::ExchangeState::new(table)
+    };
+    let (mut one, mut two) = (state("one"), state("two"));
+    one.table.merge_load(load("one", 1, (0, 1)), "one");
+    two.table.merge_load(load("two", 1, (0, 1)), "two");
+    for _ in 0..2 {
+        let push = one.query(Some("two"), gossip_exchange::ExchangeKind::Push);
+        assert!(push.loads.is_empty());
+        exchange(&mut one, &mut two, push, now);
+    }
+    assert_eq!(two.table.loads().demand("one", 1).count(), 0);
+    let round = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    exchange(&mut one, &mut two, round, now);
+    assert_eq!(two.table.loads().demand("one", 1).count(), 1);
+    assert_eq!(one.table.loads().demand("two", 1).count(), 1);
+}
--- /dev/null
+++ b/tests/membership/facts.rs
@@ -0,0 +1,54 @@
+//! Facts and tables that the tests start from.
+
+use std::time;
+
+use kumquatpulley::connection::peer_wire;
+use kumquatpulley::process::{member_rank, membership};
+
+pub const SECOND: time::Duration = time::Duration::from_secs(1);
+pub const WALL_MICROS: u64 = 1_900_000_000_000_000;
+
+pub fn fact(router: &str, incarnation: u64, rank: u8, version: u64) -> peer_wire::MemberWire {
+    peer_wire::MemberWire {
+        router: router.to_owned(),
+        incarnation,
+        rank,
+        version,
+        zone: "zone-1".to_owned(),
+        caller_address: "10.0.0.1:80".to_owned(),
+        peer_address: "10.0.0.1:81".to_owned(),
+        admin_address: "10.0.0.1:82".to_owned(),
+        config: 0,
+        demand: Vec::new(),
+    }
+}
+
+pub fn rank(stage: member_rank::LifeStage, verdict: member_rank::PeerVerdict) -> u8 {
+    member_rank::MemberRank { stage, verdict }.into()
+}
+
+pub const ALIVE: u8 = 0x01;
+pub const SUSPECT: u8 = 0x11;
+pub const DEAD: u8 = 0x21;
+pub const LEFT: u8 = 0x03;
+
+pub fn table(now: time::Instant) -> membership::MemberTable {
+    membership::MemberTable::new(fact("own", 1, ALIVE, 1), now)
+}
+
+pub fn stage_of(fact: &peer_wire::MemberWire) -> member_rank::LifeStage {
+    member_rank::MemberRank::try_from(fact.rank)
+        .expect("rank is unknown")
+        .stage
+}
+
+pub fn merge_all(
+    table: &mut membership::MemberTable,
+    facts: Vec<peer_wire::MemberWire>,
+    source: &str,
+    now: time::Instant,
+) {
+    for fact in facts {
+        table.merge(fact, source, now);
+    }
+}
--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,152 @@
+//! Merging of member facts, suspicion, leaving endpoints and pauses, without any I/O.
+
+use std::time;
+
+use kumquatpulley::connection::peer_wire;
+use kumquatpulley::process::{member_load, member_rank, member_ring};
+use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
+
+#[path = "../common/mod.rs"]
+mod common;
+mod exchange;
+mod facts;
+mod pause;
+mod table;
+
+fn any_rank() -> impl Strategy<Value = u8> {
+    (0u8..4, 0u8..3).prop_map(|(stage, verdict)| stage | verdict << 4)
+}
+
+fn any_fact() -> impl Strategy<Value = peer_wire::MemberWire> {
+    let ports = prop::sample::select(vec!["10.0.0.1:81", "10.0.0.2:81"]);
+    (0u64..3, any_rank(), 0u64..3, ports).prop_map(|(incarnation, rank, version, port)| {
+        peer_wire::MemberWire {
+            peer_address: port.to_owned(),
+            ..facts::fact("a", incarnation, rank, version)
+        }
+    })
+}
+
+/// Facts of several routers as they are really made: one zone and address a router.
+fn any_facts() -> impl Strategy<Value = Vec<peer_wire::MemberWire>> {
+    let router = prop::sample::select(vec!["a", "b", "c", "d"]);
+    let one = (router, 1u64..4, any_rank(), 0u64..4);
+    let one = one.prop_map(|(router, incarnation, rank, version)| {
+        facts::fact(router, incarnation, rank, version)
+    });
+    prop::collection::vec(one, 0..24)
+}
+
+proptest! {
+    #[test]
+    fn merge_is_commutative(left in any_fact(), right in any_fact()) {
+        let one = member_rank::merge(left.clone(), right.clone());
+        prop_assert_eq!(one, member_rank::merge(right, left));
+    }
+
+    #[test]
+    fn merge_is_associative(a in any_fact(), b in any_fact(), c in any_fact()) {
+        let one = member_rank::merge(member_rank::merge(a.clone(), b.clone()), c.clone());
+        prop_assert_eq!(one, member_rank::merge(a, member_rank::merge(b, c)));
+    }
+
+    #[test]
+    fn merge_is_idempotent(a in any_fact(), b in any_fact()) {
+        prop_assert_eq!(&member_rank::merge(a.clone(), a.clone()), &a);
+        let once = member_rank::merge(a.clone(), b.clone());
+        prop_assert_eq!(&member_rank::merge(once.clone(), b), &once);
+    }
+
+    #[test]
+    fn a_stage_never_goes_back_within_an_incarnation(facts in any_facts()) {
+        let now = time::Instant::now();
+        let mut table = facts::table(now);
+        for fact in facts {
+            let router = fact.router.clone();
+            let before = table.get(&router).map(|record| record.fact.clone());
+            table.merge(fact, "peer", now);
+            let Some(before) = before else { continue };
+            let after = &table.get(&router).unwrap().fact;
+            prop_assert!(after.incarnation >= before.incarnation);
+            if after.incarnation == before.incarnation {
+                prop_assert!(facts::stage_of(after) >= facts::stage_of(&before));
+            }
+        }
+    }
+
+    #[test]
+    fn tables_agree_whatever_the_order(facts in any_facts(), seed in any::<u64>()) {
+        let now = time::Instant::now();
+        let (mut one, mut two) = (facts::table(now), facts::table(now));
+        // Members that are gone are taken in only by those who knew them.
+        for router in ["a", "b", "c", "d"] {
+            one.merge(facts::fact(router, 0, facts::ALIVE, 0), "peer", now);
+            two.merge(facts::fact(router, 0, facts::ALIVE, 0), "peer", now);
+        }
+        let mut shuffled = facts.clone();
+        shuffled.extend_from_slice(&facts[..facts.len() / 2]);
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        facts::merge_all(&mut one, facts, "peer", now);
+        facts::merge_all(&mut two, shuffled, "other", now);
+        prop_assert_eq!(one.digest().total(), two.digest().total());
+        for router in ["a", "b", "c", "d"] {
+            prop_assert_eq!(&one.get(router).unwrap().fact, &two.get(router).unwrap().fact);
+        }
+    }
+
+    #[test]
+    fn differing_buckets_bring_two_tables_together(left in any_facts(), right in any_facts()) {
+        let now = time::Instant::now();
+        let (mut one, mut two) = (facts::table(now), facts::table(now));
+        facts::merge_all(&mut one, left, "peer", now);
+        facts::merge_all(&mut two, right, "peer", now);
+        let wanted = one.digest().differing(two.digest().buckets());
+        let (from_one, from_two) = (one.facts_in(wanted), two.facts_in(wanted));
+        facts::merge_all(&mut one, from_two.members, "two", now);
+        facts::merge_all(&mut two, from_one.members, "one", now);
+        prop_assert_eq!(one.digest().total(), two.digest().total());
+    }
+
+    #[test]
+    fn changes_by_number_bring_a_peer_up_to_date(facts in any_facts(), limit in 1usize..5) {
+        let now = time::Instant::now();
+        let (mut one, mut two) = (facts::table(now), facts::table(now));
+        for fact in facts {
+            one.merge(fact, "peer", now);
+        }
+        let mut seen = 0;
+        for _ in 0..32 {
+            let batch = one.delta(seen, "two", limit);
+            prop_assert!(batch.members.len() <= limit);
+            prop_assert!(batch.upto >= seen);
+            seen = batch.upto;
+            facts::merge_all(&mut two, batch.members, "one", now);
+        }
+        prop_assert_eq!(seen, one.sequence());
+        prop_assert_eq!(one.digest().total(), two.digest().total());
+    }
+
+    #[test]
+    fn quantised_demand_is_never_below_and_at_most_a_quarter_above(requests in 0u32..2_000_000) {
+        let told = member_load::quantise(requests);
+        prop_assert!(told >= requests);
+        prop_assert!(u64::from(told) * 4 <= u64::from(requests) * 5);
+        prop_assert_eq!(member_load::quantise(told), told);
+    }
+
+    #[test]
+    fn every_router_has_about_log2_predecessors(count in 2usize..300) {
+        let names: Vec<String> = (0..count).map(|index| format!("router-{index}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut asked = std::collections::HashMap::new();
+        for name in &names {
+            let fingers = member_ring::fingers(name, &names);
+            prop_assert!(!fingers.contains(&(*name).to_owned()));
+            for finger in fingers {
+                *asked.entry(finger).or_insert(0) += 1;
+            }
+        }
+        let expected = (count - 1).ilog2() + 1;
+        prop_assert!(names.iter().all(|name| asked.get(*name) == Some(&expected)));
+    }
+}
