Build the benches against the harness as it is now

Ruled out: nothing. Change: the benches include the declarations file and name the first limit; the lane view holds no other version.

--- a/benches/recovery/engine_view.rs
+++ b/benches/recovery/engine_view.rs
@@ -52,6 +52,10 @@
         Some(self.lease(place))
     }
 
+    fn held_version(&self, _need: &view::EngineNeed) -> Option<String> {
+        None
+    }
+
     fn find(&self, _service: &str, endpoint: &str) -> Option<Box<dyn view::EndpointLease>> {
         let place = self.places.iter().find(|place| place.name == endpoint)?;
         self.probes.fetch_add(1, atomic::Ordering::Relaxed);
--- a/benches/recovery/main.rs
+++ b/benches/recovery/main.rs
@@ -13,6 +13,8 @@
 #[expect(dead_code, reason = "the fault matrix uses more of it")]
 mod bench;
 mod cell;
+#[path = "../../tests/fault_matrix/declarations.rs"]
+mod declarations;
 mod engine_lane;
 mod engine_run;
 mod engine_view;
--- a/benches/recovery/router_run.rs
+++ b/benches/recovery/router_run.rs
@@ -73,7 +73,7 @@
         ..bench::BenchPlan::default()
     };
     let system = bench::TestBench::start(plan).await?;
-    let declared = system.write_declarations("v1")?;
+    let declared = system.write_declarations("v1", bench::FIRST_LIMIT)?;
     let yaml = fs::read_to_string(&declared)?.replace(
         "  - name: quotes\n",
         &format!("  - name: quotes\n    recovery: {}\n", policy.name()),
--- a/benches/stream/main.rs
+++ b/benches/stream/main.rs
@@ -11,6 +11,8 @@
 #[expect(dead_code, reason = "the fault matrix uses more of it")]
 mod bench;
 mod calls;
+#[path = "../../tests/fault_matrix/declarations.rs"]
+mod declarations;
 mod level;
 #[path = "../support/numbers.rs"]
 mod numbers;
--- a/tests/fault_matrix/bench.rs
+++ b/tests/fault_matrix/bench.rs
@@ -21,7 +21,7 @@
 pub const MODEL: &str = "quote-writer";
 
 /// Workspace limit of the first declarations.
-const FIRST_LIMIT: usize = 100;
+pub const FIRST_LIMIT: usize = 100;
 
 /// Availability zones, taken in turn.
 pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
