Split the driver's measures and the answers' readers into files of their own

Ruled out: new types for the measures; they act on the driver's state, so they stay methods in a second file. Change: driver_steps.rs holds attach, replace, restart and give up; reader.rs holds what delivers an answer. No behaviour changes. Conclusion: each file has one job again.

--- a/benches/recovery/engine_run.rs
+++ b/benches/recovery/engine_run.rs
@@ -10,6 +10,7 @@
 use kumquatpulley::request::cursor;
 use kumquatpulley::request::driver;
 use kumquatpulley::request::generation;
+use kumquatpulley::request::reader;
 use kumquatpulley::version::declaration;
 
 use crate::bench;
@@ -167,13 +168,13 @@
     run: &DriverRun,
     mut trial: Option<&mut (&mut engine_lane::EngineLane, FaultPlan)>,
 ) -> Result<AnswerWatch> {
-    let mut reader = generation::GenerationReader::new(&run.record, None);
+    let mut reader = reader::GenerationReader::new(&run.record, None);
     let mut watch = AnswerWatch::default();
     loop {
         match reader.next().await {
-            generation::ReaderItem::Token { text, .. } => watch.take(text),
-            generation::ReaderItem::Restart { .. } => watch.restart(),
-            generation::ReaderItem::Ended { phase, count } => {
+            reader::ReaderItem::Token { text, .. } => watch.take(text),
+            reader::ReaderItem::Restart { .. } => watch.restart(),
+            reader::ReaderItem::Ended { phase, count } => {
                 let is_finished = matches!(phase, generation::GenerationPhase::Finished { .. });
                 eyre::ensure!(is_finished, "ended as {phase:?} after {count} tokens");
                 eyre::ensure!(count == MAX_TOKENS, "only {count} tokens");
--- a/src/connection/completion.rs
+++ b/src/connection/completion.rs
@@ -13,6 +13,7 @@
 use crate::connection::sse;
 use crate::process::view;
 use crate::request::generation;
+use crate::request::reader;
 use crate::request::verdict;
 
 /// Longest silence of an answer's stream before a comment shows that it is alive.
@@ -109,9 +110,9 @@
 
 /// State of one answer's stream.
 struct AnswerStream {
-    reader: generation::GenerationReader,
+    reader: reader::GenerationReader,
     members: sync::Arc<dyn view::MemberView>,
-    first: Option<generation::ReaderItem>,
+    first: Option<reader::ReaderItem>,
     key: String,
     model: String,
     is_ended: bool,
@@ -128,9 +129,9 @@
         }
     }
 
-    fn encode(&mut self, item: generation::ReaderItem) -> String {
+    fn encode(&mut self, item: reader::ReaderItem) -> String {
         match item {
-            generation::ReaderItem::Token { text, cursor } => {
+            reader::ReaderItem::Token { text, cursor } => {
                 let data = chunk(&self.key, &self.model, &text, None);
                 sse::StreamEvent {
                     id: Some(cursor.to_string()),
@@ -139,11 +140,11 @@
                 }
                 .encode()
             }
-            generation::ReaderItem::Restart { reason } => {
+            reader::ReaderItem::Restart { reason } => {
                 let data = serde_json::json!({ "reason": reason }).to_string();
                 named_event("restart", data)
             }
-            generation::ReaderItem::Ended { phase, count } => self.encode_end(phase, count),
+            reader::ReaderItem::Ended { phase, count } => self.encode_end(phase, count),
         }
     }
 
@@ -225,11 +226,11 @@
 /// # Errors
 /// A refusal when the generation fails before its first token.
 pub async fn stream(
-    mut reader: generation::GenerationReader,
+    mut reader: reader::GenerationReader,
     head: AnswerHead,
 ) -> verdict::Result<tide::Response> {
     let first = future::timeout(HEAD_WAIT, reader.next()).await.ok();
-    if let Some(generation::ReaderItem::Ended {
+    if let Some(reader::ReaderItem::Ended {
         phase: generation::GenerationPhase::Failed(refusal),
         ..
     }) = first
@@ -267,15 +268,15 @@
 /// # Errors
 /// A refusal when the generation fails.
 pub async fn collect(
-    mut reader: generation::GenerationReader,
+    mut reader: reader::GenerationReader,
     head: AnswerHead,
 ) -> verdict::Result<tide::Response> {
     let mut text = String::new();
     loop {
         match reader.next().await {
-            generation::ReaderItem::Token { text: token, .. } => text.push_str(&token),
-            generation::ReaderItem::Restart { .. } => text.clear(),
-            generation::ReaderItem::Ended { phase, count } => {
+            reader::ReaderItem::Token { text: token, .. } => text.push_str(&token),
+            reader::ReaderItem::Restart { .. } => text.clear(),
+            reader::ReaderItem::Ended { phase, count } => {
                 return whole_answer(&head, &text, phase, count);
             }
         }
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -8,7 +8,6 @@
 use async_std::task;
 
 use crate::connection::engine;
-use crate::connection::engine_wire;
 use crate::process::timeline;
 use crate::process::view;
 use crate::request::cursor;
@@ -17,20 +16,10 @@
 use crate::request::sequencer;
 use crate::request::source;
 use crate::request::suspicion;
-use crate::request::verdict;
-
-/// Time without a token after a loss until the caller is told to come back.
-pub const GIVE_UP_LIMIT: time::Duration = time::Duration::from_secs(10);
-
-/// Time for a new generation to find an engine that can be reached.
-pub const NEW_LIMIT: time::Duration = time::Duration::from_millis(700);
 
 /// Time for which a generation without readers is kept running.
 pub const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(10);
 
-/// When a caller whose generation was given up may ask again.
-pub const RETRY_DELAY: time::Duration = time::Duration::from_secs(2);
-
 /// Longest time between two tokens of an engine that shows signs of life.
 const STALL_LIMIT: time::Duration = time::Duration::from_secs(2);
 
@@ -43,9 +32,6 @@
 /// Longest step of the orphan clock, so that a pause of the process does not count as absence.
 const ORPHAN_STEP: time::Duration = time::Duration::from_millis(250);
 
-/// Streams of one generation that are open at the same time.
-const MAX_SOURCES: usize = 4;
-
 const CANCEL_TRIES: u32 = 4;
 const CANCEL_PAUSE: time::Duration = time::Duration::from_secs(3);
 
@@ -76,40 +62,40 @@
 
 /// One open stream.
 #[derive(Debug)]
-struct OpenSource {
-    id: source::SourceId,
-    attempt: cursor::AttemptId,
-    endpoint: Box<dyn view::EndpointLease>,
-    round: u32,
-    is_opened: bool,
+pub(super) struct OpenSource {
+    pub(super) id: source::SourceId,
+    pub(super) attempt: cursor::AttemptId,
+    pub(super) endpoint: Box<dyn view::EndpointLease>,
+    pub(super) round: u32,
+    pub(super) is_opened: bool,
     /// Position from which an attempt is attached to; `None` for an attempt that it starts.
-    attached_at: Option<u32>,
+    pub(super) attached_at: Option<u32>,
     /// Stops the stream's task when dropped.
-    _stop: stop_token::StopSource,
+    pub(super) _stop: stop_token::StopSource,
 }
 
 /// Drives one generation.
 #[derive(Debug)]
 pub struct GenerationDriver {
-    context: DriverContext,
-    record: sync::Arc<generation::GenerationRecord>,
-    policy: &'static dyn recovery::RecoveryPolicy,
-    receiver: channel::Receiver<source::DriverMessage>,
-    sources: Vec<OpenSource>,
-    next_source: u32,
-    round: u32,
-    excluded: Vec<String>,
-    last_sign: time::Instant,
-    last_token: time::Instant,
-    has_token: bool,
+    pub(super) context: DriverContext,
+    pub(super) record: sync::Arc<generation::GenerationRecord>,
+    pub(super) policy: &'static dyn recovery::RecoveryPolicy,
+    pub(super) receiver: channel::Receiver<source::DriverMessage>,
+    pub(super) sources: Vec<OpenSource>,
+    pub(super) next_source: u32,
+    pub(super) round: u32,
+    pub(super) excluded: Vec<String>,
+    pub(super) last_sign: time::Instant,
+    pub(super) last_token: time::Instant,
+    pub(super) has_token: bool,
     /// Tokens were delivered that this router does not hold; a new attempt starts the answer again.
-    lacks_prefix: bool,
+    pub(super) lacks_prefix: bool,
     /// An engine may have begun to generate.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// When the present trouble began.
-    lost_since: Option<time::Instant>,
-    orphan_checked: time::Instant,
-    orphaned: time::Duration,
+    pub(super) lost_since: Option<time::Instant>,
+    pub(super) orphan_checked: time::Instant,
+    pub(super) orphaned: time::Duration,
 }
 
 impl GenerationDriver {
@@ -353,7 +339,7 @@
         self.recover_from(attempt, &name);
     }
 
-    fn exclude(&mut self, endpoint: &str) {
+    pub(super) fn exclude(&mut self, endpoint: &str) {
         if !self.excluded.iter().any(|name| name == endpoint) {
             self.excluded.push(endpoint.to_owned());
         }
@@ -364,227 +350,6 @@
         self.recover_from(attempt, "");
     }
 
-    /// Takes the next measure after `attempt` at `endpoint` was lost or went silent.
-    fn recover_from(&mut self, attempt: cursor::AttemptId, endpoint: &str) {
-        let lost_since = *self.lost_since.get_or_insert_with(time::Instant::now);
-        let limit = if self.may_have_run {
-            GIVE_UP_LIMIT
-        } else {
-            NEW_LIMIT
-        };
-        if lost_since.elapsed() > limit {
-            self.give_up();
-            return;
-        }
-        let step = self.policy.step(self.round);
-        self.round += 1;
-        match step {
-            recovery::RecoveryStep::Probe => {
-                if !self.attach(attempt, endpoint) {
-                    self.replace();
-                }
-            }
-            recovery::RecoveryStep::ProbeAndReplace => {
-                self.attach(attempt, endpoint);
-                self.replace();
-            }
-            recovery::RecoveryStep::Replace => self.replace(),
-            recovery::RecoveryStep::RestartFromZero => {
-                if self.record.position() > 0 {
-                    let version = self.record.need().version;
-                    self.restart(&version, "the engine was lost");
-                }
-                self.replace();
-            }
-        }
-    }
-
-    /// Attaches to an attempt's stream over a new connection; false when that cannot be tried.
-    fn attach(&mut self, attempt: cursor::AttemptId, endpoint: &str) -> bool {
-        let service = &self.record.spec.service;
-        let Some(lease) = self.context.engines.find(service, endpoint) else {
-            return false;
-        };
-        let from = self.record.position();
-        self.open_source(
-            attempt,
-            lease,
-            source::SourceOpening::Attach { attempt, from },
-        );
-        true
-    }
-
-    /// Starts a new attempt after the tokens held, on the same model version.
-    fn replace(&mut self) {
-        let mut need = self.record.need();
-        let mut lease = self.context.engines.pick(&need, &self.excluded);
-        if lease.is_none() && !self.excluded.is_empty() {
-            self.excluded.clear();
-            lease = self.context.engines.pick(&need, &self.excluded);
-        }
-        if lease.is_none() {
-            lease = self.pick_other_version(&mut need);
-        }
-        let Some(lease) = lease else {
-            self.last_sign = time::Instant::now();
-            self.context.counters.count("generation.no_engine");
-            return;
-        };
-        if self.lacks_prefix {
-            self.lacks_prefix = false;
-            self.restart(
-                &need.version,
-                "the engine and the tokens before the cursor are lost",
-            );
-        }
-        self.start_attempt(lease, &need);
-    }
-
-    /// Looks for an engine that holds another version: the declared one, else any.
-    ///
-    /// An answer that has begun starts again, since two versions are never mixed.
-    fn pick_other_version(
-        &mut self,
-        need: &mut view::EngineNeed,
-    ) -> Option<Box<dyn view::EndpointLease>> {
-        let declared = self.context.engines.declared_model(&need.service);
-        let declared = declared.map(|model| model.version);
-        let versions = declared
-            .into_iter()
-            .chain(self.context.engines.held_version(need));
-        for version in versions {
-            if version == need.version {
-                continue;
-            }
-            let other = view::EngineNeed {
-                version,
-                ..need.clone()
-            };
-            let Some(lease) = self.context.engines.pick(&other, &[]) else {
-                continue;
-            };
-            if self.record.position() > 0 {
-                self.restart(&other.version, "no engine holds the model version any more");
-            } else {
-                self.record.set_version(&other.version);
-            }
-            *need = other;
-            return Some(lease);
-        }
-        None
-    }
-
-    fn start_attempt(&mut self, lease: Box<dyn view::EndpointLease>, need: &view::EngineNeed) {
-        let attempt = cursor::AttemptId::random();
-        let prefix = self.record.tokens();
-        let position = self.record.position();
-        let is_resumed = self.round > 0 || position > 0;
-        let priority = if is_resumed {
-            engine_wire::PRIORITY_RESUMED
-        } else {
-            engine_wire::PRIORITY_NEW
-        };
-        let request = engine_wire::EngineRequest {
-            attempt: attempt.to_string(),
-            model: need.model.clone(),
-            version: need.version.clone(),
-            adapter: need.adapter.clone(),
-            prompt: need.prompt.to_string(),
-            prefix,
-            max_tokens: self.record.spec.max_tokens,
-            priority,
-        };
-        self.note(timeline::EventKind::AttemptStarted {
-            attempt: timeline::attempt_text(attempt),
-            endpoint: lease.name().to_owned(),
-            position,
-        });
-        self.context.counters.count("generation.attempt");
-        self.record.open(attempt);
-        self.open_source(
-            attempt,
-            lease,
-            source::SourceOpening::Start(Box::new(request)),
-        );
-    }
-
-    fn open_source(
-        &mut self,
-        attempt: cursor::AttemptId,
-        endpoint: Box<dyn view::EndpointLease>,
-        opening: source::SourceOpening,
-    ) {
-        if self.sources.len() == MAX_SOURCES {
-            let oldest = self.sources.remove(0);
-            let is_shared = self
-                .sources
-                .iter()
-                .any(|source| source.attempt == oldest.attempt);
-            if !is_shared {
-                self.record.retire(oldest.attempt);
-                self.cancel(&oldest);
-            }
-        }
-        let id = source::SourceId(self.next_source);
-        self.next_source += 1;
-        let stop = stop_token::StopSource::new();
-        let address = endpoint.address().to_owned();
-        let attached_at = match &opening {
-            source::SourceOpening::Attach { from, .. } => Some(*from),
-            source::SourceOpening::Start(_) => None,
-        };
-        source::spawn(id, address, opening, self.record.sender(), stop.token());
-        self.last_sign = time::Instant::now();
-        let round = self.round;
-        let source = OpenSource {
-            id,
-            attempt,
-            endpoint,
-            round,
-            is_opened: false,
-            attached_at,
-            _stop: stop,
-        };
-        self.sources.push(source);
-    }
-
-    fn restart(&mut self, version: &str, reason: &str) {
-        for lost in std::mem::take(&mut self.sources) {
-            self.cancel(&lost);
-        }
-        self.has_token = false;
-        self.record.restart(version, reason);
-        self.note(timeline::EventKind::Restarted {
-            cause: reason.to_owned(),
-        });
-        self.context.counters.count("generation.restart");
-    }
-
-    fn give_up(&mut self) {
-        let (verdict, message) = if self.may_have_run {
-            let message = "no engine can go on with the generation; ask again with the last cursor";
-            (verdict::RunVerdict::MayHaveRun, message)
-        } else {
-            (
-                verdict::RunVerdict::NotRun,
-                "no engine can serve the model now; ask again later",
-            )
-        };
-        let code = verdict::RefusalCode::NoEndpoint;
-        let refusal =
-            verdict::RequestRefusal::new(503, code, verdict, message).retry_after(RETRY_DELAY);
-        self.note(timeline::EventKind::Refused {
-            code: "no-endpoint".to_owned(),
-            verdict: refusal.verdict.to_string(),
-        });
-        self.context.counters.count("generation.given_up");
-        self.record
-            .end(generation::GenerationPhase::Failed(refusal));
-        for lost in std::mem::take(&mut self.sources) {
-            self.cancel(&lost);
-        }
-    }
-
     /// Time to wait for the next message before the next measure is due.
     fn wait_limit(&self) -> time::Duration {
         let Some(newest) = self.sources.last() else {
@@ -629,7 +394,7 @@
         }
     }
 
-    fn cancel(&self, source: &OpenSource) {
+    pub(super) fn cancel(&self, source: &OpenSource) {
         self.note(timeline::EventKind::Cancelled {
             attempt: timeline::attempt_text(source.attempt),
         });
@@ -638,7 +403,7 @@
         task::spawn(cancel_attempt(address, source.attempt));
     }
 
-    fn note(&self, kind: timeline::EventKind) {
+    pub(super) fn note(&self, kind: timeline::EventKind) {
         self.context.ring.record(Some(&self.record.spec.key), kind);
     }
 }
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -4,7 +4,6 @@
 use std::task;
 
 use async_std::channel;
-use futures::future;
 use parking_lot::Mutex;
 
 use crate::connection::peer_wire;
@@ -71,16 +70,16 @@
 
 /// State of one answer.
 #[derive(Debug)]
-struct RecordState {
-    epoch: u32,
-    restart_reason: String,
-    sequencer: sequencer::TokenSequencer,
-    model_version: String,
-    attempt: cursor::AttemptId,
-    endpoint: String,
-    phase: GenerationPhase,
-    readers: u32,
-    wakers: Vec<task::Waker>,
+pub(super) struct RecordState {
+    pub(super) epoch: u32,
+    pub(super) restart_reason: String,
+    pub(super) sequencer: sequencer::TokenSequencer,
+    pub(super) model_version: String,
+    pub(super) attempt: cursor::AttemptId,
+    pub(super) endpoint: String,
+    pub(super) phase: GenerationPhase,
+    pub(super) readers: u32,
+    pub(super) wakers: Vec<task::Waker>,
 }
 
 /// One answer, shared by its driver and its readers.
@@ -91,7 +90,7 @@
     /// Identifier of the answer.
     pub id: cursor::GenerationId,
     sender: channel::Sender<source::DriverMessage>,
-    state: Mutex<RecordState>,
+    pub(super) state: Mutex<RecordState>,
 }
 
 impl GenerationRecord {
@@ -259,155 +258,3 @@
         waker.wake();
     }
 }
-
-/// What a reader gets next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReaderItem {
-    /// A token and the cursor after it.
-    Token {
-        /// The token's text.
-        text: String,
-        /// Where the stream stands after it.
-        cursor: cursor::StreamCursor,
-    },
-    /// The answer starts again at position 0.
-    Restart {
-        /// Why it could not go on.
-        reason: String,
-    },
-    /// The generation ended.
-    Ended {
-        /// How it ended.
-        phase: GenerationPhase,
-        /// Tokens of the whole answer.
-        count: u32,
-    },
-}
-
-/// Reads one answer for one caller.
-#[derive(Debug)]
-pub struct GenerationReader {
-    record: sync::Arc<GenerationRecord>,
-    epoch: u32,
-    position: u32,
-    hash: cursor::PrefixHash,
-    seek: Option<(u32, cursor::PrefixHash)>,
-}
-
-impl GenerationReader {
-    /// A reader that delivers what follows `after`, or everything.
-    #[must_use]
-    pub fn new(record: &sync::Arc<GenerationRecord>, after: Option<&cursor::StreamCursor>) -> Self {
-        let epoch = {
-            let mut state = record.state.lock();
-            state.readers += 1;
-            state.epoch
-        };
-        let hash = record.spec.start_hash();
-        let seek = after.map(|cursor| (cursor.position, cursor.hash));
-        Self {
-            record: sync::Arc::clone(record),
-            epoch,
-            position: 0,
-            hash,
-            seek,
-        }
-    }
-
-    /// Tokens passed so far, delivered or skipped.
-    #[must_use]
-    pub fn position(&self) -> u32 {
-        self.position
-    }
-
-    /// Waits for the next item; after [`ReaderItem::Ended`] it returns the same again.
-    pub async fn next(&mut self) -> ReaderItem {
-        future::poll_fn(|cx| self.poll_next(cx)).await
-    }
-
-    fn poll_next(&mut self, cx: &task::Context<'_>) -> task::Poll<ReaderItem> {
-        let record = sync::Arc::clone(&self.record);
-        let mut state = record.state.lock();
-        if state.epoch != self.epoch {
-            return task::Poll::Ready(self.restart(state.epoch, state.restart_reason.clone()));
-        }
-        if self.skip(state.sequencer.tokens()).is_err() {
-            let reason = "the generation that the cursor names is lost".to_owned();
-            return task::Poll::Ready(self.restart(state.epoch, reason));
-        }
-        let text = state
-            .sequencer
-            .tokens()
-            .get(self.position as usize)
-            .cloned();
-        if let Some(text) = text.filter(|_text| self.seek.is_none()) {
-            return task::Poll::Ready(self.take(text, &state));
-        }
-        if state.phase != GenerationPhase::Running {
-            let phase = state.phase.clone();
-            if self.seek.is_some() && matches!(phase, GenerationPhase::Finished { .. }) {
-                let reason = "the cursor is past the end of the generation".to_owned();
-                return task::Poll::Ready(self.restart(state.epoch, reason));
-            }
-            return task::Poll::Ready(ReaderItem::Ended {
-                phase,
-                count: state.sequencer.len(),
-            });
-        }
-        if !state.wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-            state.wakers.push(cx.waker().clone());
-        }
-        task::Poll::Pending
-    }
-
-    /// Skips to the wanted position; fails when the tokens are not those that were delivered.
-    fn skip(&mut self, tokens: &[String]) -> std::result::Result<(), cursor::CursorError> {
-        let Some((position, hash)) = self.seek else {
-            return Ok(());
-        };
-        for text in tokens
-            .iter()
-            .take(position as usize)
-            .skip(self.position as usize)
-        {
-            self.hash = self.hash.then(text);
-            self.position += 1;
-        }
-        if self.position < position {
-            return Ok(());
-        }
-        if self.hash != hash {
-            return Err(cursor::CursorError);
-        }
-        self.seek = None;
-        Ok(())
-    }
-
-    fn take(&mut self, text: String, state: &RecordState) -> ReaderItem {
-        self.hash = self.hash.then(&text);
-        self.position += 1;
-        let cursor = cursor::StreamCursor {
-            generation: self.record.id,
-            position: self.position,
-            attempt: state.attempt,
-            hash: self.hash,
-            endpoint: state.endpoint.clone(),
-            model_version: state.model_version.clone(),
-        };
-        ReaderItem::Token { text, cursor }
-    }
-
-    fn restart(&mut self, epoch: u32, reason: String) -> ReaderItem {
-        self.epoch = epoch;
-        self.position = 0;
-        self.hash = self.record.spec.start_hash();
-        self.seek = None;
-        ReaderItem::Restart { reason }
-    }
-}
-
-impl Drop for GenerationReader {
-    fn drop(&mut self) {
-        self.record.state.lock().readers -= 1;
-    }
-}
--- a/src/request/intake.rs
+++ b/src/request/intake.rs
@@ -14,6 +14,7 @@
 use crate::request::driver;
 use crate::request::generation;
 use crate::request::key;
+use crate::request::reader;
 use crate::request::recovery;
 use crate::request::source;
 use crate::request::verdict;
@@ -69,10 +70,7 @@
     ///
     /// # Errors
     /// A refusal when the key belongs to another request.
-    pub async fn open(
-        &self,
-        request: IntakeRequest,
-    ) -> verdict::Result<generation::GenerationReader> {
+    pub async fn open(&self, request: IntakeRequest) -> verdict::Result<reader::GenerationReader> {
         let name = registry::RecordName::of(&request.spec);
         let mut holder = request.key.home().map(|home| home.router.clone());
         if let Some(record) = self.registry.find(&name) {
@@ -101,7 +99,7 @@
         &self,
         record: &sync::Arc<generation::GenerationRecord>,
         request: &IntakeRequest,
-    ) -> verdict::Result<generation::GenerationReader> {
+    ) -> verdict::Result<reader::GenerationReader> {
         if record.spec.start_hash() != request.spec.start_hash() {
             return Err(verdict::RequestRefusal::not_run(
                 422,
@@ -111,7 +109,7 @@
         }
         self.context.counters.count("generation.joined");
         self.note_resumed(request);
-        Ok(generation::GenerationReader::new(
+        Ok(reader::GenerationReader::new(
             record,
             request.cursor.as_ref(),
         ))
@@ -153,7 +151,7 @@
         &self,
         request: &IntakeRequest,
         plan: IntakePlan,
-    ) -> verdict::Result<generation::GenerationReader> {
+    ) -> verdict::Result<reader::GenerationReader> {
         self.note_resumed(request);
         let policy = recovery::policy(request.spec.recovery);
         let spec = request.spec.clone();
@@ -162,7 +160,7 @@
         if let Err(present) = self.registry.insert(&record) {
             return self.join(&present, request);
         }
-        let reader = generation::GenerationReader::new(&record, request.cursor.as_ref());
+        let reader = reader::GenerationReader::new(&record, request.cursor.as_ref());
         if let Some(reason) = plan.finish_reason {
             record.end(generation::GenerationPhase::Finished { reason });
         }
--- a/tests/generation.rs
+++ b/tests/generation.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use kumquatpulley::request::cursor;
 use kumquatpulley::request::generation;
+use kumquatpulley::request::reader;
 use kumquatpulley::request::sequencer;
 use kumquatpulley::request::verdict;
 use kumquatpulley::version::declaration;
@@ -51,21 +52,21 @@
     );
 }
 
-fn next(reader: &mut generation::GenerationReader) -> generation::ReaderItem {
+fn next(reader: &mut reader::GenerationReader) -> reader::ReaderItem {
     let item = future::timeout(WAIT_LIMIT, reader.next());
     task::block_on(item).expect("the reader got nothing in time")
 }
 
 /// Reads `count` tokens and returns their texts and the last cursor.
 fn read(
-    reader: &mut generation::GenerationReader,
+    reader: &mut reader::GenerationReader,
     count: usize,
 ) -> (Vec<String>, cursor::StreamCursor) {
     let mut texts = Vec::new();
     let mut last = None;
     for _token in 0..count {
         match next(reader) {
-            generation::ReaderItem::Token { text, cursor } => {
+            reader::ReaderItem::Token { text, cursor } => {
                 texts.push(text);
                 last = Some(cursor);
             }
@@ -75,13 +76,13 @@
     (texts, last.expect("at least one token is read"))
 }
 
-fn is_restart(item: &generation::ReaderItem) -> bool {
-    matches!(item, generation::ReaderItem::Restart { .. })
+fn is_restart(item: &reader::ReaderItem) -> bool {
+    matches!(item, reader::ReaderItem::Restart { .. })
 }
 
 /// A cursor after two tokens of `record`.
 fn cursor_after_two(record: &sync::Arc<generation::GenerationRecord>) -> cursor::StreamCursor {
-    let mut reader = generation::GenerationReader::new(record, None);
+    let mut reader = reader::GenerationReader::new(record, None);
     read(&mut reader, 2).1
 }
 
@@ -89,7 +90,7 @@
     let first = record(spec("hoesveld", "bows"), &["a", "b", "c"]);
     let cursor = cursor_after_two(&first);
     let elsewhere = record(spec("hoesveld", "bows"), &["a", "b", "c", "d"]);
-    let mut reader = generation::GenerationReader::new(&elsewhere, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&elsewhere, Some(&cursor));
     assert_eq!(read(&mut reader, 2).0, ["c", "d"]);
 }
 
@@ -97,7 +98,7 @@
     let first = record(spec("hoesveld", "bows"), &["a", "b", "c"]);
     let cursor = cursor_after_two(&first);
     let elsewhere = record(spec("hoesveld", "bows"), &[]);
-    let mut reader = generation::GenerationReader::new(&elsewhere, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&elsewhere, Some(&cursor));
     for (index, text) in ["a", "b", "c"].into_iter().enumerate() {
         offer(
             &elsewhere,
@@ -113,7 +114,7 @@
     let first = record(spec("hoesveld", "bows"), &["a", "b"]);
     let cursor = cursor_after_two(&first);
     let other = record(spec("hoesveld", "bows"), &["a", "x", "y"]);
-    let mut reader = generation::GenerationReader::new(&other, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&other, Some(&cursor));
     assert!(is_restart(&next(&mut reader)));
     assert_eq!(read(&mut reader, 3).0, ["a", "x", "y"]);
 }
@@ -122,7 +123,7 @@
     let first = record(spec("hoesveld", "bows"), &["a", "b"]);
     let cursor = cursor_after_two(&first);
     let other = record(spec("inanga", "bows"), &["a", "b", "c"]);
-    let mut reader = generation::GenerationReader::new(&other, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&other, Some(&cursor));
     assert!(is_restart(&next(&mut reader)));
 }
 
@@ -130,26 +131,26 @@
     let first = record(spec("hoesveld", "bows"), &["a", "b"]);
     let cursor = cursor_after_two(&first);
     let other = record(spec("hoesveld", "ribbons"), &["a", "b", "c"]);
-    let mut reader = generation::GenerationReader::new(&other, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&other, Some(&cursor));
     assert!(is_restart(&next(&mut reader)));
 }
 
 fn a_cursor_past_the_end_starts_again() {
     let longer = record(spec("hoesveld", "bows"), &["a", "b", "c"]);
-    let mut reader = generation::GenerationReader::new(&longer, None);
+    let mut reader = reader::GenerationReader::new(&longer, None);
     let cursor = read(&mut reader, 3).1;
     let shorter = record(spec("hoesveld", "bows"), &["a", "b"]);
     shorter.end(generation::GenerationPhase::Finished {
         reason: "stop".to_owned(),
     });
-    let mut reader = generation::GenerationReader::new(&shorter, Some(&cursor));
+    let mut reader = reader::GenerationReader::new(&shorter, Some(&cursor));
     assert!(is_restart(&next(&mut reader)));
     assert_eq!(read(&mut reader, 2).0, ["a", "b"]);
 }
 
 fn a_restart_is_told_before_its_first_token() {
     let record = record(spec("hoesveld", "bows"), &["a", "b"]);
-    let mut reader = generation::GenerationReader::new(&record, None);
+    let mut reader = reader::GenerationReader::new(&record, None);
     read(&mut reader, 2);
     record.restart("v2", "the model version is gone");
     offer(&record, 2, 0, "x");
