Show a router's log when a run of the recovery bench leaves it unready

Cause: in the first run of 30 a cell, one of 480 runs failed after its answer was whole: the router that it had killed was started again and not ready within 20 s. Its log was gone with the folder, so the cause is not known.

Ruled out: leaving that run out of the result; it stays a failure.

Change: the failure holds the router's log.

Conclusion: flaky, cause open; a port taken meanwhile by another test on the machine would look the same.

--- a/benches/recovery/router_run.rs
+++ b/benches/recovery/router_run.rs
@@ -138,7 +138,10 @@
         system.engines[engine].stand_in.restart()?;
     }
     task::sleep(SETTLE_TIME).await;
-    system.wait_ready().await?;
+    if let Err(error) = system.wait_ready().await {
+        let log = system.read_log(&format!("r{}", router + 1));
+        eyre::bail!("{error} after the answer was whole; its log: {log}");
+    }
     Ok(figures::RunFigures {
         resume,
         extra_tokens: tokens.saturating_sub(u64::from(max_tokens)),
