--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -15,7 +15,7 @@
 pub const MAX_BUCKET_FACTS: usize = 8192;
 
 /// Bytes of loads in one message, about.
-pub const LOAD_BUDGET_BYTES: usize = 192;
+pub const LOAD_BUDGET_BYTES: usize = 256;
 
 /// Peers whose progress is kept; more than a router exchanges facts with.
 pub const MAX_PROGRESS: usize = 64;
