--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -179,10 +179,8 @@
             theirs => self.table.digest().differing(theirs),
         };
         let wanted = query.wanted | differing;
-        let brought = (query.members.clone(), query.leaving.clone());
         let effect = self.take_in(query, at);
         let mut batch = self.batch_since(have, &from);
-        leave_out(&mut batch, &brought.0, &brought.1);
         if wanted != 0 {
             let facts = self.table.facts_in(wanted);
             batch.members = facts.members;
@@ -321,20 +319,3 @@
         effect
     }
 }
-
-/// Takes out the facts that the peer has just brought itself, though another told them first.
-fn leave_out(
-    batch: &mut member_delta::FactBatch,
-    members: &[peer_wire::MemberWire],
-    leaving: &[peer_wire::LeavingWire],
-) {
-    batch.members.retain(|fact| !members.contains(fact));
-    let brought: collections::HashSet<(&str, u64)> = leaving
-        .iter()
-        .map(|fact| (fact.endpoint.as_str(), fact.incarnation))
-        .collect();
-    let is_brought = |fact: &peer_wire::LeavingWire| {
-        brought.contains(&(fact.endpoint.as_str(), fact.incarnation))
-    };
-    batch.leaving.retain(|fact| !is_brought(fact));
-}
