Use one observed stream for counting, gating, metering and idle watching

Ruled out: a macro; a trait with three small methods says what each wrapper adds. Change: observed.rs has the stream; send counter, terms check, peer meter and connection activity are observers.

--- a/src/connection/accept.rs
+++ b/src/connection/accept.rs
@@ -71,8 +71,7 @@
 ) where
     State: Clone + Send + Sync + 'static,
 {
-    let watched = idle::WatchedStream::new(stream.clone());
-    let activity = watched.activity();
+    let (watched, activity) = idle::watch(stream.clone());
     let respond = |request| {
         let application = application.clone();
         let busy = activity.begin();
--- a/src/connection/http.rs
+++ b/src/connection/http.rs
@@ -2,17 +2,14 @@
 
 use std::fmt;
 use std::io as std_io;
-use std::pin;
-use std::sync;
-use std::sync::atomic;
-use std::task;
 use std::time;
 
 use async_std::future;
-use async_std::io;
 use async_std::net;
 use http_types::headers;
 
+use crate::connection::observed;
+
 /// Outcome of an HTTP exchange.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
 
@@ -64,51 +61,6 @@
     }
 }
 
-/// TCP stream that counts the bytes handed to the socket.
-#[derive(Clone, Debug)]
-pub struct CountedStream {
-    stream: net::TcpStream,
-    sent: sync::Arc<atomic::AtomicU64>,
-}
-
-impl io::Read for CountedStream {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &mut [u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl io::Write for CountedStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = poll {
-            self.sent.fetch_add(count as u64, atomic::Ordering::Relaxed);
-        }
-        poll
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
-
 /// Opens a connection with `TCP_NODELAY` set.
 ///
 /// # Errors
@@ -157,18 +109,15 @@
     limits: ExchangeLimits,
 ) -> Result<http_types::Response> {
     let stream = connect(address, limits.connect).await?;
-    let sent = sync::Arc::new(atomic::AtomicU64::new(0));
-    let counted = CountedStream {
-        stream,
-        sent: sync::Arc::clone(&sent),
-    };
+    let counter = observed::SentCounter::default();
+    let stream = observed::ObservedStream::new(stream, counter.clone());
     request.insert_header(headers::CONNECTION, "close");
     let fail = |stage, message| ExchangeError {
         stage,
-        bytes_sent: sent.load(atomic::Ordering::Relaxed),
+        bytes_sent: counter.sent(),
         message,
     };
-    let exchange = async_h1::connect(counted, request);
+    let exchange = async_h1::connect(stream, request);
     match future::timeout(limits.head, exchange).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) => Err(fail(
--- a/src/connection/idle.rs
+++ b/src/connection/idle.rs
@@ -1,16 +1,14 @@
 //! Notices connections on which nothing happens: no request runs and no byte can be written.
 
-use std::io as std_io;
-use std::pin;
 use std::sync;
-use std::task;
 use std::time;
 
-use async_std::io;
 use async_std::net;
 use async_std::task as std_task;
 use parking_lot::Mutex;
 
+use crate::connection::observed;
+
 /// What happens on one connection.
 #[derive(Clone, Debug)]
 pub struct ConnectionActivity {
@@ -76,67 +74,26 @@
 /// TCP stream whose writes count as activity.
 ///
 /// Reads do not count, so that a request head that trickles in is bounded as well.
-#[derive(Clone, Debug)]
-pub struct WatchedStream {
-    stream: net::TcpStream,
-    activity: ConnectionActivity,
-}
-
-impl WatchedStream {
-    /// Watches `stream` from now on.
-    #[must_use]
-    pub fn new(stream: net::TcpStream) -> Self {
-        let state = ActivityState {
-            last: time::Instant::now(),
-            running: 0,
-        };
-        let activity = ConnectionActivity {
-            state: sync::Arc::new(Mutex::new(state)),
-        };
-        Self { stream, activity }
-    }
-
-    /// What happens on the connection.
-    #[must_use]
-    pub fn activity(&self) -> ConnectionActivity {
-        self.activity.clone()
-    }
+pub type WatchedStream = observed::ObservedStream<ConnectionActivity>;
+
+/// Watches `stream` from now on, and the activity on it.
+#[must_use]
+pub fn watch(stream: net::TcpStream) -> (WatchedStream, ConnectionActivity) {
+    let state = ActivityState {
+        last: time::Instant::now(),
+        running: 0,
+    };
+    let activity = ConnectionActivity {
+        state: sync::Arc::new(Mutex::new(state)),
+    };
+    (
+        observed::ObservedStream::new(stream, activity.clone()),
+        activity,
+    )
 }
 
-impl io::Read for WatchedStream {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &mut [u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl io::Write for WatchedStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let task::Poll::Ready(Ok(_count)) = poll {
-            self.activity.touch();
-        }
-        poll
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_close(cx)
+impl observed::StreamObserver for ConnectionActivity {
+    fn wrote(&self, _count: usize) {
+        self.touch();
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -15,6 +15,7 @@
 pub mod engine_wire;
 pub mod http;
 pub mod idle;
+pub mod observed;
 pub mod order_client;
 pub mod peer;
 pub mod peer_client;
--- a/src/connection/peer_client.rs
+++ b/src/connection/peer_client.rs
@@ -174,7 +174,7 @@
         stream
             .set_nodelay(true)
             .map_err(|error| not_sent(address, &error))?;
-        let stream = peer_stream::MeteredStream::new(stream, Arc::clone(&self.meter));
+        let stream = peer_stream::metered(stream, Arc::clone(&self.meter));
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(peer_stream::WINDOW_BYTES)
             .initial_connection_window_size(peer_stream::WINDOW_BYTES)
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -87,7 +87,7 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let stream = peer_stream::MeteredStream::new(stream, Arc::clone(&self.meter));
+        let stream = peer_stream::metered(stream, Arc::clone(&self.meter));
         let mut builder = h2::server::Builder::new();
         builder
             .initial_window_size(peer_stream::WINDOW_BYTES)
--- a/src/connection/peer_stream.rs
+++ b/src/connection/peer_stream.rs
@@ -1,13 +1,11 @@
 //! Byte streams and message codec under the links between routers.
 
-use std::io;
-use std::pin;
 use std::sync::Arc;
 use std::sync::atomic;
-use std::task;
 
 use async_std::net;
-use futures::io::{AsyncRead, AsyncWrite};
+
+use crate::connection::observed;
 
 /// Outcome of reading or writing a message; the text says what is wrong with it.
 pub type Result<T> = std::result::Result<T, String>;
@@ -46,61 +44,30 @@
     }
 }
 
-/// A TCP stream that counts its bytes.
-#[derive(Debug)]
-pub struct MeteredStream {
-    stream: net::TcpStream,
+/// Counts the bytes of a connection in a meter.
+#[derive(Clone, Debug)]
+pub struct MeterObserver {
     meter: Arc<PeerMeter>,
 }
 
-impl MeteredStream {
-    /// Counts the bytes of `stream` in `meter`.
-    pub fn new(stream: net::TcpStream, meter: Arc<PeerMeter>) -> Self {
-        PeerMeter::add(&meter.connections, 1);
-        Self { stream, meter }
+impl observed::StreamObserver for MeterObserver {
+    fn wrote(&self, count: usize) {
+        PeerMeter::add(&self.meter.sent, count);
     }
-}
 
-impl AsyncRead for MeteredStream {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &mut [u8],
-    ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = poll {
-            PeerMeter::add(&self.meter.received, count);
-        }
-        poll
+    fn read(&self, count: usize) {
+        PeerMeter::add(&self.meter.received, count);
     }
 }
 
-impl AsyncWrite for MeteredStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = poll {
-            PeerMeter::add(&self.meter.sent, count);
-        }
-        poll
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
+/// A TCP stream that counts its bytes.
+pub type MeteredStream = observed::ObservedStream<MeterObserver>;
 
-    fn poll_close(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_close(cx)
-    }
+/// Counts the connection and the bytes of `stream` in `meter`.
+#[must_use]
+pub fn metered(stream: net::TcpStream, meter: Arc<PeerMeter>) -> MeteredStream {
+    PeerMeter::add(&meter.connections, 1);
+    observed::ObservedStream::new(stream, MeterObserver { meter })
 }
 
 /// The bytes of a message.
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -2,18 +2,14 @@
 
 use std::fmt;
 use std::io as std_io;
-use std::pin;
 use std::sync;
-use std::sync::atomic;
-use std::task;
 use std::time;
 
 use async_std::future;
-use async_std::io;
-use async_std::net;
 use http_types::headers;
 
 use crate::connection::http;
+use crate::connection::observed;
 use crate::connection::peer_wire;
 
 /// Outcome of an exchange with a service endpoint.
@@ -88,52 +84,20 @@
     pub body: Vec<u8>,
 }
 
-/// TCP stream that checks the terms before each write and counts the bytes that left.
+/// Checks the terms before each write and counts the bytes that left.
 #[derive(Clone, Debug)]
-struct GuardedStream {
-    stream: net::TcpStream,
+struct TermsObserver {
     terms: SendTerms,
-    sent: sync::Arc<atomic::AtomicU64>,
+    counter: observed::SentCounter,
 }
 
-impl io::Read for GuardedStream {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &mut [u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl io::Write for GuardedStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<std_io::Result<usize>> {
-        if let Err(error) = self.terms.allow() {
-            return task::Poll::Ready(Err(error));
-        }
-        let poll = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = poll {
-            self.sent.fetch_add(count as u64, atomic::Ordering::Relaxed);
-        }
-        poll
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
+impl observed::StreamObserver for TermsObserver {
+    fn allow_write(&self) -> std_io::Result<()> {
+        self.terms.allow()
     }
 
-    fn poll_close(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<std_io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_close(cx)
+    fn wrote(&self, count: usize) {
+        self.counter.wrote(count);
     }
 }
 
@@ -148,15 +112,15 @@
 ) -> Result<ServiceAnswer> {
     let request = build_request(address, call)?;
     let stream = http::connect(address, terms.connect_limit).await?;
-    let sent = sync::Arc::new(atomic::AtomicU64::new(0));
-    let guarded = GuardedStream {
-        stream,
+    let counter = observed::SentCounter::default();
+    let observer = TermsObserver {
         terms: terms.clone(),
-        sent: sync::Arc::clone(&sent),
+        counter: counter.clone(),
     };
+    let guarded = observed::ObservedStream::new(stream, observer);
     let fail = |stage, message| http::ExchangeError {
         stage,
-        bytes_sent: sent.load(atomic::Ordering::Relaxed),
+        bytes_sent: counter.sent(),
         message,
     };
     let answer = exchange_over(guarded, request, terms);
@@ -174,7 +138,7 @@
 }
 
 async fn exchange_over(
-    stream: GuardedStream,
+    stream: observed::ObservedStream<TermsObserver>,
     request: http_types::Request,
     terms: &SendTerms,
 ) -> std::result::Result<ServiceAnswer, String> {
