--- a/src/bin/kumquatpulley/status.rs
+++ b/src/bin/kumquatpulley/status.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use futures::future;
-use kumquatpulley::process::endpoint;
+use kumquatpulley::process::endpoint_entry;
 use kumquatpulley::process::status;
 
 use crate::admin;
@@ -12,14 +12,16 @@
 use crate::output;
 use crate::source;
 
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct StatusReport {
     routers: Vec<status::RouterStatus>,
     silent: Vec<SilentRouter>,
 }
 
 /// A router that gave no answer.
-#[derive(Debug, serde::Serialize)]
+#[derive(Debug)]
+#[derive(serde::Serialize)]
 struct SilentRouter {
     address: String,
     message: String,
@@ -107,11 +109,11 @@
     )
 }
 
-const fn state_name(state: endpoint::EndpointState) -> &'static str {
+const fn state_name(state: endpoint_entry::EndpointState) -> &'static str {
     match state {
-        endpoint::EndpointState::Serving => "serving",
-        endpoint::EndpointState::Suspect => "suspect",
-        endpoint::EndpointState::Leaving => "leaving",
-        endpoint::EndpointState::Unknown => "unknown",
+        endpoint_entry::EndpointState::Serving => "serving",
+        endpoint_entry::EndpointState::Suspect => "suspect",
+        endpoint_entry::EndpointState::Leaving => "leaving",
+        endpoint_entry::EndpointState::Unknown => "unknown",
     }
 }
--- a/src/process/status.rs
+++ b/src/process/status.rs
@@ -3,11 +3,12 @@
 use std::collections;
 
 use crate::connection::peer_wire;
-use crate::process::endpoint;
+use crate::process::endpoint_entry;
 use crate::process::member_rank;
 
 /// State of one router.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RouterStatus {
     /// Router name.
     pub router: String,
@@ -30,7 +31,8 @@
 }
 
 /// One router as this one knows it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct MemberStatus {
     /// Router name.
     pub router: String,
@@ -66,7 +68,8 @@
 }
 
 /// One endpoint.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EndpointStatus {
     /// Endpoint name.
     pub name: String,
@@ -77,7 +80,7 @@
     /// Availability zone.
     pub zone: String,
     /// State.
-    pub state: endpoint::EndpointState,
+    pub state: endpoint_entry::EndpointState,
     /// Requests that it generates, as reported.
     pub running: u32,
     /// Requests that wait there, as reported.
@@ -93,7 +96,10 @@
 impl EndpointStatus {
     /// Status of an endpoint in the given state.
     #[must_use]
-    pub fn new(entry: &endpoint::EndpointEntry, state: endpoint::EndpointState) -> Self {
+    pub fn new(
+        entry: &endpoint_entry::EndpointEntry,
+        state: endpoint_entry::EndpointState,
+    ) -> Self {
         let report = entry.report().unwrap_or_default();
         let loaded = report.loaded.iter();
         Self {
@@ -114,7 +120,8 @@
 }
 
 /// One workspace.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct WorkspaceStatus {
     /// Workspace name.
     pub name: String,
