Compare buckets at first contact with a peer

Cause: in one of ten runs on the busy machine sixteen routers had not met after 8 s (two_routers_an_availability_zone_poll). Changes from before the first contact with a peer are in no delta, and the comparison that brings them waited for 2 s without any change, which a group that starts does not have. Ruled out: a longer bound in the test; a shorter quiet time, which compares whenever facts are on their way. Change: when digests differ at first contact, the buckets are compared at once.

--- a/src/process/gossip_exchange.rs
+++ b/src/process/gossip_exchange.rs
@@ -201,13 +201,15 @@
         reply: peer_wire::GossipWire,
         at: ExchangeTime,
     ) -> ExchangeEffect {
+        // Changes from before the first contact are in no delta; comparing buckets brings them.
+        let is_first = !self.progress.contains_key(&reply.from);
         self.note_progress(sent, &reply);
         let digest = reply.digest;
         let mut effect = self.take_in(reply, at);
         let quiet = |changed| at.now.duration_since(changed) >= QUIET_LIMIT;
         let is_quiet = self.table.last_changed().is_none_or(quiet);
         let differs = digest != self.table.digest().total();
-        effect.needs_buckets = differs && (is_quiet || !self.is_synced);
+        effect.needs_buckets = differs && (is_quiet || is_first || !self.is_synced);
         effect
     }
 
