Count others' requests apart from own ones that ended since a report

Cause: an engine's load was its report plus own requests begun since. Own requests that had ended since still counted, so that for up to a second after each report engines with free slots looked full, and work went to engines that were full.

Ruled out: reading reports more often, which costs control traffic at 10,000 runners; a report is still taken with its lag as if it were present.

Change: load is own requests now plus the report's surplus over own requests when it came. Equal to the former figure where own requests have grown. A new test names the case that differed.

--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -39,11 +39,11 @@
 }
 
 impl Candidate {
-    /// Estimated requests at the endpoint: the report, brought forward by own requests since.
+    /// Estimated requests at the endpoint: own ones now, and those of others in the report.
     #[must_use]
     pub fn load(&self) -> u32 {
-        let own_since = self.in_flight.saturating_sub(self.in_flight_at_report);
-        self.reported.saturating_add(own_since).max(self.in_flight)
+        let others = self.reported.saturating_sub(self.in_flight_at_report);
+        self.in_flight.saturating_add(others)
     }
 
     /// Whether another request can be computed at once.
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -85,6 +85,18 @@
     }
 }
 
+#[test]
+fn own_requests_that_ended_since_the_report_do_not_count() {
+    let mut freed = candidate(true, 6, 0);
+    freed.in_flight = 0;
+    freed.in_flight_at_report = 5;
+    assert_eq!(freed.load(), 1);
+    let busy = candidate(true, 2, 0);
+    for seed in 0..50 {
+        assert_eq!(choose(10, &[busy, freed], seed), Some(1));
+    }
+}
+
 #[test]
 fn own_requests_since_the_report_count() {
     let mut busy = candidate(true, 2, 0);
