--- a/src/connection/platform_wire.rs
+++ b/src/connection/platform_wire.rs
@@ -78,7 +78,7 @@
 pub struct VmEntry {
     /// VM name; for endpoint VMs the endpoint's name.
     pub name: String,
-    /// Address of the main port, host and port.
+    /// Host and port: for an endpoint VM where it serves, for a router VM where peers reach it.
     pub address: String,
     /// Availability zone.
     pub zone: String,
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -3,6 +3,8 @@
 use std::sync;
 use std::time;
 
+use async_std::task;
+
 use crate::connection::http;
 use crate::connection::peer_wire;
 use crate::connection::service;
@@ -12,6 +14,12 @@
 use crate::request::refusal;
 use crate::request::verdict;
 
+/// Time that a call waits for a router that catches up after a pause, since a refusal by the home
+/// would use up the key.
+const CATCH_UP_WAIT: time::Duration = time::Duration::from_millis(300);
+
+const CATCH_UP_STEP: time::Duration = time::Duration::from_millis(10);
+
 /// Sends a call that must not be repeated; after its first byte left there is no other try.
 pub(crate) async fn run_once(
     state: &call::RunnerState,
@@ -19,7 +27,7 @@
 ) -> peer_wire::CallOutcomeWire {
     let mut excluded = Vec::new();
     while excluded.len() < state.limits.max_tries {
-        if let Some(refusal) = refuse_send(state, copy.deadline) {
+        if let Some(refusal) = refuse_send(state, copy.deadline).await {
             return refusal::refused(refusal);
         }
         let terms = terms(state, copy.deadline, state.limits.answer);
@@ -32,7 +40,8 @@
             Err(failure) => return refusal::refused(refuse_failed(&failure.error)),
         }
     }
-    refusal::refused(refuse_send(state, copy.deadline).unwrap_or_else(refuse_no_endpoint))
+    let refusal = refuse_send(state, copy.deadline).await;
+    refusal::refused(refusal.unwrap_or_else(refuse_no_endpoint))
 }
 
 /// Sends an idempotent call to one endpoint after the other within the deadline.
@@ -46,7 +55,7 @@
     let mut excluded = Vec::new();
     let mut last = None;
     while excluded.len() < state.limits.max_tries {
-        if let Some(refusal) = refuse_send(state, deadline) {
+        if let Some(refusal) = refuse_send(state, deadline).await {
             return refusal::refused(last.unwrap_or(refusal));
         }
         if !excluded.is_empty() && !state.budget.withdraw(time::Instant::now()) {
@@ -134,11 +143,12 @@
     state.limits.answer.min(left / tries)
 }
 
-/// Why nothing may be sent now.
-fn refuse_send(
+/// Why nothing may be sent, also after a short wait for a router that catches up.
+async fn refuse_send(
     state: &call::RunnerState,
     deadline: time::Instant,
 ) -> Option<verdict::RequestRefusal> {
+    wait_for_gate(&*state.gate, deadline).await;
     if time::Instant::now() >= deadline {
         let message = "the deadline passed before the call was sent; allow more time";
         let code = verdict::RefusalCode::DeadlineExceeded;
@@ -153,6 +163,14 @@
     None
 }
 
+/// Waits until the gate opens, at most [`CATCH_UP_WAIT`] and not past the deadline.
+pub(crate) async fn wait_for_gate(gate: &dyn service::SendGate, deadline: time::Instant) {
+    let until = deadline.min(time::Instant::now() + CATCH_UP_WAIT);
+    while !gate.may_send() && time::Instant::now() < until {
+        task::sleep(CATCH_UP_STEP).await;
+    }
+}
+
 fn refuse_no_endpoint() -> verdict::RequestRefusal {
     let message = "no endpoint of the service can be reached; ask again";
     verdict::RequestRefusal::not_run(503, verdict::RefusalCode::NoEndpoint, message)
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -8,6 +8,7 @@
 use crate::connection::peer;
 use crate::connection::peer_wire;
 use crate::process::timeline;
+use crate::request::attempt;
 use crate::request::call;
 use crate::request::copy;
 use crate::request::key;
@@ -37,6 +38,7 @@
     let Some(member) = state.members.find(&home.router) else {
         return refusal::refused(refuse_unsent(state, copy, home));
     };
+    attempt::wait_for_gate(&*state.gate, copy.deadline).await;
     if copy.remaining().is_zero() || !state.gate.may_send() {
         let message = "the call was not forwarded in time; ask again";
         let code = verdict::RefusalCode::DeadlineExceeded;
--- a/tests/calls/endpoints.rs
+++ b/tests/calls/endpoints.rs
@@ -163,6 +163,30 @@
     });
 }
 
+/// A gate that opens a while after it was made.
+#[derive(Debug)]
+struct OpeningGate(time::Instant);
+
+impl exchange::SendGate for OpeningGate {
+    fn may_send(&self) -> bool {
+        self.0.elapsed() >= time::Duration::from_millis(100)
+    }
+}
+
+#[test]
+fn router_that_has_caught_up_sends_the_call_that_waited() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let limits = call::CallLimits::default();
+        let gate = sync::Arc::new(OpeningGate(time::Instant::now()));
+        let a = bed.network.start_with("a", 1, limits, gate);
+        let key = bed.network.mint("a");
+        let outcome = a.run(network::reserve(&key)).await;
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.effects(&key), 1);
+    });
+}
+
 #[test]
 fn idempotent_call_goes_on_at_the_next_endpoint() {
     task::block_on(async {
--- a/tests/fault_matrix/cell.rs
+++ b/tests/fault_matrix/cell.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 
 /// Cells that run at the same time.
-const CELLS_AT_ONCE: usize = 6;
+const CELLS_AT_ONCE: usize = 10;
 
 /// Time for one cell, its start included.
 const CELL_LIMIT: time::Duration = time::Duration::from_secs(60);
