--- /dev/null
+++ b/src/process/follow.rs
@@ -0,0 +1,95 @@
+//! Keeps a running router up to date: versions, shares of limits, and word that it is ready.
+
+use std::sync;
+use std::time;
+
+use async_std::future;
+use async_std::task;
+use stop_token::future::FutureExt as _;
+
+use crate::connection::peer_wire;
+use crate::process::config;
+use crate::process::node;
+use crate::process::share;
+use crate::process::timeline;
+use crate::version::check;
+use crate::version::route;
+
+/// Time between two looks at whether a peer has a newer version.
+const VERSION_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// Time for which a peer is asked for its version.
+const VERSION_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Puts each version that the cell takes in force at the other parts.
+pub fn follow_versions(node: &sync::Arc<node::RouterNode>) {
+    let follower = sync::Arc::downgrade(node);
+    node.config.subscribe(move |version| {
+        if let Some(node) = follower.upgrade() {
+            put_in_force(&node, version);
+        }
+    });
+}
+
+fn put_in_force(node: &sync::Arc<node::RouterNode>, version: &route::ActiveVersion) {
+    let number = version.number();
+    if let Ok(set) = check::parse("version", version.yaml()) {
+        node.endpoints.replace(&set.services);
+    }
+    node.gossip.set_config(number);
+    // Engines take work only once they have reported what they hold.
+    task::spawn(node.watcher.clone().read_reports_now());
+    node.divide_shares();
+    node.readiness.set_version();
+    node.ring
+        .record(None, timeline::EventKind::VersionInForce { number });
+    log::info!("version {number} is in force");
+}
+
+/// Takes newer versions from peers that have one.
+pub async fn follow_peers(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    loop {
+        // The pause bounds the wait when the news came before this look.
+        let news = future::timeout(VERSION_PERIOD, node.gossip.wait_for_config());
+        if news.timeout_at(token.clone()).await.is_err() {
+            return;
+        }
+        let Some(member) = node.gossip.newest_config_peer(node.config.number()) else {
+            continue;
+        };
+        let number = node.config.known_number();
+        let query = peer_wire::QueryBody::NewerVersion { number };
+        let link = sync::Arc::clone(&node.intake.link);
+        let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
+        if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
+            config::take_apart(&node.config, version).await;
+        }
+    }
+}
+
+/// Tells the other routers once this one can serve.
+pub async fn announce_ready(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    while !node.readiness.may_serve() {
+        if task::sleep(VERSION_PERIOD)
+            .timeout_at(token.clone())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+    node.gossip.set_ready();
+    node.ring.record(None, timeline::EventKind::Ready);
+    log::info!("ready");
+}
+
+/// Keeps the shares of the workspaces' limits up to date.
+pub async fn keep_shares(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
+    while task::sleep(share::SHARE_PERIOD)
+        .timeout_at(token.clone())
+        .await
+        .is_ok()
+    {
+        node.divide_shares();
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod endpoint;
 pub mod endpoint_entry;
+pub mod follow;
 pub mod gossip;
 pub mod gossip_exchange;
 pub mod gossip_load;
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -8,12 +8,10 @@
 use std::time;
 
 use async_std::channel;
-use async_std::future;
 use async_std::net;
 use async_std::task;
 use signal_hook::consts;
 use signal_hook::iterator;
-use stop_token::future::FutureExt as _;
 
 use crate::connection::accept;
 use crate::connection::admin;
@@ -23,7 +21,6 @@
 use crate::connection::peer;
 use crate::connection::peer_client;
 use crate::connection::peer_server;
-use crate::connection::peer_wire;
 use crate::connection::platform;
 use crate::connection::platform_client;
 use crate::process::admission;
@@ -32,6 +29,7 @@
 use crate::process::directory;
 use crate::process::drain;
 use crate::process::endpoint;
+use crate::process::follow;
 use crate::process::gossip;
 use crate::process::issuer;
 use crate::process::metrics;
@@ -50,19 +48,11 @@
 use crate::request::call;
 use crate::request::driver;
 use crate::request::intake;
-use crate::version::check;
-use crate::version::route;
 use crate::version::store;
 
 /// Outcome of running a router.
 pub type Result<T> = std::result::Result<T, NodeError>;
 
-/// Time between two looks at whether a peer has a newer version.
-const VERSION_PERIOD: time::Duration = time::Duration::from_millis(200);
-
-/// Time for which a peer is asked for its version.
-const VERSION_LIMIT: time::Duration = time::Duration::from_secs(1);
-
 /// Connections of operators at the same time.
 const ADMIN_CONNECTIONS: usize = 64;
 
@@ -170,11 +160,14 @@
     );
     let node = assemble(settings, metrics, sync::Arc::clone(&platform), drain_sender);
     node.ring.record(None, timeline::EventKind::ProcessStarted);
-    follow_versions(&node);
+    follow::follow_versions(&node);
     spawn_listeners(&node, listeners, &accepting, &process);
     spawn_background(&node, platform, &process);
     let stopped = drain_receiver.recv();
-    task::spawn(announce_ready(sync::Arc::clone(&node), process.token()));
+    task::spawn(follow::announce_ready(
+        sync::Arc::clone(&node),
+        process.token(),
+    ));
     // The channel lives as long as the node, so that only a message ends the wait.
     let _message = stopped.await;
     drain::drain(node, accepting).await;
@@ -265,31 +258,6 @@
     }
 }
 
-/// Puts each version that the cell takes in force at the other parts.
-fn follow_versions(node: &sync::Arc<node::RouterNode>) {
-    let follower = sync::Arc::downgrade(node);
-    node.config.subscribe(move |version| {
-        if let Some(node) = follower.upgrade() {
-            put_in_force(&node, version);
-        }
-    });
-}
-
-fn put_in_force(node: &sync::Arc<node::RouterNode>, version: &route::ActiveVersion) {
-    let number = version.number();
-    if let Ok(set) = check::parse("version", version.yaml()) {
-        node.endpoints.replace(&set.services);
-    }
-    node.gossip.set_config(number);
-    // Engines take work only once they have reported what they hold.
-    task::spawn(node.watcher.clone().read_reports_now());
-    node.divide_shares();
-    node.readiness.set_version();
-    node.ring
-        .record(None, timeline::EventKind::VersionInForce { number });
-    log::info!("version {number} is in force");
-}
-
 fn spawn_listeners(
     node: &sync::Arc<node::RouterNode>,
     listeners: RouterListeners,
@@ -349,7 +317,10 @@
     let store = store::VersionStore::new(sync::Arc::clone(&platform));
     let cell = sync::Arc::clone(&node.config);
     task::spawn(poll::run(cell, store, Box::new(is_poller), process.token()));
-    task::spawn(follow_peers(sync::Arc::clone(node), process.token()));
+    task::spawn(follow::follow_peers(
+        sync::Arc::clone(node),
+        process.token(),
+    ));
     task::spawn(node.watcher.clone().watch_reports(process.token()));
     let gossip = sync::Arc::clone(&node.gossip);
     let is_reader = move || gossip.is_poller();
@@ -364,55 +335,7 @@
         platform,
         process.token(),
     ));
-    task::spawn(keep_shares(sync::Arc::clone(node), process.token()));
-}
-
-/// Takes newer versions from peers that have one.
-async fn follow_peers(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
-    loop {
-        // The pause bounds the wait when the news came before this look.
-        let news = future::timeout(VERSION_PERIOD, node.gossip.wait_for_config());
-        if news.timeout_at(token.clone()).await.is_err() {
-            return;
-        }
-        let Some(member) = node.gossip.newest_config_peer(node.config.number()) else {
-            continue;
-        };
-        let number = node.config.known_number();
-        let query = peer_wire::QueryBody::NewerVersion { number };
-        let link = sync::Arc::clone(&node.intake.link);
-        let reply = link.ask(&member.peer_address, query, VERSION_LIMIT).await;
-        if let Ok(peer_wire::ReplyBody::NewerVersion(Some(version))) = reply {
-            config::take_apart(&node.config, version).await;
-        }
-    }
-}
-
-/// Tells the other routers once this one can serve.
-async fn announce_ready(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
-    while !node.readiness.may_serve() {
-        if task::sleep(VERSION_PERIOD)
-            .timeout_at(token.clone())
-            .await
-            .is_err()
-        {
-            return;
-        }
-    }
-    node.gossip.set_ready();
-    node.ring.record(None, timeline::EventKind::Ready);
-    log::info!("ready");
-}
-
-/// Keeps the shares of the workspaces' limits up to date.
-async fn keep_shares(node: sync::Arc<node::RouterNode>, token: stop_token::StopToken) {
-    while task::sleep(share::SHARE_PERIOD)
-        .timeout_at(token.clone())
-        .await
-        .is_ok()
-    {
-        node.divide_shares();
-    }
+    task::spawn(follow::keep_shares(sync::Arc::clone(node), process.token()));
 }
 
 fn issuer(
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -10,6 +10,7 @@
 use crate::connection::engine;
 use crate::process::timeline;
 use crate::process::view;
+use crate::request::cancel;
 use crate::request::cursor;
 use crate::request::generation;
 use crate::request::recovery;
@@ -32,9 +33,6 @@
 /// Longest step of the orphan clock, so that a pause of the process does not count as absence.
 const ORPHAN_STEP: time::Duration = time::Duration::from_millis(250);
 
-const CANCEL_TRIES: u32 = 4;
-const CANCEL_PAUSE: time::Duration = time::Duration::from_secs(3);
-
 /// What drivers share.
 #[derive(Clone, Debug)]
 pub struct DriverContext {
@@ -400,20 +398,10 @@
         });
         self.context.counters.count("generation.cancel");
         let address = source.endpoint.address().to_owned();
-        task::spawn(cancel_attempt(address, source.attempt));
+        task::spawn(cancel::cancel_attempt(address, source.attempt));
     }
 
     pub(super) fn note(&self, kind: timeline::EventKind) {
         self.context.ring.record(Some(&self.record.spec.key), kind);
     }
 }
-
-/// Cancels an attempt, also when its engine answers only after a while.
-async fn cancel_attempt(address: String, attempt: cursor::AttemptId) {
-    for _try in 0..CANCEL_TRIES {
-        if engine::cancel(&address, attempt).await.is_ok() {
-            return;
-        }
-        task::sleep(CANCEL_PAUSE).await;
-    }
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod attempt;
 pub mod call;
+mod cancel;
 pub mod claim;
 pub(crate) mod copy;
 pub mod cursor;
