--- a/benches/control/crowd.rs
+++ b/benches/control/crowd.rs
@@ -1,6 +1,6 @@
 //! One router among as many as the target size; the others are a fake link that answers for all.
 
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -8,7 +8,6 @@
 use futures::future;
 use kumquatpulley::connection::{peer, peer_stream, peer_wire};
 use kumquatpulley::process::{gossip, gossip_exchange, member_rank, membership, timeline};
-use parking_lot::Mutex;
 
 use crate::{core_seconds, float, resident_bytes};
 
@@ -27,7 +26,7 @@
 /// Everybody but the measured router, as one table that all share.
 #[derive(Debug)]
 struct CrowdLink {
-    world: Mutex<gossip_exchange::ExchangeState>,
+    world: parking_lot::Mutex<gossip_exchange::ExchangeState>,
     bytes: atomic::AtomicU64,
     exchanges: atomic::AtomicU64,
 }
@@ -116,8 +115,8 @@
 
 /// Cost of one router among `count`.
 pub async fn measure(count: usize, window: time::Duration) -> serde_json::Value {
-    let link = Arc::new(CrowdLink {
-        world: Mutex::new(gossip_exchange::ExchangeState::new(table(1, count))),
+    let link = sync::Arc::new(CrowdLink {
+        world: parking_lot::Mutex::new(gossip_exchange::ExchangeState::new(table(1, count))),
         bytes: atomic::AtomicU64::new(0),
         exchanges: atomic::AtomicU64::new(0),
     });
@@ -125,7 +124,7 @@
     let node = measured_node(&link, count).await;
     let memory = resident_bytes() - memory;
     let stop = stop_token::StopSource::new();
-    task::spawn(Arc::clone(&node).run(stop.token()));
+    task::spawn(sync::Arc::clone(&node).run(stop.token()));
     task::sleep(window / 4).await;
     let (bytes, exchanges) = (read(&link.bytes), read(&link.exchanges));
     let (core, began) = (core_seconds(), time::Instant::now());
@@ -162,7 +161,7 @@
     peer_stream::PeerMeter::read(counter)
 }
 
-async fn measured_node(link: &Arc<CrowdLink>, count: usize) -> Arc<gossip::GossipNode> {
+async fn measured_node(link: &sync::Arc<CrowdLink>, count: usize) -> sync::Arc<gossip::GossipNode> {
     let own = member(0, 1);
     let identity = gossip::MemberIdentity {
         router: own.router,
@@ -172,13 +171,13 @@
         peer_address: own.peer_address,
         admin_address: own.admin_address,
     };
-    let ring = Arc::new(timeline::EventRing::new("router-0"));
+    let ring = sync::Arc::new(timeline::EventRing::new("router-0"));
     let settings = gossip::GossipSettings::default();
-    let node = Arc::new(gossip::GossipNode::new(
+    let node = sync::Arc::new(gossip::GossipNode::new(
         identity,
         settings,
-        Arc::new(vec!["router-1".to_owned()]),
-        Arc::clone(link) as _,
+        sync::Arc::new(vec!["router-1".to_owned()]),
+        sync::Arc::clone(link) as _,
         ring,
     ));
     node.set_ready();
@@ -197,8 +196,8 @@
 /// Changes facts, loads and versions at the rates of the target, and asks the node as its
 /// predecessors would.
 async fn play_world(
-    link: &Arc<CrowdLink>,
-    node: &Arc<gossip::GossipNode>,
+    link: &sync::Arc<CrowdLink>,
+    node: &sync::Arc<gossip::GossipNode>,
     count: usize,
     window: time::Duration,
 ) {
--- a/benches/control/declared.rs
+++ b/benches/control/declared.rs
@@ -1,6 +1,6 @@
 //! What a router holds and does for the endpoints of a version, apart from gossip.
 
-use std::sync::Arc;
+use std::sync;
 use std::time;
 
 use async_std::task;
@@ -54,11 +54,11 @@
     let before = resident_bytes();
     let version = route::ActiveVersion::build(1, &yaml).expect("declarations are wrong");
     let set = check::parse("bench", version.yaml()).expect("declarations are wrong");
-    let table = Arc::new(endpoint::EndpointTable::new(
+    let table = sync::Arc::new(endpoint::EndpointTable::new(
         "router-0".to_owned(),
         "zone-0".to_owned(),
         Box::new(placement::PrefixPlacement::default()),
-        Arc::new(NoneLeaving),
+        sync::Arc::new(NoneLeaving),
     ));
     table.replace(&set.services);
     let memory = resident_bytes() - before;
@@ -75,7 +75,7 @@
 }
 
 /// Processor time of reading the VM list, as a part of one core.
-async fn vm_list_core(table: Arc<endpoint::EndpointTable>, window: time::Duration) -> f64 {
+async fn vm_list_core(table: sync::Arc<endpoint::EndpointTable>, window: time::Duration) -> f64 {
     let entries = table.all().into_iter().map(|entry| platform_wire::VmEntry {
         name: entry.declared.name.clone(),
         address: entry.declared.address.clone(),
@@ -84,11 +84,11 @@
         leaving: false,
     });
     let watcher = watch::EndpointWatcher {
-        endpoints: Arc::clone(&table),
-        leaving: Arc::new(NoneLeaving),
-        seeds: Arc::new(seed::SeedList::new(Vec::new())),
-        platform: Arc::new(ListedPlatform(entries.collect())),
-        ring: Arc::new(timeline::EventRing::new("router-0")),
+        endpoints: sync::Arc::clone(&table),
+        leaving: sync::Arc::new(NoneLeaving),
+        seeds: sync::Arc::new(seed::SeedList::new(Vec::new())),
+        platform: sync::Arc::new(ListedPlatform(entries.collect())),
+        ring: sync::Arc::new(timeline::EventRing::new("router-0")),
     };
     let stop = stop_token::StopSource::new();
     let (core, began) = (core_seconds(), time::Instant::now());
--- a/benches/control/group.rs
+++ b/benches/control/group.rs
@@ -1,7 +1,7 @@
 //! A group of routers' control parts in one process, linked over h2 on loopback.
 
 use std::fmt::Write as _;
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -11,7 +11,6 @@
 use kumquatpulley::connection::{peer, peer_client, peer_server, peer_stream, peer_wire};
 use kumquatpulley::process::view::MemberView as _;
 use kumquatpulley::process::{config, gossip, member_rank, timeline};
-use parking_lot::Mutex;
 
 const ZONES: usize = 4;
 const MODELS: usize = 20;
@@ -25,9 +24,9 @@
 
 #[derive(Debug)]
 struct GroupRouter {
-    node: Arc<gossip::GossipNode>,
-    client: Arc<peer_client::PeerClient>,
-    server_meter: Arc<peer_stream::PeerMeter>,
+    node: sync::Arc<gossip::GossipNode>,
+    client: sync::Arc<peer_client::PeerClient>,
+    server_meter: sync::Arc<peer_stream::PeerMeter>,
     config: config::ConfigCell,
     workspaces: usize,
     is_silent: atomic::AtomicBool,
@@ -58,7 +57,7 @@
     }
 
     /// Takes newer versions from peers, as the daemon does.
-    async fn follow(self: Arc<Self>) {
+    async fn follow(self: sync::Arc<Self>) {
         loop {
             self.node.wait_for_config().await;
             let Some(peer) = self.node.newest_config_peer(self.config.number()) else {
@@ -85,9 +84,9 @@
 
 /// Routers that run until the group is dropped.
 pub struct RouterGroup {
-    routers: Vec<Arc<GroupRouter>>,
+    routers: Vec<sync::Arc<GroupRouter>>,
     _stop: stop_token::StopSource,
-    stop_last: Mutex<Option<stop_token::StopSource>>,
+    stop_last: parking_lot::Mutex<Option<stop_token::StopSource>>,
 }
 
 /// Starts routers and waits until all know all.
@@ -109,7 +108,7 @@
     let group = RouterGroup {
         routers,
         _stop: stop,
-        stop_last: Mutex::new(Some(stop_last)),
+        stop_last: parking_lot::Mutex::new(Some(stop_last)),
     };
     let is_whole = || {
         let mut routers = group.routers.iter();
@@ -124,13 +123,13 @@
     workspaces: usize,
     seeds: &[String],
     (token, rounds): (stop_token::StopToken, stop_token::StopToken),
-) -> Arc<GroupRouter> {
+) -> sync::Arc<GroupRouter> {
     let listener = net::TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("no free port");
     let address = listener.local_addr().expect("no address").to_string();
     let name = format!("router-{index}");
-    let ring = Arc::new(timeline::EventRing::new(name.clone()));
-    let client = Arc::new(peer_client::PeerClient::new(Arc::clone(&ring)));
+    let ring = sync::Arc::new(timeline::EventRing::new(name.clone()));
+    let client = sync::Arc::new(peer_client::PeerClient::new(sync::Arc::clone(&ring)));
     let identity = gossip::MemberIdentity {
         router: name,
         incarnation: timeline::wall_micros(),
@@ -139,29 +138,29 @@
         peer_address: address.clone(),
         admin_address: address,
     };
-    let node = Arc::new(gossip::GossipNode::new(
+    let node = sync::Arc::new(gossip::GossipNode::new(
         identity,
         gossip::GossipSettings::default(),
-        Arc::new(seeds.to_vec()),
-        Arc::clone(&client) as _,
-        Arc::clone(&ring),
+        sync::Arc::new(seeds.to_vec()),
+        sync::Arc::clone(&client) as _,
+        sync::Arc::clone(&ring),
     ));
     node.set_ready();
-    let router = Arc::new(GroupRouter {
+    let router = sync::Arc::new(GroupRouter {
         node,
         client,
-        server_meter: Arc::default(),
+        server_meter: sync::Arc::default(),
         config: config::ConfigCell::new(),
         workspaces,
         is_silent: atomic::AtomicBool::new(false),
     });
-    let service = Arc::clone(&router) as _;
-    let meter = Arc::clone(&router.server_meter);
+    let service = sync::Arc::clone(&router) as _;
+    let meter = sync::Arc::clone(&router.server_meter);
     let serving = peer_server::serve_metered(listener, service, ring, token.clone(), meter);
     task::spawn(serving);
-    task::spawn(Arc::clone(&router.node).run(rounds));
+    task::spawn(sync::Arc::clone(&router.node).run(rounds));
     task::spawn(stop_token::future::FutureExt::timeout_at(
-        Arc::clone(&router).follow(),
+        sync::Arc::clone(&router).follow(),
         token,
     ));
     router
@@ -202,7 +201,8 @@
                 .mark_leaving(&format!("runner-{index}"), 1);
         }
         let last = format!("runner-{}", count.saturating_sub(1));
-        let knows = |router: &Arc<GroupRouter>| count == 0 || router.node.is_leaving(&last, 1);
+        let knows =
+            |router: &sync::Arc<GroupRouter>| count == 0 || router.node.is_leaving(&last, 1);
         let is_known = || self.routers.iter().all(knows);
         assert!(
             reached(MEET_LIMIT, is_known).await,
@@ -217,7 +217,7 @@
         let outcome = first.config.offer(number, yaml);
         assert_eq!(outcome, config::OfferOutcome::InForce);
         first.node.set_config(number);
-        let has_it = |router: &Arc<GroupRouter>| router.config.number() == number;
+        let has_it = |router: &sync::Arc<GroupRouter>| router.config.number() == number;
         reached(SPREAD_LIMIT, || self.routers.iter().all(has_it)).await;
         began.elapsed()
     }
@@ -228,7 +228,7 @@
         let name = last.node.home().router;
         let began = time::Instant::now();
         last.is_silent.store(true, atomic::Ordering::Relaxed);
-        let holds_dead = |router: &Arc<GroupRouter>| {
+        let holds_dead = |router: &sync::Arc<GroupRouter>| {
             let members = router.node.members();
             let mut ranks = members.iter().filter(|member| member.router == name);
             ranks.any(|member| {
--- a/benches/recovery/engine_lane.rs
+++ b/benches/recovery/engine_lane.rs
@@ -4,7 +4,6 @@
 use std::sync;
 
 use kumquatpulley::request::suspicion;
-use parking_lot::Mutex;
 
 use crate::bench;
 use crate::engine_view;
@@ -104,7 +103,7 @@
         let place = sync::Arc::new(engine_view::EnginePlace {
             name: name.to_owned(),
             address: relay.listen.to_string(),
-            gaps: Mutex::new(suspicion::GapEstimator::default()),
+            gaps: parking_lot::Mutex::new(suspicion::GapEstimator::default()),
         });
         Ok(Self {
             place,
--- a/benches/recovery/engine_view.rs
+++ b/benches/recovery/engine_view.rs
@@ -8,7 +8,6 @@
 use kumquatpulley::process::view;
 use kumquatpulley::request::suspicion;
 use kumquatpulley::version::declaration;
-use parking_lot::Mutex;
 
 /// One engine: its name, where it is reached, and its gaps between tokens over all runs.
 #[derive(Debug)]
@@ -18,7 +17,7 @@
     /// Host and port of the relay before it.
     pub address: String,
     /// Gaps between its tokens.
-    pub gaps: Mutex<suspicion::GapEstimator>,
+    pub gaps: parking_lot::Mutex<suspicion::GapEstimator>,
 }
 
 /// The engines, for one run.
@@ -95,7 +94,7 @@
 /// Counts of one run.
 #[derive(Debug, Default)]
 pub struct RunCounts {
-    counts: Mutex<collections::HashMap<&'static str, u64>>,
+    counts: parking_lot::Mutex<collections::HashMap<&'static str, u64>>,
 }
 
 impl RunCounts {
--- a/benches/recovery/router_run.rs
+++ b/benches/recovery/router_run.rs
@@ -7,7 +7,6 @@
 use async_std::future;
 use async_std::task;
 use kumquatpulley::connection::caller_client;
-use parking_lot::Mutex;
 
 use crate::bench;
 use crate::cell;
@@ -104,7 +103,7 @@
 ) -> Result<figures::RunFigures> {
     let start = work(system).await?;
     let prompt = engine_run::prompt();
-    let watch = sync::Arc::new(Mutex::new(CallerWatch::default()));
+    let watch = sync::Arc::new(parking_lot::Mutex::new(CallerWatch::default()));
     let answer = task::spawn(generate(system, prompt.clone(), sync::Arc::clone(&watch)));
     wait_tokens(&watch, fastrand::usize(engine_run::FAULT_POSITIONS)).await?;
     let before = work(system).await?;
@@ -154,7 +153,7 @@
 fn generate(
     system: &bench::TestBench,
     prompt: String,
-    watch: sync::Arc<Mutex<CallerWatch>>,
+    watch: sync::Arc<parking_lot::Mutex<CallerWatch>>,
 ) -> impl Future<Output = Result<caller_client::CallerAnswer>> + Send + use<> {
     let routers = system.routers.iter();
     let client = caller_client::CallerClient::new(caller_client::CallerSettings {
@@ -176,7 +175,7 @@
     }
 }
 
-async fn wait_tokens(watch: &Mutex<CallerWatch>, count: usize) -> Result<()> {
+async fn wait_tokens(watch: &parking_lot::Mutex<CallerWatch>, count: usize) -> Result<()> {
     let started = time::Instant::now();
     while watch.lock().tokens < count {
         eyre::ensure!(started.elapsed() < ANSWER_LIMIT, "no tokens came");
--- a/benches/recovery/schedule.rs
+++ b/benches/recovery/schedule.rs
@@ -4,7 +4,6 @@
 
 use async_std::task;
 use futures::future;
-use parking_lot::Mutex;
 
 use crate::cell;
 use crate::engine_lane;
@@ -17,7 +16,7 @@
 
 type Cell = (cell::RunFault, cell::RunPolicy);
 type CellResult = (Cell, eyre::Result<figures::RunFigures>);
-type Queue = sync::Arc<Mutex<Vec<Cell>>>;
+type Queue = sync::Arc<parking_lot::Mutex<Vec<Cell>>>;
 
 /// Every engine fault under every policy.
 pub async fn run_engine_cells(runs: usize, lanes: usize) -> Result<Vec<figures::CellFigures>> {
@@ -84,7 +83,7 @@
 fn queue(cells: &[Cell], runs: usize) -> Queue {
     let mut all = cells.repeat(runs);
     fastrand::shuffle(&mut all);
-    sync::Arc::new(Mutex::new(all))
+    sync::Arc::new(parking_lot::Mutex::new(all))
 }
 
 fn product(faults: &[cell::RunFault], policies: &[cell::RunPolicy]) -> Vec<Cell> {
--- a/examples/fault_relay.rs
+++ b/examples/fault_relay.rs
@@ -10,7 +10,6 @@
 use async_std::net as async_net;
 use async_std::task;
 use futures::future;
-use parking_lot::Mutex;
 use stop_token::future::FutureExt as _;
 
 use crate::support::server;
@@ -91,8 +90,8 @@
 struct RelayState {
     cuts_new: atomic::AtomicBool,
     delay_ms: atomic::AtomicU64,
-    partition: Mutex<Option<Direction>>,
-    links: Mutex<Vec<sync::Arc<RelayLink>>>,
+    partition: parking_lot::Mutex<Option<Direction>>,
+    links: parking_lot::Mutex<Vec<sync::Arc<RelayLink>>>,
     opened: atomic::AtomicU64,
     bytes: atomic::AtomicU64,
 }
@@ -100,8 +99,8 @@
 /// One connection through the relay.
 #[derive(Debug)]
 struct RelayLink {
-    silence: Mutex<Option<Direction>>,
-    stop: Mutex<Option<stop_token::StopSource>>,
+    silence: parking_lot::Mutex<Option<Direction>>,
+    stop: parking_lot::Mutex<Option<stop_token::StopSource>>,
 }
 
 impl RelayState {
@@ -168,8 +167,8 @@
         let stop = stop_token::StopSource::new();
         let token = stop.token();
         let link = sync::Arc::new(RelayLink {
-            silence: Mutex::default(),
-            stop: Mutex::new(Some(stop)),
+            silence: parking_lot::Mutex::default(),
+            stop: parking_lot::Mutex::new(Some(stop)),
         });
         self.opened.fetch_add(1, atomic::Ordering::SeqCst);
         self.links.lock().push(sync::Arc::clone(&link));
--- a/examples/plain_service.rs
+++ b/examples/plain_service.rs
@@ -10,7 +10,6 @@
 use async_std::task;
 use futures::future;
 use kumquatpulley::process::timeline;
-use parking_lot::Mutex;
 
 use crate::support::server;
 use crate::support::service;
@@ -60,8 +59,8 @@
 struct PlainHandler {
     name: String,
     work: time::Duration,
-    switches: Mutex<ServiceSwitches>,
-    executions: Mutex<Vec<ExecutionRecord>>,
+    switches: parking_lot::Mutex<ServiceSwitches>,
+    executions: parking_lot::Mutex<Vec<ExecutionRecord>>,
     journal: Option<path::PathBuf>,
 }
 
@@ -237,8 +236,8 @@
     let handler = sync::Arc::new(PlainHandler {
         name: name.unwrap_or_default(),
         work: time::Duration::from_millis(work.unwrap_or_default()),
-        switches: Mutex::default(),
-        executions: Mutex::default(),
+        switches: parking_lot::Mutex::default(),
+        executions: parking_lot::Mutex::default(),
         journal: matches.get_one::<path::PathBuf>("journal").cloned(),
     });
     task::block_on(service::run(&matches, handler))
--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -7,7 +7,6 @@
 use async_std::task;
 use futures::future;
 use kumquatpulley::connection::platform_wire;
-use parking_lot::Mutex;
 
 use crate::support::platform::rate;
 use crate::support::platform::table;
@@ -76,8 +75,8 @@
 
 #[derive(Debug)]
 struct PlatformHandler {
-    switches: Mutex<PlatformSwitches>,
-    stores: Mutex<PlatformStores>,
+    switches: parking_lot::Mutex<PlatformSwitches>,
+    stores: parking_lot::Mutex<PlatformStores>,
 }
 
 impl service::ServiceHandler for PlatformHandler {
@@ -308,14 +307,14 @@
     let weights = matches.get_one::<u32>("weights-per-second").copied();
     let now = time::Instant::now();
     PlatformHandler {
-        switches: Mutex::new(PlatformSwitches {
+        switches: parking_lot::Mutex::new(PlatformSwitches {
             down: false,
             slow: time::Duration::ZERO,
             answers_to_lose: 0,
             throttle: false,
             vm_lag: time::Duration::from_millis(lag.unwrap_or_default()),
         }),
-        stores: Mutex::new(PlatformStores {
+        stores: parking_lot::Mutex::new(PlatformStores {
             table: table::RowTable::default(),
             vms: vms::VmHistory::default(),
             objects: collections::HashMap::new(),
--- a/examples/support/engine/slots.rs
+++ b/examples/support/engine/slots.rs
@@ -3,12 +3,11 @@
 use std::sync;
 
 use futures::channel::oneshot;
-use parking_lot::Mutex;
 
 /// Requests that run together, and those that wait.
 #[derive(Debug)]
 pub struct SlotQueue {
-    state: Mutex<SlotState>,
+    state: parking_lot::Mutex<SlotState>,
 }
 
 #[derive(Debug)]
@@ -35,7 +34,7 @@
     /// A queue of `slots` free slots.
     pub fn new(slots: u32) -> Self {
         Self {
-            state: Mutex::new(SlotState {
+            state: parking_lot::Mutex::new(SlotState {
                 free: slots,
                 arrivals: 0,
                 waiting: Vec::new(),
--- a/examples/support/engine/state.rs
+++ b/examples/support/engine/state.rs
@@ -9,7 +9,6 @@
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::http;
 use kumquatpulley::process::timeline;
-use parking_lot::Mutex;
 
 use super::cache;
 use super::options;
@@ -48,8 +47,8 @@
     options: options::EngineOptions,
     incarnation: u64,
     slots: sync::Arc<slots::SlotQueue>,
-    switches: Mutex<options::EngineSwitches>,
-    core: Mutex<EngineCore>,
+    switches: parking_lot::Mutex<options::EngineSwitches>,
+    core: parking_lot::Mutex<EngineCore>,
     running: atomic::AtomicU32,
     silences: atomic::AtomicU64,
 }
@@ -64,8 +63,8 @@
         Self {
             incarnation: timeline::wall_micros(),
             slots: sync::Arc::new(slots::SlotQueue::new(options.slots)),
-            switches: Mutex::new(switches),
-            core: Mutex::new(EngineCore {
+            switches: parking_lot::Mutex::new(switches),
+            core: parking_lot::Mutex::new(EngineCore {
                 records: Vec::new(),
                 streams: collections::HashMap::new(),
                 cache: cache::PrefixCache::new(options.cache_blocks),
--- a/examples/support/engine/stream.rs
+++ b/examples/support/engine/stream.rs
@@ -3,7 +3,6 @@
 use futures::channel::mpsc;
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::sse;
-use parking_lot::Mutex;
 
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +22,7 @@
 /// One attempt.
 #[derive(Debug)]
 pub struct AttemptStream {
-    core: Mutex<StreamCore>,
+    core: parking_lot::Mutex<StreamCore>,
 }
 
 #[derive(Debug)]
@@ -37,7 +36,7 @@
     /// An attempt that goes on after `prefix`.
     pub fn new(prefix: Vec<String>) -> Self {
         Self {
-            core: Mutex::new(StreamCore {
+            core: parking_lot::Mutex::new(StreamCore {
                 tokens: prefix,
                 state: AttemptState::Waiting,
                 readers: Vec::new(),
--- a/src/connection/idle.rs
+++ b/src/connection/idle.rs
@@ -5,14 +5,13 @@
 
 use async_std::net;
 use async_std::task as std_task;
-use parking_lot::Mutex;
 
 use crate::connection::observed;
 
 /// What happens on one connection.
 #[derive(Clone, Debug)]
 pub struct ConnectionActivity {
-    state: sync::Arc<Mutex<ActivityState>>,
+    state: sync::Arc<parking_lot::Mutex<ActivityState>>,
 }
 
 #[derive(Debug)]
@@ -84,7 +83,7 @@
         running: 0,
     };
     let activity = ConnectionActivity {
-        state: sync::Arc::new(Mutex::new(state)),
+        state: sync::Arc::new(parking_lot::Mutex::new(state)),
     };
     (
         observed::ObservedStream::new(stream, activity.clone()),
--- a/src/connection/peer_client.rs
+++ b/src/connection/peer_client.rs
@@ -2,13 +2,12 @@
 
 use std::collections;
 use std::fmt;
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use async_std::{future as timer, net, task};
 use futures::future;
-use parking_lot::Mutex;
 use stop_token::future::FutureExt as _;
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
@@ -29,15 +28,15 @@
 /// Asks peers over h2.
 #[derive(Debug)]
 pub struct PeerClient {
-    ring: Arc<timeline::EventRing>,
-    meter: Arc<peer_stream::PeerMeter>,
-    pool: Mutex<collections::HashMap<String, Arc<KeptConnection>>>,
+    ring: sync::Arc<timeline::EventRing>,
+    meter: sync::Arc<peer_stream::PeerMeter>,
+    pool: parking_lot::Mutex<collections::HashMap<String, sync::Arc<KeptConnection>>>,
 }
 
 /// One connection; its task ends when the pool and all running queries have let go of it.
 struct KeptConnection {
     sender: Sender,
-    replied: Mutex<time::Instant>,
+    replied: parking_lot::Mutex<time::Instant>,
     _stop: stop_token::StopSource,
 }
 
@@ -56,17 +55,17 @@
 impl PeerClient {
     /// A client without connections, whose messages carry the stamps of `ring`.
     #[must_use]
-    pub fn new(ring: Arc<timeline::EventRing>) -> Self {
+    pub fn new(ring: sync::Arc<timeline::EventRing>) -> Self {
         Self {
             ring,
-            meter: Arc::default(),
-            pool: Mutex::default(),
+            meter: sync::Arc::default(),
+            pool: parking_lot::Mutex::default(),
         }
     }
 
     /// Counts of bytes and connections.
     #[must_use]
-    pub fn meter(&self) -> &Arc<peer_stream::PeerMeter> {
+    pub fn meter(&self) -> &sync::Arc<peer_stream::PeerMeter> {
         &self.meter
     }
 
@@ -116,8 +115,8 @@
     async fn ready_sender(
         &self,
         address: &str,
-        connection: Arc<KeptConnection>,
-    ) -> peer::Result<(Sender, Arc<KeptConnection>)> {
+        connection: sync::Arc<KeptConnection>,
+    ) -> peer::Result<(Sender, sync::Arc<KeptConnection>)> {
         if let Ok(sender) = connection.sender.clone().ready().await {
             return Ok((sender, connection));
         }
@@ -131,7 +130,7 @@
     async fn converse(
         &self,
         address: &str,
-        (mut sender, connection): (Sender, Arc<KeptConnection>),
+        (mut sender, connection): (Sender, sync::Arc<KeptConnection>),
         encoded: bytes::Bytes,
     ) -> peer::Result<peer_wire::ReplyBody> {
         let request = http::Request::post("http://peer/")
@@ -158,7 +157,7 @@
         &self,
         address: &str,
         once_only: bool,
-    ) -> peer::Result<Arc<KeptConnection>> {
+    ) -> peer::Result<sync::Arc<KeptConnection>> {
         let limit = if once_only { TRUST_LIMIT } else { IDLE_LIMIT };
         let kept = self.pool.lock().get(address).cloned();
         if let Some(connection) = kept.filter(|connection| connection.idle_for() < limit) {
@@ -167,14 +166,14 @@
         self.connect(address).await
     }
 
-    async fn connect(&self, address: &str) -> peer::Result<Arc<KeptConnection>> {
+    async fn connect(&self, address: &str) -> peer::Result<sync::Arc<KeptConnection>> {
         let stream = net::TcpStream::connect(address)
             .await
             .map_err(|error| not_sent(address, &error))?;
         stream
             .set_nodelay(true)
             .map_err(|error| not_sent(address, &error))?;
-        let stream = peer_stream::metered(stream, Arc::clone(&self.meter));
+        let stream = peer_stream::metered(stream, sync::Arc::clone(&self.meter));
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(peer_stream::WINDOW_BYTES)
             .initial_connection_window_size(peer_stream::WINDOW_BYTES)
@@ -184,16 +183,16 @@
             .map_err(|error| not_sent(address, &error))?;
         let stop = stop_token::StopSource::new();
         task::spawn(connection.timeout_at(stop.token()));
-        let connection = Arc::new(KeptConnection {
+        let connection = sync::Arc::new(KeptConnection {
             sender,
-            replied: Mutex::new(time::Instant::now()),
+            replied: parking_lot::Mutex::new(time::Instant::now()),
             _stop: stop,
         });
         self.keep(address, &connection);
         Ok(connection)
     }
 
-    fn keep(&self, address: &str, connection: &Arc<KeptConnection>) {
+    fn keep(&self, address: &str, connection: &sync::Arc<KeptConnection>) {
         let mut pool = self.pool.lock();
         pool.retain(|_, kept| kept.idle_for() < IDLE_LIMIT);
         if pool.len() >= MAX_CONNECTIONS {
@@ -201,7 +200,7 @@
             let idlest = idlest.map(|(address, _)| address.clone());
             idlest.and_then(|address| pool.remove(&address));
         }
-        pool.insert(address.to_owned(), Arc::clone(connection));
+        pool.insert(address.to_owned(), sync::Arc::clone(connection));
     }
 
     fn discard(&self, address: &str) {
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -1,6 +1,6 @@
 //! Answers peers over h2.
 
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -33,29 +33,29 @@
 
 #[derive(Clone, Debug)]
 struct PeerService {
-    handler: Arc<dyn peer::PeerHandler>,
-    ring: Arc<timeline::EventRing>,
-    meter: Arc<peer_stream::PeerMeter>,
+    handler: sync::Arc<dyn peer::PeerHandler>,
+    ring: sync::Arc<timeline::EventRing>,
+    meter: sync::Arc<peer_stream::PeerMeter>,
     token: stop_token::StopToken,
 }
 
 /// Answers peers that connect to `listener` until `token` stops it.
 pub async fn serve(
     listener: net::TcpListener,
-    handler: Arc<dyn peer::PeerHandler>,
-    ring: Arc<timeline::EventRing>,
+    handler: sync::Arc<dyn peer::PeerHandler>,
+    ring: sync::Arc<timeline::EventRing>,
     token: stop_token::StopToken,
 ) {
-    serve_metered(listener, handler, ring, token, Arc::default()).await;
+    serve_metered(listener, handler, ring, token, sync::Arc::default()).await;
 }
 
 /// As [`serve`], with bytes, connections, served and refused queries counted in `meter`.
 pub async fn serve_metered(
     listener: net::TcpListener,
-    handler: Arc<dyn peer::PeerHandler>,
-    ring: Arc<timeline::EventRing>,
+    handler: sync::Arc<dyn peer::PeerHandler>,
+    ring: sync::Arc<timeline::EventRing>,
     token: stop_token::StopToken,
-    meter: Arc<peer_stream::PeerMeter>,
+    meter: sync::Arc<peer_stream::PeerMeter>,
 ) {
     let service = PeerService {
         handler,
@@ -63,16 +63,16 @@
         meter,
         token: token.clone(),
     };
-    let open = Arc::new(());
+    let open = sync::Arc::new(());
     while let Ok(accepted) = listener.accept().timeout_at(token.clone()).await {
         let Ok((stream, _)) = accepted else {
             task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if Arc::strong_count(&open) > MAX_CONNECTIONS {
+        if sync::Arc::strong_count(&open) > MAX_CONNECTIONS {
             continue;
         }
-        let slot = Arc::clone(&open);
+        let slot = sync::Arc::clone(&open);
         let service = service.clone();
         task::spawn(async move {
             let token = service.token.clone();
@@ -87,7 +87,7 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let stream = peer_stream::metered(stream, Arc::clone(&self.meter));
+        let stream = peer_stream::metered(stream, sync::Arc::clone(&self.meter));
         let mut builder = h2::server::Builder::new();
         builder
             .initial_window_size(peer_stream::WINDOW_BYTES)
@@ -101,10 +101,10 @@
     }
 
     async fn answer_all(&self, mut connection: Connection) {
-        let running = Arc::new(());
+        let running = sync::Arc::new(());
         loop {
             let Ok(accepted) = timer::timeout(IDLE_LIMIT, connection.accept()).await else {
-                if Arc::strong_count(&running) > 1 {
+                if sync::Arc::strong_count(&running) > 1 {
                     continue;
                 }
                 return;
@@ -112,7 +112,7 @@
             let Some(Ok((request, respond))) = accepted else {
                 return;
             };
-            let slot = Arc::clone(&running);
+            let slot = sync::Arc::clone(&running);
             let service = self.clone();
             task::spawn(async move {
                 service.answer(request.into_body(), respond).await;
--- a/src/connection/peer_stream.rs
+++ b/src/connection/peer_stream.rs
@@ -1,6 +1,6 @@
 //! Byte streams and message codec under the links between routers.
 
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 
 use async_std::net;
@@ -47,7 +47,7 @@
 /// Counts the bytes of a connection in a meter.
 #[derive(Clone, Debug)]
 pub struct MeterObserver {
-    meter: Arc<PeerMeter>,
+    meter: sync::Arc<PeerMeter>,
 }
 
 impl observed::StreamObserver for MeterObserver {
@@ -65,7 +65,7 @@
 
 /// Counts the connection and the bytes of `stream` in `meter`.
 #[must_use]
-pub fn metered(stream: net::TcpStream, meter: Arc<PeerMeter>) -> MeteredStream {
+pub fn metered(stream: net::TcpStream, meter: sync::Arc<PeerMeter>) -> MeteredStream {
     PeerMeter::add(&meter.connections, 1);
     observed::ObservedStream::new(stream, MeterObserver { meter })
 }
--- a/src/process/admission.rs
+++ b/src/process/admission.rs
@@ -9,7 +9,6 @@
 use std::time;
 
 use futures::channel::oneshot;
-use parking_lot::Mutex;
 use xxhash_rust::xxh3;
 
 use crate::process::admission_queue;
@@ -50,7 +49,7 @@
 /// Admits requests up to the share of their workspace.
 #[derive(Debug)]
 pub struct AdmissionGate {
-    shards: Vec<Mutex<GateShard>>,
+    shards: Vec<parking_lot::Mutex<GateShard>>,
 }
 
 #[derive(Debug, Default)]
@@ -110,7 +109,9 @@
     /// A gate that nothing has passed yet.
     #[must_use]
     pub fn new() -> sync::Arc<Self> {
-        let shards = (0..SHARD_COUNT).map(|_index| Mutex::default()).collect();
+        let shards = (0..SHARD_COUNT)
+            .map(|_index| parking_lot::Mutex::default())
+            .collect();
         sync::Arc::new(Self { shards })
     }
 
@@ -179,7 +180,7 @@
         demands
     }
 
-    fn shard(&self, workspace: &str) -> &Mutex<GateShard> {
+    fn shard(&self, workspace: &str) -> &parking_lot::Mutex<GateShard> {
         let hash = xxh3::xxh3_64(workspace.as_bytes());
         let index = hash % SHARD_COUNT as u64;
         &self.shards[usize::try_from(index).unwrap_or_default()]
--- a/src/process/budget.rs
+++ b/src/process/budget.rs
@@ -2,8 +2,6 @@
 
 use std::time;
 
-use parking_lot::Mutex;
-
 /// Bounds of a [`RetryBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetLimits {
@@ -29,7 +27,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
-    state: Mutex<BudgetState>,
+    state: parking_lot::Mutex<BudgetState>,
 }
 
 #[derive(Debug)]
@@ -54,7 +52,7 @@
         };
         Self {
             limits,
-            state: Mutex::new(state),
+            state: parking_lot::Mutex::new(state),
         }
     }
 
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic;
 
 use async_std::task;
-use parking_lot::Mutex;
 
 use crate::connection::peer_wire;
 use crate::process::step;
@@ -32,10 +31,10 @@
 /// Holds the version in force.
 #[derive(Default)]
 pub struct ConfigCell {
-    current: Mutex<Option<sync::Arc<route::ActiveVersion>>>,
+    current: parking_lot::Mutex<Option<sync::Arc<route::ActiveVersion>>>,
     /// Held during a whole offer, so that subscribers see versions in order.
-    subscribers: Mutex<Vec<Subscriber>>,
-    steps: Mutex<step::StepLog>,
+    subscribers: parking_lot::Mutex<Vec<Subscriber>>,
+    steps: parking_lot::Mutex<step::StepLog>,
     needs_whole: atomic::AtomicBool,
     refused: atomic::AtomicU64,
     highest_refused: atomic::AtomicU64,
--- a/src/process/endpoint.rs
+++ b/src/process/endpoint.rs
@@ -3,8 +3,6 @@
 use std::collections;
 use std::sync;
 
-use parking_lot::RwLock;
-
 use crate::process::endpoint_entry;
 use crate::process::placement;
 use crate::process::prefix_index;
@@ -27,7 +25,7 @@
     zone: String,
     policy: Box<dyn placement::PlacementPolicy>,
     leaving: sync::Arc<dyn view::LeavingView>,
-    arena: RwLock<TableArena>,
+    arena: parking_lot::RwLock<TableArena>,
 }
 
 #[derive(Debug, Default)]
@@ -53,7 +51,7 @@
             zone,
             policy,
             leaving,
-            arena: RwLock::default(),
+            arena: parking_lot::RwLock::default(),
         }
     }
 
--- a/src/process/endpoint_entry.rs
+++ b/src/process/endpoint_entry.rs
@@ -4,8 +4,6 @@
 use std::sync::atomic;
 use std::time;
 
-use parking_lot::Mutex;
-
 use crate::connection::engine_wire;
 use crate::process::placement;
 use crate::process::prefix_index;
@@ -41,7 +39,7 @@
     /// What the declarations say.
     pub declared: declaration::DeclaredEndpoint,
     in_flight: atomic::AtomicU32,
-    status: Mutex<EndpointStatus>,
+    status: parking_lot::Mutex<EndpointStatus>,
 }
 
 #[derive(Debug, Default)]
@@ -185,7 +183,7 @@
         is_engine: service.model.is_some(),
         declared: declared.clone(),
         in_flight: atomic::AtomicU32::new(0),
-        status: Mutex::default(),
+        status: parking_lot::Mutex::default(),
     })
 }
 
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -3,12 +3,11 @@
 //! The rounds that carry facts and find dead routers are in `process::gossip_round`.
 
 use std::fmt;
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use async_std::channel;
-use parking_lot::Mutex;
 
 use crate::connection::{peer, peer_wire};
 use crate::process::{
@@ -94,16 +93,16 @@
     pub(super) settings: GossipSettings,
     pub(super) router: String,
     pub(super) zone: String,
-    pub(super) seeds: Arc<dyn SeedSource>,
-    pub(super) link: Arc<dyn peer::PeerLink>,
-    pub(super) state: Mutex<gossip_exchange::ExchangeState>,
-    pub(super) draft: Mutex<gossip_load::LoadDraft>,
-    pub(super) targets: Mutex<gossip_target::TargetList>,
+    pub(super) seeds: sync::Arc<dyn SeedSource>,
+    pub(super) link: sync::Arc<dyn peer::PeerLink>,
+    pub(super) state: parking_lot::Mutex<gossip_exchange::ExchangeState>,
+    pub(super) draft: parking_lot::Mutex<gossip_load::LoadDraft>,
+    pub(super) targets: parking_lot::Mutex<gossip_target::TargetList>,
     pub(super) counters: GossipCounters,
     pub(super) wake: (channel::Sender<()>, channel::Receiver<()>),
-    ring: Arc<timeline::EventRing>,
-    pub(super) lives: Mutex<Vec<u64>>,
-    pub(super) gate: Arc<pause::PauseGate>,
+    ring: sync::Arc<timeline::EventRing>,
+    pub(super) lives: parking_lot::Mutex<Vec<u64>>,
+    pub(super) gate: sync::Arc<pause::PauseGate>,
     news: (channel::Sender<()>, channel::Receiver<()>),
 }
 
@@ -113,9 +112,9 @@
     pub fn new(
         identity: MemberIdentity,
         settings: GossipSettings,
-        seeds: Arc<dyn SeedSource>,
-        link: Arc<dyn peer::PeerLink>,
-        ring: Arc<timeline::EventRing>,
+        seeds: sync::Arc<dyn SeedSource>,
+        link: sync::Arc<dyn peer::PeerLink>,
+        ring: sync::Arc<timeline::EventRing>,
     ) -> Self {
         let rank = member_rank::MemberRank::alive(member_rank::LifeStage::Joining);
         let own = peer_wire::MemberWire {
@@ -137,14 +136,14 @@
             zone: identity.zone,
             seeds,
             link,
-            state: Mutex::new(gossip_exchange::ExchangeState::new(table)),
-            draft: Mutex::default(),
-            targets: Mutex::default(),
+            state: parking_lot::Mutex::new(gossip_exchange::ExchangeState::new(table)),
+            draft: parking_lot::Mutex::default(),
+            targets: parking_lot::Mutex::default(),
             counters: GossipCounters::default(),
             wake: channel::bounded(1),
             ring,
-            lives: Mutex::new(vec![identity.incarnation]),
-            gate: Arc::default(),
+            lives: parking_lot::Mutex::new(vec![identity.incarnation]),
+            gate: sync::Arc::default(),
             news: channel::bounded(1),
         }
     }
@@ -232,7 +231,7 @@
 
     /// Opens when an exchange succeeds; while closed, this router is not named to callers.
     #[must_use]
-    pub const fn gate(&self) -> &Arc<pause::PauseGate> {
+    pub const fn gate(&self) -> &sync::Arc<pause::PauseGate> {
         &self.gate
     }
 
--- a/src/process/gossip_round.rs
+++ b/src/process/gossip_round.rs
@@ -1,6 +1,6 @@
 //! The rounds of a gossip node: whom to ask, how to probe, when to tell at once.
 
-use std::sync::Arc;
+use std::sync;
 use std::time;
 
 use async_std::{future as timer, task};
@@ -40,7 +40,7 @@
     last_push: time::Instant,
     last_look: time::Instant,
     is_urgent: bool,
-    running: Arc<()>,
+    running: sync::Arc<()>,
 }
 
 impl RoundClock {
@@ -51,12 +51,12 @@
             last_push: now,
             last_look: now,
             is_urgent: false,
-            running: Arc::new(()),
+            running: sync::Arc::new(()),
         }
     }
 
     fn is_busy(&self) -> bool {
-        Arc::strong_count(&self.running) > MAX_RUNNING
+        sync::Arc::strong_count(&self.running) > MAX_RUNNING
     }
 
     fn wait(&self, now: time::Instant) -> time::Duration {
@@ -71,7 +71,7 @@
 
 impl gossip::GossipNode {
     /// Takes part in gossip until `token` stops it.
-    pub async fn run(self: Arc<Self>, token: stop_token::StopToken) {
+    pub async fn run(self: sync::Arc<Self>, token: stop_token::StopToken) {
         let mut clock = RoundClock::start(time::Instant::now());
         loop {
             let wait = clock.wait(time::Instant::now());
@@ -84,7 +84,7 @@
         }
     }
 
-    fn step(self: &Arc<Self>, clock: &mut RoundClock, now: time::Instant) {
+    fn step(self: &sync::Arc<Self>, clock: &mut RoundClock, now: time::Instant) {
         self.look(now, now.duration_since(clock.last_look));
         clock.last_look = now;
         if now >= clock.next_forget {
@@ -98,7 +98,7 @@
         if clock.is_urgent && now.duration_since(clock.last_push) >= PUSH_SPACING {
             clock.is_urgent = false;
             clock.last_push = now;
-            let (node, slot) = (Arc::clone(self), Arc::clone(&clock.running));
+            let (node, slot) = (sync::Arc::clone(self), sync::Arc::clone(&clock.running));
             task::spawn(async move {
                 node.push().await;
                 drop(slot);
@@ -106,7 +106,7 @@
         }
         if now >= clock.next_round {
             clock.next_round = now + self.jittered_round();
-            let (node, slot) = (Arc::clone(self), Arc::clone(&clock.running));
+            let (node, slot) = (sync::Arc::clone(self), sync::Arc::clone(&clock.running));
             task::spawn(async move {
                 node.round().await;
                 drop(slot);
--- a/src/process/issuer.rs
+++ b/src/process/issuer.rs
@@ -7,7 +7,6 @@
 
 use async_std::task;
 use futures::future;
-use parking_lot::Mutex;
 use stop_token::future::FutureExt as _;
 
 use crate::connection::engine_wire;
@@ -82,14 +81,14 @@
     sink: sync::Arc<dyn order_client::OrderSink>,
     directory: sync::Arc<dyn EngineDirectory>,
     ring: sync::Arc<timeline::EventRing>,
-    services: Mutex<collections::HashMap<String, sync::Arc<ServiceIssuer>>>,
+    services: parking_lot::Mutex<collections::HashMap<String, sync::Arc<ServiceIssuer>>>,
 }
 
 /// Lease and planner of one service; one round runs at a time.
 #[derive(Debug)]
 struct ServiceIssuer {
-    lease: Mutex<lease::LeaseState>,
-    plan: Mutex<IssuerPlan>,
+    lease: parking_lot::Mutex<lease::LeaseState>,
+    plan: parking_lot::Mutex<IssuerPlan>,
 }
 
 #[derive(Debug)]
@@ -116,7 +115,7 @@
             sink,
             directory,
             ring,
-            services: Mutex::default(),
+            services: parking_lot::Mutex::default(),
         }
     }
 
@@ -177,8 +176,8 @@
         let issuer = services.entry(service.to_owned()).or_insert_with(|| {
             let state = lease::LeaseState::new(lease_name(service), self.router.clone());
             sync::Arc::new(ServiceIssuer {
-                lease: Mutex::new(state),
-                plan: Mutex::new(IssuerPlan::new(None, issuers)),
+                lease: parking_lot::Mutex::new(state),
+                plan: parking_lot::Mutex::new(IssuerPlan::new(None, issuers)),
             })
         });
         sync::Arc::clone(issuer)
--- a/src/process/pause.rs
+++ b/src/process/pause.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use async_std::task;
-use parking_lot::Mutex;
 use stop_token::future::FutureExt as _;
 
 use crate::process::timeline;
@@ -73,7 +72,7 @@
 /// Closed from a pause until one exchange with a peer or the table service that began after it.
 #[derive(Debug, Default)]
 pub struct PauseGate {
-    closed_at: Mutex<Option<time::Instant>>,
+    closed_at: parking_lot::Mutex<Option<time::Instant>>,
     pauses: atomic::AtomicU64,
 }
 
--- a/src/process/readiness.rs
+++ b/src/process/readiness.rs
@@ -3,8 +3,6 @@
 use std::sync::atomic;
 use std::time;
 
-use parking_lot::Mutex;
-
 use crate::connection::service;
 use crate::process::pause;
 use crate::process::timeline;
@@ -12,8 +10,8 @@
 /// Readiness of one router.
 #[derive(Debug)]
 pub struct RouterReadiness {
-    detector: Mutex<pause::PauseDetector>,
-    pause: Mutex<Option<time::Duration>>,
+    detector: parking_lot::Mutex<pause::PauseDetector>,
+    pause: parking_lot::Mutex<Option<time::Duration>>,
     pause_gate: pause::PauseGate,
     has_version: atomic::AtomicBool,
     is_draining: atomic::AtomicBool,
@@ -26,8 +24,8 @@
         let micros = timeline::wall_micros();
         let detector = pause::PauseDetector::new(pause::PAUSE_THRESHOLD, now, micros);
         Self {
-            detector: Mutex::new(detector),
-            pause: Mutex::default(),
+            detector: parking_lot::Mutex::new(detector),
+            pause: parking_lot::Mutex::default(),
             pause_gate: pause::PauseGate::default(),
             has_version: atomic::AtomicBool::default(),
             is_draining: atomic::AtomicBool::default(),
--- a/src/process/registry.rs
+++ b/src/process/registry.rs
@@ -3,8 +3,6 @@
 use std::collections;
 use std::sync;
 
-use parking_lot::Mutex;
-
 use crate::request::generation;
 
 const SHARD_COUNT: usize = 32;
@@ -34,13 +32,15 @@
 /// Generations that run or ended a moment ago.
 #[derive(Debug)]
 pub struct GenerationRegistry {
-    shards: Vec<Mutex<ShardMap>>,
+    shards: Vec<parking_lot::Mutex<ShardMap>>,
 }
 
 impl Default for GenerationRegistry {
     fn default() -> Self {
         Self {
-            shards: (0..SHARD_COUNT).map(|_index| Mutex::default()).collect(),
+            shards: (0..SHARD_COUNT)
+                .map(|_index| parking_lot::Mutex::default())
+                .collect(),
         }
     }
 }
@@ -100,13 +100,13 @@
     /// Callers that read a generation now.
     #[must_use]
     pub fn readers(&self) -> u32 {
-        let count = |shard: &Mutex<ShardMap>| -> u32 {
+        let count = |shard: &parking_lot::Mutex<ShardMap>| -> u32 {
             shard.lock().values().map(|record| record.readers()).sum()
         };
         self.shards.iter().map(count).sum()
     }
 
-    fn shard(&self, name: &RecordName) -> &Mutex<ShardMap> {
+    fn shard(&self, name: &RecordName) -> &parking_lot::Mutex<ShardMap> {
         let hash = xxhash_rust::xxh3::xxh3_64(name.key.as_bytes());
         &self.shards[usize::try_from(hash % SHARD_COUNT as u64).unwrap_or(0)]
     }
--- a/src/process/seed.rs
+++ b/src/process/seed.rs
@@ -1,14 +1,12 @@
 //! Peer addresses to try when no member answers: from the settings, then from the VM list.
 
-use parking_lot::Mutex;
-
 use crate::process::gossip;
 
 /// Peer addresses from both sources.
 #[derive(Debug)]
 pub struct SeedList {
     settings: Vec<String>,
-    listed: Mutex<Vec<String>>,
+    listed: parking_lot::Mutex<Vec<String>>,
 }
 
 impl SeedList {
@@ -17,7 +15,7 @@
     pub fn new(settings: Vec<String>) -> Self {
         Self {
             settings,
-            listed: Mutex::default(),
+            listed: parking_lot::Mutex::default(),
         }
     }
 
--- a/src/process/share.rs
+++ b/src/process/share.rs
@@ -4,8 +4,6 @@
 use std::sync;
 use std::time;
 
-use parking_lot::RwLock;
-
 use crate::connection::peer_wire;
 use crate::process::admission;
 use crate::process::limit;
@@ -17,7 +15,7 @@
 /// Shares of this router by workspace name.
 #[derive(Debug, Default)]
 pub struct WorkspaceShares {
-    limits: RwLock<collections::HashMap<String, admission::WorkspaceLimit>>,
+    limits: parking_lot::RwLock<collections::HashMap<String, admission::WorkspaceLimit>>,
 }
 
 impl WorkspaceShares {
--- a/src/process/timeline.rs
+++ b/src/process/timeline.rs
@@ -4,8 +4,6 @@
 use std::fmt;
 use std::time;
 
-use parking_lot::Mutex;
-
 use crate::request::cursor;
 
 /// Events kept by one process.
@@ -233,7 +231,7 @@
 #[derive(Debug)]
 pub struct EventRing {
     process: String,
-    state: Mutex<RingState>,
+    state: parking_lot::Mutex<RingState>,
 }
 
 #[derive(Debug, Default)]
@@ -249,7 +247,7 @@
     pub fn new(process: impl Into<String>) -> Self {
         Self {
             process: process.into(),
-            state: Mutex::default(),
+            state: parking_lot::Mutex::default(),
         }
     }
 
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -12,7 +12,6 @@
 
 use async_std::task;
 use futures::channel::oneshot;
-use parking_lot::Mutex;
 
 use crate::connection::platform;
 use crate::connection::platform_wire;
@@ -96,7 +95,7 @@
     platform: sync::Arc<dyn platform::PlatformService>,
     nonce: String,
     retention: time::Duration,
-    waiting: Mutex<Vec<PendingClaim>>,
+    waiting: parking_lot::Mutex<Vec<PendingClaim>>,
 }
 
 impl ClaimBatcher {
@@ -113,7 +112,7 @@
             platform,
             nonce: format!("{:032x}", uuid::Uuid::new_v4().as_u128()),
             retention,
-            waiting: Mutex::default(),
+            waiting: parking_lot::Mutex::default(),
         })
     }
 
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -4,7 +4,6 @@
 use std::task;
 
 use async_std::channel;
-use parking_lot::Mutex;
 
 use crate::connection::peer_wire;
 use crate::process::view;
@@ -90,7 +89,7 @@
     /// Identifier of the answer.
     pub id: cursor::GenerationId,
     sender: channel::Sender<source::DriverMessage>,
-    pub(super) state: Mutex<RecordState>,
+    pub(super) state: parking_lot::Mutex<RecordState>,
 }
 
 impl GenerationRecord {
@@ -118,7 +117,7 @@
             spec,
             id,
             sender,
-            state: Mutex::new(state),
+            state: parking_lot::Mutex::new(state),
         };
         (sync::Arc::new(record), receiver)
     }
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -10,7 +10,6 @@
 
 use futures::channel::oneshot;
 use futures::future;
-use parking_lot::Mutex;
 
 use crate::connection::peer_wire;
 use crate::request::digest;
@@ -88,7 +87,7 @@
 /// All times given to one table are readings of one clock that never goes back.
 #[derive(Debug)]
 pub struct KeyTable {
-    shards: Vec<Mutex<key_shard::KeyShard>>,
+    shards: Vec<parking_lot::Mutex<key_shard::KeyShard>>,
     limits: TableLimits,
     running: atomic::AtomicUsize,
 }
@@ -142,7 +141,9 @@
     /// An empty table.
     #[must_use]
     pub fn new(limits: TableLimits) -> sync::Arc<Self> {
-        let shards = (0..SHARD_COUNT).map(|_index| Mutex::default()).collect();
+        let shards = (0..SHARD_COUNT)
+            .map(|_index| parking_lot::Mutex::default())
+            .collect();
         sync::Arc::new(Self {
             shards,
             limits,
@@ -215,7 +216,7 @@
             .sum()
     }
 
-    fn shard(&self, key: digest::CallDigest) -> &Mutex<key_shard::KeyShard> {
+    fn shard(&self, key: digest::CallDigest) -> &parking_lot::Mutex<key_shard::KeyShard> {
         &self.shards[key.shard(SHARD_COUNT)]
     }
 
--- a/tests/calls/fakes/network.rs
+++ b/tests/calls/fakes/network.rs
@@ -14,7 +14,6 @@
 use kumquatpulley::process::view;
 use kumquatpulley::request::call;
 use kumquatpulley::request::key;
-use parking_lot::Mutex;
 
 use crate::fakes::platform;
 use crate::fakes::service;
@@ -44,7 +43,7 @@
 /// All routers, shared by their links and member views.
 #[derive(Debug, Default)]
 pub struct FakeNetwork {
-    routers: Mutex<collections::BTreeMap<String, RouterEntry>>,
+    routers: parking_lot::Mutex<collections::BTreeMap<String, RouterEntry>>,
     pub platform: sync::Arc<platform::FakePlatform>,
     pub endpoints: sync::Arc<FakeEndpoints>,
 }
@@ -53,7 +52,7 @@
     /// A network without routers before `services`.
     pub fn new(services: &[sync::Arc<service::FakeService>]) -> sync::Arc<Self> {
         let endpoints = FakeEndpoints {
-            services: Mutex::new(services.to_vec()),
+            services: parking_lot::Mutex::new(services.to_vec()),
         };
         sync::Arc::new(Self {
             endpoints: sync::Arc::new(endpoints),
@@ -211,7 +210,7 @@
 /// Endpoints in a fixed order.
 #[derive(Debug, Default)]
 pub struct FakeEndpoints {
-    services: Mutex<Vec<sync::Arc<service::FakeService>>>,
+    services: parking_lot::Mutex<Vec<sync::Arc<service::FakeService>>>,
 }
 
 impl FakeEndpoints {
--- a/tests/calls/fakes/platform.rs
+++ b/tests/calls/fakes/platform.rs
@@ -6,7 +6,6 @@
 use futures::future;
 use kumquatpulley::connection::platform;
 use kumquatpulley::connection::platform_wire;
-use parking_lot::Mutex;
 
 /// What happens to one write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +25,7 @@
 /// Rows, and the faults of the writes to come; the last one stays.
 #[derive(Debug, Default)]
 pub struct FakePlatform {
-    state: Mutex<PlatformState>,
+    state: parking_lot::Mutex<PlatformState>,
 }
 
 #[derive(Debug, Default)]
--- a/tests/calls/fakes/service.rs
+++ b/tests/calls/fakes/service.rs
@@ -8,7 +8,6 @@
 use async_std::io::WriteExt as _;
 use async_std::net;
 use async_std::task;
-use parking_lot::Mutex;
 
 /// What the service does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,8 +33,8 @@
 pub struct FakeService {
     pub name: String,
     pub address: String,
-    fault: Mutex<ServiceFault>,
-    effects: Mutex<collections::HashMap<String, u32>>,
+    fault: parking_lot::Mutex<ServiceFault>,
+    effects: parking_lot::Mutex<collections::HashMap<String, u32>>,
 }
 
 impl FakeService {
@@ -47,8 +46,8 @@
         let service = sync::Arc::new(Self {
             name: name.to_owned(),
             address: listener.local_addr().expect("bound").to_string(),
-            fault: Mutex::new(ServiceFault::None),
-            effects: Mutex::default(),
+            fault: parking_lot::Mutex::new(ServiceFault::None),
+            effects: parking_lot::Mutex::default(),
         });
         let server = sync::Arc::clone(&service);
         task::spawn(async move {
@@ -65,8 +64,8 @@
         sync::Arc::new(Self {
             name: name.to_owned(),
             address,
-            fault: Mutex::new(ServiceFault::None),
-            effects: Mutex::default(),
+            fault: parking_lot::Mutex::new(ServiceFault::None),
+            effects: parking_lot::Mutex::default(),
         })
     }
 
--- a/tests/common_platform/mod.rs
+++ b/tests/common_platform/mod.rs
@@ -10,7 +10,6 @@
 use futures::future::FutureExt as _;
 use kumquatpulley::connection::platform;
 use kumquatpulley::connection::platform_wire;
-use parking_lot::Mutex;
 
 /// What happens to one write.
 pub enum WriteFault {
@@ -27,7 +26,7 @@
 /// Table service of one test.
 #[derive(Default)]
 pub struct FakePlatform {
-    state: Mutex<FakeState>,
+    state: parking_lot::Mutex<FakeState>,
 }
 
 #[derive(Default)]
--- a/tests/configuration/polling.rs
+++ b/tests/configuration/polling.rs
@@ -9,7 +9,6 @@
 use kumquatpulley::process::config;
 use kumquatpulley::process::poll;
 use kumquatpulley::version::row;
-use parking_lot::Mutex;
 use proptest::prelude::*;
 
 use crate::common_platform;
@@ -55,7 +54,7 @@
     #[test]
     fn a_cell_only_moves_upward(numbers in proptest::collection::vec(1_u64..20, 1..40)) {
         let cell = config::ConfigCell::new();
-        let seen = sync::Arc::new(Mutex::new(Vec::new()));
+        let seen = sync::Arc::new(parking_lot::Mutex::new(Vec::new()));
         let log = sync::Arc::clone(&seen);
         cell.subscribe(move |version| log.lock().push(version.number()));
         let mut highest = 0;
@@ -74,7 +73,7 @@
     const THREADS: u64 = 8;
     const OFFERS: u64 = 50;
     let cell = sync::Arc::new(config::ConfigCell::new());
-    let seen = sync::Arc::new(Mutex::new(Vec::new()));
+    let seen = sync::Arc::new(parking_lot::Mutex::new(Vec::new()));
     let log = sync::Arc::clone(&seen);
     cell.subscribe(move |version| log.lock().push(version.number()));
     let threads = (0..THREADS).map(|thread| {
--- a/tests/configuration_routers.rs
+++ b/tests/configuration_routers.rs
@@ -12,7 +12,6 @@
 use std::time;
 
 use async_std::task;
-use parking_lot::Mutex;
 
 /// Time within which an accepted version is in force everywhere.
 const IN_FORCE_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -31,7 +30,7 @@
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
 /// Ports that the tests of this process claimed.
-static CLAIMS: Mutex<Vec<process::PortClaim>> = Mutex::new(Vec::new());
+static CLAIMS: parking_lot::Mutex<Vec<process::PortClaim>> = parking_lot::Mutex::new(Vec::new());
 
 fn claim_address() -> net::SocketAddr {
     let claim = process::PortClaim::take().expect("a free port");
--- a/tests/fault_matrix/caller.rs
+++ b/tests/fault_matrix/caller.rs
@@ -10,7 +10,6 @@
 use kumquatpulley::connection::http;
 use kumquatpulley::connection::sse;
 use kumquatpulley::request::key;
-use parking_lot::Mutex;
 
 use crate::bench;
 use crate::oracle;
@@ -62,7 +61,7 @@
 }
 
 /// Progress that the one who brings about faults watches.
-pub type SharedProgress = sync::Arc<Mutex<CallerProgress>>;
+pub type SharedProgress = sync::Arc<parking_lot::Mutex<CallerProgress>>;
 
 /// One request and the routers to send it to.
 #[derive(Debug)]
--- a/tests/fault_matrix/cell.rs
+++ b/tests/fault_matrix/cell.rs
@@ -9,7 +9,6 @@
 use async_std::future as async_future;
 use async_std::task;
 use futures::future;
-use parking_lot::Mutex;
 
 /// Cells that run at the same time.
 const CELLS_AT_ONCE: usize = 10;
@@ -80,7 +79,7 @@
 /// Runs all cells, some at the same time, and returns their reports in the given order.
 pub fn run_all(cells: &[MatrixCell]) -> Vec<CellReport> {
     let next = atomic::AtomicUsize::new(0);
-    let reports = Mutex::new(collections::BTreeMap::new());
+    let reports = parking_lot::Mutex::new(collections::BTreeMap::new());
     thread::scope(|scope| {
         for _worker in 0..CELLS_AT_ONCE {
             scope.spawn(|| {
--- a/tests/gossip/bed.rs
+++ b/tests/gossip/bed.rs
@@ -1,7 +1,7 @@
 //! Routers in one process, with faults between them.
 
 use std::collections;
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -10,7 +10,6 @@
 use kumquatpulley::connection::{peer, peer_client, peer_server, peer_wire};
 use kumquatpulley::process::view::MemberView as _;
 use kumquatpulley::process::{gossip, member_rank, timeline};
-use parking_lot::Mutex;
 
 pub const ZONES: usize = 4;
 pub const AGREE_LIMIT: time::Duration = time::Duration::from_secs(8);
@@ -19,7 +18,7 @@
 
 /// Packets from the first address to the second are lost.
 #[derive(Debug, Default)]
-pub struct CutSet(Mutex<collections::HashSet<(String, String)>>);
+pub struct CutSet(parking_lot::Mutex<collections::HashSet<(String, String)>>);
 
 impl CutSet {
     pub fn cut(&self, from: &str, to: &str) {
@@ -38,7 +37,7 @@
 #[derive(Debug)]
 struct FaultyLink {
     own: String,
-    cuts: Arc<CutSet>,
+    cuts: sync::Arc<CutSet>,
     client: peer_client::PeerClient,
 }
 
@@ -67,7 +66,7 @@
 
 #[derive(Debug)]
 struct PausableHandler {
-    node: Arc<gossip::GossipNode>,
+    node: sync::Arc<gossip::GossipNode>,
     is_paused: atomic::AtomicBool,
 }
 
@@ -85,8 +84,8 @@
 
 /// One router; stops when dropped.
 pub struct TestRouter {
-    pub node: Arc<gossip::GossipNode>,
-    handler: Arc<PausableHandler>,
+    pub node: sync::Arc<gossip::GossipNode>,
+    handler: sync::Arc<PausableHandler>,
     pub address: String,
     rounds: Option<stop_token::StopSource>,
     server: Option<stop_token::StopSource>,
@@ -95,7 +94,7 @@
 impl TestRouter {
     fn start_rounds(&mut self) {
         let stop = stop_token::StopSource::new();
-        task::spawn(Arc::clone(&self.node).run(stop.token()));
+        task::spawn(sync::Arc::clone(&self.node).run(stop.token()));
         self.rounds = Some(stop);
     }
 
@@ -139,7 +138,7 @@
 /// What the routers of one test share.
 #[derive(Default)]
 pub struct TestBed {
-    pub cuts: Arc<CutSet>,
+    pub cuts: sync::Arc<CutSet>,
     seeds: Vec<String>,
     started: usize,
 }
@@ -161,11 +160,11 @@
         incarnation: u64,
     ) -> TestRouter {
         let address = listener.local_addr().expect("no address").to_string();
-        let ring = Arc::new(timeline::EventRing::new(router));
-        let link = Arc::new(FaultyLink {
+        let ring = sync::Arc::new(timeline::EventRing::new(router));
+        let link = sync::Arc::new(FaultyLink {
             own: address.clone(),
-            cuts: Arc::clone(&self.cuts),
-            client: peer_client::PeerClient::new(Arc::clone(&ring)),
+            cuts: sync::Arc::clone(&self.cuts),
+            client: peer_client::PeerClient::new(sync::Arc::clone(&ring)),
         });
         let zone = self.started % ZONES;
         let identity = gossip::MemberIdentity {
@@ -176,17 +175,18 @@
             peer_address: address.clone(),
             admin_address: address.clone(),
         };
-        let seeds = Arc::new(self.seeds.clone());
+        let seeds = sync::Arc::new(self.seeds.clone());
         let settings = gossip::GossipSettings::default();
-        let node = gossip::GossipNode::new(identity, settings, seeds, link, Arc::clone(&ring));
-        let node = Arc::new(node);
+        let node =
+            gossip::GossipNode::new(identity, settings, seeds, link, sync::Arc::clone(&ring));
+        let node = sync::Arc::new(node);
         node.set_ready();
-        let handler = Arc::new(PausableHandler {
-            node: Arc::clone(&node),
+        let handler = sync::Arc::new(PausableHandler {
+            node: sync::Arc::clone(&node),
             is_paused: atomic::AtomicBool::new(false),
         });
         let stop = stop_token::StopSource::new();
-        let service = Arc::clone(&handler);
+        let service = sync::Arc::clone(&handler);
         task::spawn(peer_server::serve(listener, service, ring, stop.token()));
         if self.seeds.len() < 2 {
             self.seeds.push(address.clone());
--- a/tests/gossip/main.rs
+++ b/tests/gossip/main.rs
@@ -1,6 +1,6 @@
 //! Routers in one process that gossip over h2 on loopback, with faults between them.
 
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -210,7 +210,7 @@
         let routers = bed::TestBed::default().start_many(16).await;
         routers[0].node.set_config(7);
         for router in &routers[1..] {
-            let node = Arc::clone(&router.node);
+            let node = sync::Arc::clone(&router.node);
             task::spawn(async move {
                 node.wait_for_config().await;
                 let peer = node.newest_config_peer(0).unwrap();
--- a/tests/order_stand_ins.rs
+++ b/tests/order_stand_ins.rs
@@ -18,7 +18,6 @@
 use kumquatpulley::process::order;
 use kumquatpulley::process::timeline;
 use kumquatpulley::version::declaration;
-use parking_lot::Mutex;
 
 const SERVICE: &str = "quotes";
 
@@ -62,8 +61,8 @@
 /// Reads the engines' reports from the engines themselves.
 #[derive(Debug)]
 struct ReportDirectory {
-    version: Mutex<String>,
-    engines: Mutex<Vec<order::EngineStatus>>,
+    version: parking_lot::Mutex<String>,
+    engines: parking_lot::Mutex<Vec<order::EngineStatus>>,
 }
 
 impl ReportDirectory {
@@ -76,8 +75,8 @@
             report: None,
         });
         sync::Arc::new(Self {
-            version: Mutex::new("7".to_owned()),
-            engines: Mutex::new(engines.collect()),
+            version: parking_lot::Mutex::new("7".to_owned()),
+            engines: parking_lot::Mutex::new(engines.collect()),
         })
     }
 
--- a/tests/orders/fakes.rs
+++ b/tests/orders/fakes.rs
@@ -8,7 +8,6 @@
 use kumquatpulley::connection::order_client;
 use kumquatpulley::process::order;
 use kumquatpulley::version::declaration;
-use parking_lot::Mutex;
 
 pub const SERVICE: &str = "quotes";
 
@@ -27,8 +26,8 @@
 /// Engines that load at once.
 #[derive(Debug, Default)]
 pub struct FakeEngines {
-    pub engines: Mutex<Vec<FakeEngine>>,
-    pub received: Mutex<Vec<(String, u64)>>,
+    pub engines: parking_lot::Mutex<Vec<FakeEngine>>,
+    pub received: parking_lot::Mutex<Vec<(String, u64)>>,
 }
 
 #[derive(Clone, Debug)]
@@ -54,8 +53,8 @@
             }),
         };
         sync::Arc::new(Self {
-            engines: Mutex::new((0..count).map(engine).collect()),
-            received: Mutex::default(),
+            engines: parking_lot::Mutex::new((0..count).map(engine).collect()),
+            received: parking_lot::Mutex::default(),
         })
     }
 
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -1,6 +1,6 @@
 //! The h2 link between routers, against peers that fail.
 
-use std::sync::Arc;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -39,8 +39,8 @@
 
 struct EchoPeer {
     address: String,
-    meter: Arc<peer_stream::PeerMeter>,
-    ring: Arc<timeline::EventRing>,
+    meter: sync::Arc<peer_stream::PeerMeter>,
+    ring: sync::Arc<timeline::EventRing>,
     _stop: stop_token::StopSource,
 }
 
@@ -49,14 +49,14 @@
     let listener = listener.expect("no free port");
     let address = listener.local_addr().expect("no address").to_string();
     let stop = stop_token::StopSource::new();
-    let ring = Arc::new(timeline::EventRing::new("echo"));
-    let meter = Arc::new(peer_stream::PeerMeter::default());
+    let ring = sync::Arc::new(timeline::EventRing::new("echo"));
+    let meter = sync::Arc::new(peer_stream::PeerMeter::default());
     let service = peer_server::serve_metered(
         listener,
-        Arc::new(EchoHandler),
-        Arc::clone(&ring),
+        sync::Arc::new(EchoHandler),
+        sync::Arc::clone(&ring),
         stop.token(),
-        Arc::clone(&meter),
+        sync::Arc::clone(&meter),
     );
     task::spawn(service);
     EchoPeer {
@@ -68,7 +68,7 @@
 }
 
 fn client() -> peer_client::PeerClient {
-    peer_client::PeerClient::new(Arc::new(timeline::EventRing::new("client")))
+    peer_client::PeerClient::new(sync::Arc::new(timeline::EventRing::new("client")))
 }
 
 fn probe() -> peer_wire::QueryBody {
@@ -92,19 +92,19 @@
 }
 
 /// Forwards bytes to a peer until it is told to go silent; connections made later still work.
-async fn silencing_relay(target: String) -> (String, Arc<atomic::AtomicBool>) {
+async fn silencing_relay(target: String) -> (String, sync::Arc<atomic::AtomicBool>) {
     let listener = net::TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("no free port");
     let address = listener.local_addr().expect("no address").to_string();
-    let silent = Arc::new(atomic::AtomicBool::new(false));
-    let switch = Arc::clone(&silent);
+    let silent = sync::Arc::new(atomic::AtomicBool::new(false));
+    let switch = sync::Arc::clone(&silent);
     task::spawn(async move {
         while let Ok((inbound, _)) = listener.accept().await {
             let outbound = net::TcpStream::connect(&target).await;
             let outbound = outbound.expect("no peer behind the relay");
-            let muted = Arc::new(atomic::AtomicBool::new(false));
+            let muted = sync::Arc::new(atomic::AtomicBool::new(false));
             if !switch.load(atomic::Ordering::Relaxed) {
-                let (switch, muted) = (Arc::clone(&switch), Arc::clone(&muted));
+                let (switch, muted) = (sync::Arc::clone(&switch), sync::Arc::clone(&muted));
                 task::spawn(async move {
                     while !switch.load(atomic::Ordering::Relaxed) {
                         task::sleep(time::Duration::from_millis(5)).await;
@@ -112,7 +112,11 @@
                     muted.store(true, atomic::Ordering::Relaxed);
                 });
             }
-            task::spawn(pump(inbound.clone(), outbound.clone(), Arc::clone(&muted)));
+            task::spawn(pump(
+                inbound.clone(),
+                outbound.clone(),
+                sync::Arc::clone(&muted),
+            ));
             task::spawn(pump(outbound, inbound, muted));
         }
     });
@@ -122,7 +126,7 @@
 async fn pump(
     mut source: net::TcpStream,
     mut sink: net::TcpStream,
-    muted: Arc<atomic::AtomicBool>,
+    muted: sync::Arc<atomic::AtomicBool>,
 ) {
     let mut buffer = [0; 4096];
     while let Ok(count @ 1..) = source.read(&mut buffer).await {
@@ -229,10 +233,10 @@
         task::sleep(time::Duration::from_millis(100)).await;
         let listener = net::TcpListener::bind(&address).await.unwrap();
         let stop = stop_token::StopSource::new();
-        let ring = Arc::new(timeline::EventRing::new("echo"));
+        let ring = sync::Arc::new(timeline::EventRing::new("echo"));
         task::spawn(peer_server::serve(
             listener,
-            Arc::new(EchoHandler),
+            sync::Arc::new(EchoHandler),
             ring,
             stop.token(),
         ));
@@ -310,7 +314,7 @@
 fn stamps_of_both_sides_follow_each_other() {
     task::block_on(async {
         let peer = echo_peer().await;
-        let ring = Arc::new(timeline::EventRing::new("client"));
+        let ring = sync::Arc::new(timeline::EventRing::new("client"));
         let ahead = timeline::HybridStamp {
             micros: timeline::wall_micros() + 20_000_000,
             counter: 0,
