Prove the bounds on heads, bodies, connections and idle time through the daemon

Cause: the bounds were tried by hand only: 431, 413, 401, 404 and 400 came as they should. Ruled out: nothing.

--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -9,6 +9,7 @@
 #[path = "../support/stand_in.rs"]
 mod stand_in;
 
+mod bounds;
 mod daemon;
 mod planned_stop;
 mod running;
