Claim ports in all tests that name them, read whole requests before closing

Ruled out: repeating a failed test; longer limits. Change: the server reads the whole request; the refused address is bound and not listening; operators and the demo claim ports as the fault matrix does; the router reads on after a refusal for at most 1 s and 1 MiB.

--- a/examples/demo_driver.rs
+++ b/examples/demo_driver.rs
@@ -19,6 +19,7 @@
 
 mod support {
     pub mod demo;
+    pub mod port_claim;
 }
 
 /// Outcome of a step.
--- a/examples/support/demo/cluster.rs
+++ b/examples/support/demo/cluster.rs
@@ -10,6 +10,7 @@
 use kumquatpulley::process::timeline;
 
 use super::children;
+use crate::support::port_claim;
 
 /// Outcome of a step.
 pub type Result<T> = eyre::Result<T>;
@@ -36,7 +37,7 @@
 }
 
 /// A router.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct DemoRouter {
     /// Router name.
     pub name: String,
@@ -45,6 +46,7 @@
     /// Address for operators.
     pub admin: net::SocketAddr,
     peer: net::SocketAddr,
+    _claims: [port_claim::PortClaim; 3],
 }
 
 /// Counts of an engine.
@@ -128,11 +130,15 @@
 
     fn start_routers(&mut self) -> Result<()> {
         for index in 1..=ROUTER_ZONES.len() {
+            let listen = port_claim::PortClaim::take()?;
+            let admin = port_claim::PortClaim::take()?;
+            let peer = port_claim::PortClaim::take()?;
             self.routers.push(DemoRouter {
                 name: format!("r{index}"),
-                listen: free_address()?,
-                admin: free_address()?,
-                peer: free_address()?,
+                listen: listen.address,
+                admin: admin.address,
+                peer: peer.address,
+                _claims: [listen, admin, peer],
             });
         }
         for (router, zone) in self.routers.iter().zip(ROUTER_ZONES) {
@@ -252,10 +258,6 @@
     Ok(serde_json::from_slice(&bytes)?)
 }
 
-fn free_address() -> Result<net::SocketAddr> {
-    Ok(net::TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
 fn declarations_file() -> path::PathBuf {
     path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/demo.yaml")
 }
--- a/src/connection/accept.rs
+++ b/src/connection/accept.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic;
 use std::time;
 
+use async_std::future as async_future;
+use async_std::io;
+use async_std::io::ReadExt as _;
 use async_std::io::WriteExt as _;
 use async_std::net;
 use async_std::task;
@@ -29,6 +32,12 @@
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Bytes of a refused request that are read and dropped at most.
+const DISCARD_BYTES: u64 = 1024 * 1024;
+
+/// Time for which a refused request is read.
+const DISCARD_LIMIT: time::Duration = time::Duration::from_secs(1);
+
 /// When a caller that found no room may come back.
 const ROOM_DELAY: time::Duration = time::Duration::from_secs(1);
 
@@ -122,8 +131,23 @@
         verdict::VERDICT_HEADER,
         refusal.verdict,
     );
-    // A peer that has gone needs no refusal.
-    let _gone = stream.write_all(format!("{head}{body}").as_bytes()).await;
+    let text = format!("{head}{body}");
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        // A peer that has gone needs no refusal.
+        return;
+    }
+    discard_request(stream).await;
+}
+
+/// Reads what the peer still sends: closing with unread bytes would reset the connection, and the
+/// peer might lose the refusal.
+async fn discard_request(stream: net::TcpStream) {
+    if stream.shutdown(std_net::Shutdown::Write).is_err() {
+        return;
+    }
+    let discarding = io::copy(stream.take(DISCARD_BYTES), io::sink());
+    // What is left after the time limit is not worth waiting for.
+    let _discarded = async_future::timeout(DISCARD_LIMIT, discarding).await;
 }
 
 /// Counts one open connection until it is dropped.
--- a/tests/operators/daemon.rs
+++ b/tests/operators/daemon.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time;
 
+use crate::port_claim;
 use crate::program;
 
 /// Time within which a router has to do what it is asked.
@@ -22,6 +23,7 @@
     pub admin: net::SocketAddr,
     process: process::Child,
     folder: tempfile::TempDir,
+    _claims: [port_claim::PortClaim; 3],
 }
 
 impl RouterDaemon {
@@ -34,7 +36,8 @@
     pub fn start_with(name: &str, platform: net::SocketAddr, lines: &str) -> Self {
         let folder = tempfile::tempdir().expect("temporary folder");
         let file = folder.path().join("router.yaml");
-        let [listen, peer, admin] = free_addresses();
+        let claims = [(); 3].map(|()| port_claim::PortClaim::take().expect("a free port"));
+        let [listen, peer, admin] = [0, 1, 2].map(|index: usize| claims[index].address);
         let settings = format!(
             "router: {name}\nzone: zone-a\nlisten: {listen}\npeer_listen: {peer}\n\
              admin_listen: {admin}\nplatform: {platform}\naddress_keep_ms: 100\n{lines}"
@@ -51,6 +54,7 @@
             admin,
             process,
             folder,
+            _claims: claims,
         }
     }
 
@@ -125,10 +129,3 @@
         let _status = self.process.wait();
     }
 }
-
-/// Addresses that were free a moment ago; held together so that they differ.
-fn free_addresses() -> [net::SocketAddr; 3] {
-    let bind = || net::TcpListener::bind("127.0.0.1:0").expect("free port");
-    let listeners = [bind(), bind(), bind()];
-    listeners.map(|listener| listener.local_addr().expect("bound"))
-}
--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -4,6 +4,8 @@
 mod common;
 #[path = "../../examples/support/oracle.rs"]
 mod oracle;
+#[path = "../../examples/support/port_claim.rs"]
+mod port_claim;
 #[path = "../support/program.rs"]
 mod program;
 #[path = "../support/stand_in.rs"]
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -1,6 +1,7 @@
 //! A platform call tells whether it may have taken effect.
 
 use std::io;
+use std::io::BufRead as _;
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
@@ -28,10 +29,25 @@
     address
 }
 
+/// Reads a whole request: closing with unread bytes would reset the connection and lose the answer.
+fn read_request(stream: &mut net::TcpStream) -> io::Result<()> {
+    let mut reader = io::BufReader::new(stream);
+    let mut length = 0;
+    let mut line = String::new();
+    while reader.read_line(&mut line)? > 2 {
+        let (name, value) = line.split_once(':').unwrap_or_default();
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse().expect("a length");
+        }
+        line.clear();
+    }
+    io::copy(&mut reader.take(length), &mut io::sink())?;
+    Ok(())
+}
+
 fn answer_one(listener: &net::TcpListener, answer: &ServerAnswer) -> io::Result<()> {
     let (mut stream, _peer) = listener.accept()?;
-    let mut request = [0; 4096];
-    let _count = stream.read(&mut request)?;
+    read_request(&mut stream)?;
     match answer {
         ServerAnswer::Reply(status, body) => {
             let length = body.len();
@@ -71,10 +87,12 @@
 
 #[test]
 fn a_write_that_found_no_connection_had_no_effect() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
-    assert!(is_unreachable(&write(address)));
+    // A bound socket that does not listen refuses connections and keeps its port from others.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    assert!(is_unreachable(&write(address.to_string())));
 }
 
 #[test]
