Divide src/process into folders by job

Ruled out: shorter file names inside the folders (gossip_round as round): the modules are named in hundreds of places, and their names say enough.

Change: members, endpoints, limits, orders, setup, versions and telemetry beside the gateway; start, node, drain, pause, readiness, registry, catch-up and the traits stay in process itself. membership.rs is members/member_table.rs. Nothing else is changed.

--- a/benches/control/crowd.rs
+++ b/benches/control/crowd.rs
@@ -7,7 +7,8 @@
 use async_std::task;
 use futures::future;
 use kumquatpulley::connection::{peer, peer_stream, peer_wire};
-use kumquatpulley::process::{gossip, gossip_exchange, member_rank, membership, timeline};
+use kumquatpulley::process::members::{gossip, gossip_exchange, member_rank, member_table};
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::{core_seconds, float, resident_bytes};
 
@@ -101,9 +102,9 @@
     }
 }
 
-fn table(own: usize, count: usize) -> membership::MemberTable {
+fn table(own: usize, count: usize) -> member_table::MemberTable {
     let now = time::Instant::now();
-    let mut table = membership::MemberTable::new(member(own, 1), now);
+    let mut table = member_table::MemberTable::new(member(own, 1), now);
     for index in (0..count).filter(|index| *index != own) {
         table.merge(member(index, 1), "bench", now);
     }
--- a/benches/control/declared.rs
+++ b/benches/control/declared.rs
@@ -6,7 +6,10 @@
 use async_std::task;
 use futures::future;
 use kumquatpulley::connection::{platform, platform_wire};
-use kumquatpulley::process::{endpoint, placement, seed, timeline, view, watch};
+use kumquatpulley::process::endpoints::{endpoint, placement, watch};
+use kumquatpulley::process::members::seed;
+use kumquatpulley::process::telemetry::timeline;
+use kumquatpulley::process::view;
 use kumquatpulley::version::{check, route};
 
 use crate::{core_seconds, group, resident_bytes};
--- a/benches/control/group.rs
+++ b/benches/control/group.rs
@@ -9,8 +9,10 @@
 use futures::future;
 use kumquatpulley::connection::peer::PeerLink as _;
 use kumquatpulley::connection::{peer, peer_client, peer_server, peer_stream, peer_wire};
+use kumquatpulley::process::members::{gossip, member_rank};
+use kumquatpulley::process::telemetry::timeline;
+use kumquatpulley::process::versions::config;
 use kumquatpulley::process::view::MemberView as _;
-use kumquatpulley::process::{config, gossip, member_rank, timeline};
 
 const ZONES: usize = 4;
 const MODELS: usize = 20;
--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -8,11 +8,11 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::admission;
-use kumquatpulley::process::limit;
-use kumquatpulley::process::placement;
-use kumquatpulley::process::prefix_index;
-use kumquatpulley::process::subset;
+use kumquatpulley::process::endpoints::placement;
+use kumquatpulley::process::endpoints::prefix_index;
+use kumquatpulley::process::endpoints::subset;
+use kumquatpulley::process::limits::admission;
+use kumquatpulley::process::limits::limit;
 use kumquatpulley::request::cursor;
 use kumquatpulley::request::digest;
 use kumquatpulley::request::outcome;
--- a/benches/recovery/engine_run.rs
+++ b/benches/recovery/engine_run.rs
@@ -6,7 +6,7 @@
 
 use async_std::future;
 use async_std::task;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 use kumquatpulley::request::cursor;
 use kumquatpulley::request::driver;
 use kumquatpulley::request::generation;
--- a/benches/support/placement_load.rs
+++ b/benches/support/placement_load.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use kumquatpulley::process::placement;
+use kumquatpulley::process::endpoints::placement;
 
 const ENGINES: usize = 35;
 const ROUTERS: usize = 16;
--- a/examples/demo_driver.rs
+++ b/examples/demo_driver.rs
@@ -8,7 +8,7 @@
 
 use async_std::task;
 use kumquatpulley::connection::caller_client;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::support::demo::cluster;
 use crate::support::demo::console;
--- a/examples/plain_service.rs
+++ b/examples/plain_service.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use futures::future;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::support::server;
 use crate::support::service;
--- a/examples/support/demo/cluster.rs
+++ b/examples/support/demo/cluster.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use kumquatpulley::connection::http;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use super::children;
 use crate::support::port_claim;
--- a/examples/support/engine/records.rs
+++ b/examples/support/engine/records.rs
@@ -1,7 +1,7 @@
 //! Logs of attempts and orders, as the counts show them.
 
 use kumquatpulley::connection::engine_wire;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use super::stream;
 use crate::oracle;
--- a/examples/support/engine/state.rs
+++ b/examples/support/engine/state.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::http;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use super::cache;
 use super::options;
--- a/src/bin/kumquatpulley/admin.rs
+++ b/src/bin/kumquatpulley/admin.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use kumquatpulley::connection::http;
-use kumquatpulley::process::status;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::status;
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::exit_code;
 use crate::failure;
--- a/src/bin/kumquatpulley/status.rs
+++ b/src/bin/kumquatpulley/status.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use futures::future;
-use kumquatpulley::process::endpoint_entry;
-use kumquatpulley::process::status;
+use kumquatpulley::process::endpoints::endpoint_entry;
+use kumquatpulley::process::telemetry::status;
 
 use crate::admin;
 use crate::exit_code;
--- a/src/bin/kumquatpulley/timeline.rs
+++ b/src/bin/kumquatpulley/timeline.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use futures::future;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::admin;
 use crate::exit_code;
--- a/src/bin/kumquatpulley/wait.rs
+++ b/src/bin/kumquatpulley/wait.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use futures::future;
-use kumquatpulley::process::status;
+use kumquatpulley::process::telemetry::status;
 
 use crate::admin;
 use crate::source;
--- a/src/bin/kumquatpulleyd.rs
+++ b/src/bin/kumquatpulleyd.rs
@@ -7,9 +7,9 @@
 use kumquatpulley::platform;
 use kumquatpulley::platform::settings_wire;
 use kumquatpulley::process::gateway::start as gateway_start;
-use kumquatpulley::process::logging;
-use kumquatpulley::process::settings;
+use kumquatpulley::process::setup::settings;
 use kumquatpulley::process::start;
+use kumquatpulley::process::telemetry::logging;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
--- a/src/connection/peer_client.rs
+++ b/src/connection/peer_client.rs
@@ -12,7 +12,7 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
 use crate::connection::{peer, peer_stream, peer_wire};
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Connections kept at most.
 pub const MAX_CONNECTIONS: usize = 128;
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -9,7 +9,7 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
 use crate::connection::{accept, peer, peer_stream, peer_wire};
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Connections from peers at most; further ones are closed at once.
 pub const MAX_CONNECTIONS: usize = 4096;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -1,6 +1,6 @@
 //! Bincode messages between routers: one h2 stream carries one query and one reply.
 
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// A query to a peer.
 #[derive(Clone, Debug)]
--- a/src/process/catch_up.rs
+++ b/src/process/catch_up.rs
@@ -8,9 +8,9 @@
 
 use crate::connection::peer_wire;
 use crate::connection::platform;
-use crate::process::config;
 use crate::process::node;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
+use crate::process::versions::config;
 use crate::version::store;
 
 /// Time between two looks at the clocks.
--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 
 use crate::process::node;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::request::source;
 
 /// Time between two looks at what still runs.
--- a/src/process/endpoint.rs
+++ b/src/process/endpoints/endpoint.rs
@@ -3,10 +3,10 @@
 use std::collections;
 use std::sync;
 
-use crate::process::endpoint_entry;
-use crate::process::placement;
-use crate::process::prefix_index;
-use crate::process::subset;
+use crate::process::endpoints::endpoint_entry;
+use crate::process::endpoints::placement;
+use crate::process::endpoints::prefix_index;
+use crate::process::endpoints::subset;
 use crate::process::view;
 use crate::version::declaration;
 
--- a/src/process/endpoint_entry.rs
+++ b/src/process/endpoints/endpoint_entry.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use crate::connection::engine_wire;
-use crate::process::placement;
-use crate::process::prefix_index;
+use crate::process::endpoints::placement;
+use crate::process::endpoints::prefix_index;
 use crate::process::view;
 use crate::request::suspicion;
 use crate::version::declaration;
--- a/src/process/leaving.rs
+++ b/src/process/endpoints/leaving.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3;
 
 use crate::connection::peer_wire;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Time for which a fact is kept.
 pub const RETENTION: time::Duration = time::Duration::from_secs(24 * 60 * 60);
--- /dev/null
+++ b/src/process/endpoints/mod.rs
@@ -0,0 +1,9 @@
+//! The endpoints: what they report, and which one a request goes to.
+
+pub mod endpoint;
+pub mod endpoint_entry;
+pub mod leaving;
+pub mod placement;
+pub mod prefix_index;
+pub mod subset;
+pub mod watch;
--- a/src/process/watch.rs
+++ b/src/process/endpoints/watch.rs
@@ -12,10 +12,10 @@
 use crate::connection::engine;
 use crate::connection::platform;
 use crate::connection::platform_wire;
-use crate::process::endpoint;
-use crate::process::endpoint_entry;
-use crate::process::seed;
-use crate::process::timeline;
+use crate::process::endpoints::endpoint;
+use crate::process::endpoints::endpoint_entry;
+use crate::process::members::seed;
+use crate::process::telemetry::timeline;
 use crate::process::view;
 
 /// Time between two load reports of one engine.
--- a/src/process/gateway/budgets.rs
+++ b/src/process/gateway/budgets.rs
@@ -6,8 +6,8 @@
 use std::sync;
 use std::time;
 
-use crate::process::budget;
 use crate::process::gateway::settings;
+use crate::process::limits::budget;
 use crate::process::view;
 use crate::request::relay::context;
 
--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic;
 use std::time;
 
+use crate::process::endpoints::placement;
 use crate::process::gateway::endpoint_book;
-use crate::process::placement;
 use crate::request::relay::fleet;
 
 /// Time for which an endpoint that failed is avoided; doubles with each failure in a row.
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -10,7 +10,9 @@
     boot_clock, check, endpoint_book, endpoint_fleet, endpoint_rows, freshness, outcome, readers,
     rows, settings, stopping,
 };
-use crate::process::{gossip, metrics, seed, timeline, view};
+use crate::process::members::{gossip, seed};
+use crate::process::telemetry::{metrics, timeline};
+use crate::process::view;
 use crate::request::relay::{context, dialect, plain, stream};
 use crate::request::verdict;
 use crate::version::traffic;
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -11,11 +11,14 @@
 use signal_hook::consts;
 
 use crate::connection::{http, peer, peer_server};
+use crate::process::endpoints::placement;
 use crate::process::gateway::{
     budgets, endpoint_book, endpoint_fleet, follow, front, node, peers, reload, rows, settings,
     side,
 };
-use crate::process::{gossip, metrics, peering, placement, start, timeline};
+use crate::process::members::{gossip, peering};
+use crate::process::start;
+use crate::process::telemetry::{metrics, timeline};
 use crate::request::relay::{context, dialect};
 
 /// Time between two looks at readiness and at what still runs.
--- a/src/process/admission.rs
+++ b/src/process/limits/admission.rs
@@ -11,7 +11,7 @@
 use futures::channel::oneshot;
 use xxhash_rust::xxh3;
 
-use crate::process::admission_queue;
+use crate::process::limits::admission_queue;
 use crate::request::verdict;
 
 /// Outcome of admission.
--- a/src/process/admission_queue.rs
+++ b/src/process/limits/admission_queue.rs
@@ -5,7 +5,7 @@
 
 use futures::channel::oneshot;
 
-use crate::process::admission;
+use crate::process::limits::admission;
 use crate::request::verdict;
 
 /// Weight of the newest service time in the moving average.
--- a/src/process/share.rs
+++ b/src/process/limits/share.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::admission;
-use crate::process::limit;
+use crate::process::limits::admission;
+use crate::process::limits::limit;
 use crate::version::route;
 
 /// Time between two divisions of the limits.
--- a/src/process/gossip.rs
+++ b/src/process/members/gossip.rs
@@ -10,9 +10,11 @@
 use async_std::channel;
 
 use crate::connection::{peer, peer_wire};
-use crate::process::{
-    gossip_exchange, gossip_load, gossip_target, member_rank, membership, pause, timeline,
+use crate::process::members::{
+    gossip_exchange, gossip_load, gossip_target, member_rank, member_table,
 };
+use crate::process::pause;
+use crate::process::telemetry::timeline;
 
 /// Times of the rounds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,7 +131,7 @@
             config: 0,
             demand: Vec::new(),
         };
-        let table = membership::MemberTable::new(own, time::Instant::now());
+        let table = member_table::MemberTable::new(own, time::Instant::now());
         Self {
             settings,
             router: identity.router,
--- a/src/process/gossip_exchange.rs
+++ b/src/process/members/gossip_exchange.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::{member_delta, member_load, member_rank, membership};
+use crate::process::members::{member_delta, member_load, member_rank, member_table};
 
 /// State facts in one message at most, unless whole buckets were asked for.
 pub const MAX_DELTA_FACTS: usize = 64;
@@ -96,7 +96,7 @@
 #[derive(Debug)]
 pub struct ExchangeState {
     /// The facts.
-    pub table: membership::MemberTable,
+    pub table: member_table::MemberTable,
     /// Number of the configuration in force.
     pub version: u64,
     progress: collections::HashMap<String, PeerProgress>,
@@ -107,7 +107,7 @@
 impl ExchangeState {
     /// State with the given table, without progress.
     #[must_use]
-    pub fn new(table: membership::MemberTable) -> Self {
+    pub fn new(table: member_table::MemberTable) -> Self {
         Self {
             table,
             version: 0,
@@ -300,12 +300,12 @@
         for fact in message.members {
             let router = fact.router.clone();
             match self.table.merge(fact, &message.from, at.now) {
-                membership::MergeOutcome::Known => {}
-                membership::MergeOutcome::Refuted => {
+                member_table::MergeOutcome::Known => {}
+                member_table::MergeOutcome::Refuted => {
                     effect.refuted = Some(self.table.own().incarnation);
                     effect.is_urgent = true;
                 }
-                membership::MergeOutcome::Changed(rank) => {
+                member_table::MergeOutcome::Changed(rank) => {
                     effect.is_urgent |= !rank.is_serving();
                     effect.changed.push((router, rank));
                 }
--- a/src/process/gossip_load.rs
+++ b/src/process/members/gossip_load.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::{gossip, gossip_exchange, member_load, membership};
+use crate::process::members::{gossip, gossip_exchange, member_load, member_table};
 
 /// Part of the load interval that each live member adds, so that all loads together stay bounded.
 const LOAD_INTERVAL_PER_MEMBER: time::Duration = time::Duration::from_millis(100);
@@ -33,7 +33,7 @@
     pub fn demand(&self, workspace: &str) -> Vec<(String, u32)> {
         let state = self.state.lock();
         let live = state.table.records().filter(|record| record.rank.is_live());
-        let demand_at = |record: &membership::MemberRecord| {
+        let demand_at = |record: &member_table::MemberRecord| {
             let fact = &record.fact;
             let mut demand = state.table.loads().demand(&fact.router, fact.incarnation);
             let item = demand.find(|item| item.workspace == workspace)?;
--- a/src/process/gossip_round.rs
+++ b/src/process/members/gossip_round.rs
@@ -8,7 +8,7 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::peer_wire;
-use crate::process::{gossip, gossip_exchange, gossip_target, member_rank};
+use crate::process::members::{gossip, gossip_exchange, gossip_target, member_rank};
 
 /// Longest time between two looks at suspicions.
 const TICK: time::Duration = time::Duration::from_millis(100);
--- a/src/process/gossip_target.rs
+++ b/src/process/members/gossip_target.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use crate::connection::peer_wire;
-use crate::process::{gossip, member_rank, member_ring, membership};
+use crate::process::members::{gossip, member_rank, member_ring, member_table};
 
 /// Every so many rounds ask somebody other than the usual peers, so that separated groups meet again.
 const HEAL_ROUNDS: u64 = 8;
@@ -49,7 +49,7 @@
     /// Peer addresses of members that can probe, those of zones other than both ends first.
     pub(super) fn helpers(&self, fact: &peer_wire::MemberWire) -> Vec<String> {
         let state = self.state.lock();
-        let can_help = |record: &&membership::MemberRecord| {
+        let can_help = |record: &&member_table::MemberRecord| {
             record.rank.is_live()
                 && record.rank.verdict == member_rank::PeerVerdict::Alive
                 && record.fact.router != self.router
@@ -133,7 +133,7 @@
     }
 }
 
-pub(super) fn target_of(record: &membership::MemberRecord) -> RoundTarget {
+pub(super) fn target_of(record: &member_table::MemberRecord) -> RoundTarget {
     RoundTarget {
         address: record.fact.peer_address.clone(),
         expected: Some(record.fact.clone()),
--- a/src/process/gossip_view.rs
+++ b/src/process/members/gossip_view.rs
@@ -1,7 +1,8 @@
 //! What the rest of the process asks a gossip node about the routers.
 
 use crate::connection::peer_wire;
-use crate::process::{gossip, member_rank, member_ring, membership, view};
+use crate::process::members::{gossip, member_rank, member_ring, member_table};
+use crate::process::view;
 use crate::request::key;
 
 impl gossip::GossipNode {
@@ -9,7 +10,7 @@
     #[must_use]
     pub fn is_poller(&self) -> bool {
         let state = self.state.lock();
-        let may_poll = |record: &&membership::MemberRecord| {
+        let may_poll = |record: &&member_table::MemberRecord| {
             record.fact.zone == self.zone
                 && record.rank.stage <= member_rank::LifeStage::Ready
                 && record.rank.verdict == member_rank::PeerVerdict::Alive
@@ -23,7 +24,7 @@
     #[must_use]
     pub fn newest_config_peer(&self, above: u64) -> Option<peer_wire::MemberWire> {
         let state = self.state.lock();
-        let has_newer = |record: &&membership::MemberRecord| {
+        let has_newer = |record: &&member_table::MemberRecord| {
             record.rank.is_live() && record.config > above && record.fact.router != self.router
         };
         let newer = state.table.records().filter(has_newer);
@@ -68,7 +69,7 @@
     fn ready_members(&self) -> Vec<peer_wire::MemberWire> {
         let is_open = self.gate.is_open();
         let state = self.state.lock();
-        let is_ready = |record: &&membership::MemberRecord| {
+        let is_ready = |record: &&member_table::MemberRecord| {
             record.rank.is_serving() && (is_open || record.fact.router != self.router)
         };
         let ready = state.table.records().filter(is_ready);
@@ -79,8 +80,8 @@
 }
 
 fn with_load(
-    table: &membership::MemberTable,
-    record: &membership::MemberRecord,
+    table: &member_table::MemberTable,
+    record: &member_table::MemberRecord,
 ) -> peer_wire::MemberWire {
     let mut fact = record.fact.clone();
     fact.config = record.config;
--- a/src/process/member_delta.rs
+++ b/src/process/members/member_delta.rs
@@ -1,7 +1,7 @@
 //! The facts of a member table that a peer lacks.
 
 use crate::connection::peer_wire;
-use crate::process::{member_digest, membership};
+use crate::process::members::{member_digest, member_table};
 
 /// State facts for a peer.
 #[derive(Clone, Debug, Default)]
@@ -14,7 +14,7 @@
     pub upto: u64,
 }
 
-impl membership::MemberTable {
+impl member_table::MemberTable {
     /// Facts that changed after number `since`, oldest first, without those that `peer` sent; at most
     /// `limit`.
     #[must_use]
--- a/src/process/member_digest.rs
+++ b/src/process/members/member_digest.rs
@@ -5,7 +5,8 @@
 use xxhash_rust::xxh3;
 
 use crate::connection::peer_wire;
-use crate::process::{leaving, membership};
+use crate::process::endpoints::leaving;
+use crate::process::members::member_table;
 
 /// Buckets of a digest.
 pub const BUCKETS: usize = 64;
@@ -79,7 +80,7 @@
 #[derive(Clone, Debug)]
 pub enum ChangeKey {
     /// A member.
-    Member(membership::MemberKey),
+    Member(member_table::MemberKey),
     /// A leaving endpoint.
     Leaving(leaving::EndpointLife),
 }
--- a/src/process/member_expiry.rs
+++ b/src/process/members/member_expiry.rs
@@ -3,12 +3,12 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::{member_digest, member_rank, membership};
+use crate::process::members::{member_digest, member_rank, member_table};
 
 /// Time for which facts about dead and left members are kept; longer than regions are cut.
 pub const DEAD_RETENTION: time::Duration = time::Duration::from_secs(2 * 60 * 60);
 
-impl membership::MemberTable {
+impl member_table::MemberTable {
     /// Declares members dead that have been suspected for `suspicion`, and gives their facts.
     pub fn expire_suspects(
         &mut self,
@@ -16,11 +16,11 @@
         now: time::Instant,
     ) -> Vec<peer_wire::MemberWire> {
         let records = &self.records;
-        let is_due = |key: &&membership::MemberKey| {
+        let is_due = |key: &&member_table::MemberKey| {
             let record = records.get(**key);
             record.is_some_and(|record| now.duration_since(record.changed) >= suspicion)
         };
-        let due: Vec<membership::MemberKey> =
+        let due: Vec<member_table::MemberKey> =
             self.suspects.iter().filter(is_due).copied().collect();
         for key in &due {
             let fact = self.records[*key].fact.clone();
@@ -42,7 +42,7 @@
 
     /// Forgets dead and left members after [`DEAD_RETENTION`], and leaving endpoints past their age.
     pub fn forget(&mut self, now: time::Instant, now_micros: u64) {
-        let is_old = |record: &membership::MemberRecord| {
+        let is_old = |record: &member_table::MemberRecord| {
             !record.rank.is_live() && now.duration_since(record.changed) >= DEAD_RETENTION
         };
         let own = self.own;
@@ -50,7 +50,7 @@
             .records
             .iter()
             .filter(|(key, record)| *key != own && is_old(record));
-        let old: Vec<membership::MemberKey> = old.map(|(key, _)| key).collect();
+        let old: Vec<member_table::MemberKey> = old.map(|(key, _)| key).collect();
         for key in old {
             let Some(record) = self.records.remove(key) else {
                 continue;
--- a/src/process/membership.rs
+++ b/src/process/members/member_table.rs
@@ -10,7 +10,8 @@
 use std::time;
 
 use crate::connection::peer_wire;
-use crate::process::{leaving, member_digest, member_load, member_rank};
+use crate::process::endpoints::leaving;
+use crate::process::members::{member_digest, member_load, member_rank};
 
 /// Members kept at most; facts about further ones are ignored.
 pub const MAX_MEMBERS: usize = 16_384;
--- a/src/process/peering.rs
+++ b/src/process/members/peering.rs
@@ -3,7 +3,9 @@
 use std::sync;
 
 use crate::connection::{peer, peer_client};
-use crate::process::{gossip, seed, timeline, view};
+use crate::process::members::{gossip, seed};
+use crate::process::telemetry::timeline;
+use crate::process::view;
 
 /// The parts of a router that concern other routers.
 #[derive(Clone, Debug)]
--- a/src/process/seed.rs
+++ b/src/process/members/seed.rs
@@ -1,6 +1,6 @@
 //! Peer addresses to try when no member answers: from the settings, then from the VM list.
 
-use crate::process::gossip;
+use crate::process::members::gossip;
 
 /// Peer addresses from both sources.
 #[derive(Debug)]
--- a/src/process/directory.rs
+++ b/src/process/orders/directory.rs
@@ -2,12 +2,12 @@
 
 use std::sync;
 
-use crate::process::config;
-use crate::process::endpoint;
-use crate::process::endpoint_entry;
-use crate::process::issuer;
-use crate::process::order;
+use crate::process::endpoints::endpoint;
+use crate::process::endpoints::endpoint_entry;
+use crate::process::orders::issuer;
+use crate::process::orders::order;
 use crate::process::readiness;
+use crate::process::versions::config;
 use crate::process::view;
 
 /// Services of the version in force, with their engines' reports.
--- a/src/process/issuer.rs
+++ b/src/process/orders/issuer.rs
@@ -12,10 +12,10 @@
 use crate::connection::engine_wire;
 use crate::connection::order_client;
 use crate::connection::platform;
-use crate::process::lease;
-use crate::process::order;
-use crate::process::pace;
-use crate::process::timeline;
+use crate::process::orders::lease;
+use crate::process::orders::order;
+use crate::process::orders::pace;
+use crate::process::telemetry::timeline;
 use crate::version::declaration;
 
 /// Time between two rounds.
--- a/src/process/order.rs
+++ b/src/process/orders/order.rs
@@ -8,7 +8,7 @@
 use std::time;
 
 use crate::connection::engine_wire;
-use crate::process::pace;
+use crate::process::orders::pace;
 use crate::version::declaration;
 
 /// Time after which an engine that still reports another state is ordered again. It covers the
--- a/src/process/order_watch.rs
+++ b/src/process/orders/order_watch.rs
@@ -12,9 +12,9 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::engine;
-use crate::process::endpoint;
-use crate::process::endpoint_entry;
-use crate::process::issuer;
+use crate::process::endpoints::endpoint;
+use crate::process::endpoints::endpoint_entry;
+use crate::process::orders::issuer;
 
 /// Time between two groups of reports.
 pub const GROUP_PERIOD: time::Duration = time::Duration::from_secs(5);
--- a/src/process/pause.rs
+++ b/src/process/pause.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use stop_token::future::FutureExt as _;
 
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Time between two ticks of the detector.
 pub const TICK: time::Duration = time::Duration::from_millis(100);
--- a/src/process/readiness.rs
+++ b/src/process/readiness.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::service;
 use crate::process::pause;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Readiness of one router.
 #[derive(Debug)]
--- a/src/process/settings.rs
+++ b/src/process/setup/settings.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::path;
 
-use crate::process::settings_file;
+use crate::process::setup::settings_file;
 
 /// Outcome of loading settings.
 pub type Result<T> = std::result::Result<T, Vec<SettingsFault>>;
--- a/src/process/settings_file.rs
+++ b/src/process/setup/settings_file.rs
@@ -8,8 +8,8 @@
 
 use serde::de;
 
-use crate::process::settings;
-use crate::process::settings_tree;
+use crate::process::setup::settings;
+use crate::process::setup::settings_tree;
 
 /// Longest accepted name of a router or availability zone, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
--- a/src/process/logging.rs
+++ b/src/process/telemetry/logging.rs
@@ -6,7 +6,8 @@
 use logforth::layout;
 use logforth::record;
 
-use crate::process::{log_budget, settings};
+use crate::process::setup::settings;
+use crate::process::telemetry::log_budget;
 
 /// Outcome of setting up logs.
 pub type Result<T> = std::result::Result<T, logforth::Error>;
--- /dev/null
+++ b/src/process/telemetry/mod.rs
@@ -0,0 +1,8 @@
+//! What the process tells operators: log lines, counters, events and status.
+
+pub mod log_budget;
+pub mod logging;
+pub mod metrics;
+pub mod status;
+pub mod timeline;
+pub mod wall_clock;
--- a/src/process/status.rs
+++ b/src/process/telemetry/status.rs
@@ -3,8 +3,8 @@
 use std::collections;
 
 use crate::connection::peer_wire;
-use crate::process::endpoint_entry;
-use crate::process::member_rank;
+use crate::process::endpoints::endpoint_entry;
+use crate::process::members::member_rank;
 
 /// State of one router.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/process/wall_clock.rs
+++ b/src/process/telemetry/wall_clock.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 
 /// Wall time that never goes back, whatever happens to the system clock.
 ///
--- a/src/process/config.rs
+++ b/src/process/versions/config.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 
 use crate::connection::peer_wire;
-use crate::process::step;
+use crate::process::versions::step;
 use crate::version::delta;
 use crate::version::route;
 
--- a/src/process/follow.rs
+++ b/src/process/versions/follow.rs
@@ -8,10 +8,10 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::peer_wire;
-use crate::process::config;
+use crate::process::limits::share;
 use crate::process::node;
-use crate::process::share;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
+use crate::process::versions::config;
 use crate::version::check;
 use crate::version::route;
 
--- a/src/process/poll.rs
+++ b/src/process/versions/poll.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use stop_token::future::FutureExt as _;
 
-use crate::process::config;
+use crate::process::versions::config;
 use crate::version::store;
 
 /// Time between two reads of the head by a poller.
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -8,7 +8,7 @@
 use crate::connection::http;
 use crate::connection::peer_wire;
 use crate::connection::service;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::request::call;
 use crate::request::copy;
 use crate::request::refusal;
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 
 use crate::connection::engine;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::process::view;
 use crate::request::cancel;
 use crate::request::cursor;
--- a/src/request/driver_steps.rs
+++ b/src/request/driver_steps.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use crate::connection::engine_wire;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::process::view;
 use crate::request::cursor;
 use crate::request::driver;
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -7,7 +7,7 @@
 
 use crate::connection::peer;
 use crate::connection::peer_wire;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::request::attempt;
 use crate::request::call;
 use crate::request::copy;
--- a/src/request/intake.rs
+++ b/src/request/intake.rs
@@ -8,7 +8,7 @@
 use crate::connection::peer;
 use crate::connection::peer_wire;
 use crate::process::registry;
-use crate::process::timeline;
+use crate::process::telemetry::timeline;
 use crate::process::view;
 use crate::request::cursor;
 use crate::request::driver;
--- a/tests/calls/fakes/network.rs
+++ b/tests/calls/fakes/network.rs
@@ -10,7 +10,7 @@
 use kumquatpulley::connection::peer;
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::connection::service as exchange;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 use kumquatpulley::process::view;
 use kumquatpulley::request::call;
 use kumquatpulley::request::key;
--- a/tests/configuration/polling.rs
+++ b/tests/configuration/polling.rs
@@ -6,8 +6,8 @@
 
 use async_std::task;
 use kumquatpulley::connection::platform_client;
-use kumquatpulley::process::config;
-use kumquatpulley::process::poll;
+use kumquatpulley::process::versions::config;
+use kumquatpulley::process::versions::poll;
 use kumquatpulley::version::row;
 use proptest::prelude::*;
 
--- a/tests/fault_matrix/call.rs
+++ b/tests/fault_matrix/call.rs
@@ -8,7 +8,7 @@
 use async_std::task;
 use kumquatpulley::connection::caller_wire;
 use kumquatpulley::connection::http;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 use kumquatpulley::request::key;
 use kumquatpulley::request::verdict;
 use serde_json::json;
--- a/tests/fault_matrix/lease.rs
+++ b/tests/fault_matrix/lease.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_std::task;
-use kumquatpulley::process::lease;
+use kumquatpulley::process::orders::lease;
 
 use crate::bench;
 use crate::caller;
--- a/tests/fault_matrix/leaving.rs
+++ b/tests/fault_matrix/leaving.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use futures::future;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 use serde_json::json;
 
 use crate::bench;
--- a/tests/gateway/beliefs.rs
+++ b/tests/gateway/beliefs.rs
@@ -5,9 +5,10 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
+use kumquatpulley::process::endpoints::placement;
 use kumquatpulley::process::gateway::{boot_clock, budgets, endpoint_book, freshness};
 use kumquatpulley::process::gateway::{endpoint_fleet, endpoint_rows, readers, settings};
-use kumquatpulley::process::{placement, view};
+use kumquatpulley::process::view;
 use kumquatpulley::request::key;
 use kumquatpulley::request::relay::context::RepeatBudget as _;
 use kumquatpulley::request::relay::fleet::EndpointFleet as _;
--- a/tests/gossip/bed.rs
+++ b/tests/gossip/bed.rs
@@ -8,8 +8,9 @@
 use async_std::{net, task};
 use futures::future;
 use kumquatpulley::connection::{peer, peer_client, peer_server, peer_wire};
+use kumquatpulley::process::members::{gossip, member_rank};
+use kumquatpulley::process::telemetry::timeline;
 use kumquatpulley::process::view::MemberView as _;
-use kumquatpulley::process::{gossip, member_rank, timeline};
 
 pub const ZONES: usize = 4;
 pub const AGREE_LIMIT: time::Duration = time::Duration::from_secs(8);
--- a/tests/gossip/main.rs
+++ b/tests/gossip/main.rs
@@ -6,7 +6,7 @@
 
 use async_std::{net, task};
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::member_rank;
+use kumquatpulley::process::members::member_rank;
 use kumquatpulley::process::view::MemberView as _;
 
 mod bed;
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -8,7 +8,7 @@
 
 use kumquatpulley::connection::platform;
 use kumquatpulley::connection::platform_wire;
-use kumquatpulley::process::lease;
+use kumquatpulley::process::orders::lease;
 use proptest::prelude::*;
 
 /// One router and the table, with the time given by the test.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -5,9 +5,9 @@
 use std::time;
 
 use async_std::task;
-use kumquatpulley::process::admission;
-use kumquatpulley::process::budget;
-use kumquatpulley::process::limit;
+use kumquatpulley::process::limits::admission;
+use kumquatpulley::process::limits::budget;
+use kumquatpulley::process::limits::limit;
 use kumquatpulley::request::verdict;
 use proptest::prelude::*;
 
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,6 +1,6 @@
 //! Storms of log lines are cut by kind, and what is left out is told.
 
-use kumquatpulley::process::log_budget;
+use kumquatpulley::process::telemetry::log_budget;
 
 fn kind(line: u32) -> log_budget::LineKind {
     log_budget::LineKind {
--- a/tests/membership/exchange.rs
+++ b/tests/membership/exchange.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::{gossip_exchange, member_load, membership};
+use kumquatpulley::process::members::{gossip_exchange, member_load, member_table};
 
 use crate::facts;
 
@@ -74,7 +74,7 @@
 fn an_exchange_without_a_delta_does_not_count_as_one() {
     let now = time::Instant::now();
     let state = |name: &str| {
-        let table = membership::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
+        let table = member_table::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
         gossip_exchange::ExchangeState::new(table)
     };
     let (mut one, mut two) = (state("one"), state("two"));
@@ -102,7 +102,7 @@
 fn a_push_carries_no_loads_and_loses_none() {
     let now = time::Instant::now();
     let state = |name: &str| {
-        let table = membership::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
+        let table = member_table::MemberTable::new(facts::fact(name, 1, facts::ALIVE, 1), now);
         gossip_exchange::ExchangeState::new(table)
     };
     let (mut one, mut two) = (state("one"), state("two"));
--- a/tests/membership/facts.rs
+++ b/tests/membership/facts.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::{member_rank, membership};
+use kumquatpulley::process::members::{member_rank, member_table};
 
 pub const SECOND: time::Duration = time::Duration::from_secs(1);
 pub const WALL_MICROS: u64 = 1_900_000_000_000_000;
@@ -32,8 +32,8 @@
 pub const DEAD: u8 = 0x21;
 pub const LEFT: u8 = 0x03;
 
-pub fn table(now: time::Instant) -> membership::MemberTable {
-    membership::MemberTable::new(fact("own", 1, ALIVE, 1), now)
+pub fn table(now: time::Instant) -> member_table::MemberTable {
+    member_table::MemberTable::new(fact("own", 1, ALIVE, 1), now)
 }
 
 pub fn stage_of(fact: &peer_wire::MemberWire) -> member_rank::LifeStage {
@@ -43,7 +43,7 @@
 }
 
 pub fn merge_all(
-    table: &mut membership::MemberTable,
+    table: &mut member_table::MemberTable,
     facts: Vec<peer_wire::MemberWire>,
     source: &str,
     now: time::Instant,
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::{member_load, member_rank, member_ring};
+use kumquatpulley::process::members::{member_load, member_rank, member_ring};
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
 
 #[path = "../common/mod.rs"]
--- a/tests/membership/table.rs
+++ b/tests/membership/table.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::{leaving, member_expiry, member_rank, membership};
+use kumquatpulley::process::endpoints::leaving;
+use kumquatpulley::process::members::{member_expiry, member_rank, member_table};
 
 use crate::{common, facts};
 
@@ -95,7 +96,7 @@
         ..accused.clone()
     };
     let outcome = table.merge(verdict.clone(), "peer", now);
-    assert_eq!(outcome, membership::MergeOutcome::Refuted);
+    assert_eq!(outcome, member_table::MergeOutcome::Refuted);
     assert_eq!(table.own().incarnation, accused.incarnation);
     assert_eq!(
         facts::stage_of(table.own()),
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time;
 
-use kumquatpulley::process::metrics;
+use kumquatpulley::process::telemetry::metrics;
 
 /// Longer than lines are collected, with room for a busy machine.
 const RECEIVE_LIMIT: time::Duration = time::Duration::from_secs(10);
--- a/tests/order_stand_ins.rs
+++ b/tests/order_stand_ins.rs
@@ -14,9 +14,9 @@
 use kumquatpulley::connection::order_client::OrderSink as _;
 use kumquatpulley::connection::platform;
 use kumquatpulley::connection::platform_client;
-use kumquatpulley::process::issuer;
-use kumquatpulley::process::order;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::orders::issuer;
+use kumquatpulley::process::orders::order;
+use kumquatpulley::process::telemetry::timeline;
 use kumquatpulley::version::declaration;
 
 const SERVICE: &str = "quotes";
--- a/tests/orders/fakes.rs
+++ b/tests/orders/fakes.rs
@@ -6,7 +6,7 @@
 use futures::future::FutureExt as _;
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::order_client;
-use kumquatpulley::process::order;
+use kumquatpulley::process::orders::order;
 use kumquatpulley::version::declaration;
 
 pub const SERVICE: &str = "quotes";
--- a/tests/orders/issuing.rs
+++ b/tests/orders/issuing.rs
@@ -7,8 +7,8 @@
 use async_std::task;
 use kumquatpulley::connection::order_client;
 use kumquatpulley::connection::platform;
-use kumquatpulley::process::issuer;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::orders::issuer;
+use kumquatpulley::process::telemetry::timeline;
 
 use crate::common_platform;
 use crate::fakes;
--- a/tests/orders/planning.rs
+++ b/tests/orders/planning.rs
@@ -5,8 +5,8 @@
 
 use kumquatpulley::connection::engine_wire;
 use kumquatpulley::connection::order_client;
-use kumquatpulley::process::order;
-use kumquatpulley::process::pace;
+use kumquatpulley::process::orders::order;
+use kumquatpulley::process::orders::pace;
 use proptest::prelude::*;
 
 use crate::fakes;
--- a/tests/orders/watching.rs
+++ b/tests/orders/watching.rs
@@ -8,10 +8,10 @@
 use std::thread;
 
 use async_std::task;
-use kumquatpulley::process::endpoint;
-use kumquatpulley::process::issuer;
-use kumquatpulley::process::order_watch;
-use kumquatpulley::process::placement;
+use kumquatpulley::process::endpoints::endpoint;
+use kumquatpulley::process::endpoints::placement;
+use kumquatpulley::process::orders::issuer;
+use kumquatpulley::process::orders::order_watch;
 use kumquatpulley::process::view;
 use kumquatpulley::version::declaration;
 use kumquatpulley::version::declare;
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -9,7 +9,7 @@
 use futures::future;
 use kumquatpulley::connection::peer::PeerLink as _;
 use kumquatpulley::connection::{peer, peer_client, peer_server, peer_stream, peer_wire};
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 
 const LIMIT: time::Duration = time::Duration::from_millis(300);
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,10 +3,10 @@
 use std::collections;
 
 use kumquatpulley::connection::engine_wire;
-use kumquatpulley::process::placement;
-use kumquatpulley::process::placement::PlacementPolicy as _;
-use kumquatpulley::process::prefix_index;
-use kumquatpulley::process::subset;
+use kumquatpulley::process::endpoints::placement;
+use kumquatpulley::process::endpoints::placement::PlacementPolicy as _;
+use kumquatpulley::process::endpoints::prefix_index;
+use kumquatpulley::process::endpoints::subset;
 use proptest::prelude::*;
 
 fn candidate(near: bool, load: u32, cached_blocks: usize) -> placement::Candidate {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -6,7 +6,7 @@
 use std::net;
 use std::path;
 
-use kumquatpulley::process::settings;
+use kumquatpulley::process::setup::settings;
 
 const SOUND: &str = "\
 router: r1
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -1,7 +1,7 @@
 //! Events of many processes in one causal order, whatever their clocks say.
 
 use expect_test::expect;
-use kumquatpulley::process::timeline;
+use kumquatpulley::process::telemetry::timeline;
 use proptest::prelude::{Strategy, any, prop, prop_assert, prop_assert_eq, proptest};
 
 const WALL_MICROS: u64 = 1_900_000_000_000_000;
--- a/tests/version_delta.rs
+++ b/tests/version_delta.rs
@@ -1,7 +1,7 @@
 //! Changes of configuration travel as small differences and lead to the very same text.
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::config;
+use kumquatpulley::process::versions::config;
 use kumquatpulley::version::delta;
 use proptest::prelude::*;
 
