Answer status and time line of gateways on the metrics port

Ruled out: a port of its own (the deploy file names one address for operators); answering on the ports that callers reach.

Change: the metrics listener answers /admin/status and /admin/timeline in the form that the command line reads; endpoints come from the fleet with their state. The told address for operators is that listener's.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic;
 use std::time;
 
-use crate::process::endpoints::placement;
+use crate::process::endpoints::{endpoint_entry, placement};
 use crate::process::gateway::endpoint_book;
+use crate::process::telemetry::status;
 use crate::request::relay::fleet;
 
 /// Time for which an endpoint that failed is avoided; doubles with each failure in a row.
@@ -112,6 +113,18 @@
         (state.entries.len(), open.count())
     }
 
+    /// State of each endpoint for operators, by name. What an engine reports is asked for by request
+    /// and not kept.
+    #[must_use]
+    pub fn statuses(&self, now: time::Instant) -> Vec<status::EndpointStatus> {
+        let state = self.state.lock();
+        let entries = state.entries.values();
+        let mut statuses: Vec<_> = entries.map(|entry| entry.status(now)).collect();
+        drop(state);
+        statuses.sort_unstable_by(|one, other| one.name.cmp(&other.name));
+        statuses
+    }
+
     fn pick(&self, state: &FleetState, need: &fleet::ChoiceNeed<'_>) -> Option<fleet::EndpointKey> {
         if let Some(key) = need.only {
             return state.entries.get(key)?.is_open().then_some(key);
@@ -181,6 +194,28 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
+    fn status(&self, now: time::Instant) -> status::EndpointStatus {
+        let state = if self.record.is_leaving {
+            endpoint_entry::EndpointState::Leaving
+        } else if self.is_avoided(now) {
+            endpoint_entry::EndpointState::Suspect
+        } else {
+            endpoint_entry::EndpointState::Serving
+        };
+        status::EndpointStatus {
+            name: self.record.name.clone(),
+            service: self.record.service.clone(),
+            address: self.record.address.to_string(),
+            zone: self.record.zone.clone(),
+            state,
+            running: 0,
+            waiting: 0,
+            slots: self.record.slots,
+            in_flight: self.in_flight,
+            versions: Vec::new(),
+        }
+    }
+
     fn forget_sent(&mut self, now: time::Instant) {
         let is_old = |sent: &time::Instant| now.duration_since(*sent) > REPORT_LAG;
         while self.sent.front().is_some_and(is_old) {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -21,4 +21,5 @@
 pub mod settings;
 pub mod side;
 pub mod start;
+pub mod status;
 pub mod stopping;
--- a/src/process/gateway/side.rs
+++ b/src/process/gateway/side.rs
@@ -10,7 +10,7 @@
 
 use crate::connection::accept;
 use crate::connection::h1::{body, head, sink, wire};
-use crate::process::gateway::node;
+use crate::process::gateway::{node, status};
 
 /// Time for a question to arrive on an open connection.
 const IDLE_LIMIT: time::Duration = time::Duration::from_secs(10);
@@ -39,6 +39,15 @@
     Metrics,
 }
 
+/// Who reaches a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SideAudience {
+    /// Callers and the platform.
+    Callers,
+    /// Operators, who may ask for the status and the time line as well.
+    Operators,
+}
+
 /// Reads questions and writes the address answer of one platform.
 pub trait SideDialect: std::fmt::Debug + Send + Sync {
     /// What a path with query asks; `None` for an unknown path.
@@ -50,7 +59,7 @@
 
 /// Serves questions until `token` is cancelled.
 pub async fn serve(
-    listener: net::TcpListener,
+    (listener, audience): (net::TcpListener, SideAudience),
     node: sync::Arc<node::GatewayNode>,
     dialect: sync::Arc<dyn SideDialect>,
     token: stop_token::StopToken,
@@ -59,7 +68,7 @@
         let (node, dialect) = (sync::Arc::clone(&node), sync::Arc::clone(&dialect));
         let token = token.clone();
         async move {
-            let serving = serve_one(stream, &node, dialect.as_ref());
+            let serving = serve_one(stream, audience, &node, dialect.as_ref());
             // A question cut by the end of the process is asked of another router.
             let _cut = serving.timeout_at(token).await;
         }
@@ -67,7 +76,12 @@
     accept::serve_each(listener, MAX_CONNECTIONS, token.clone(), drop, serve).await;
 }
 
-async fn serve_one(stream: net::TcpStream, node: &node::GatewayNode, dialect: &dyn SideDialect) {
+async fn serve_one(
+    stream: net::TcpStream,
+    audience: SideAudience,
+    node: &node::GatewayNode,
+    dialect: &dyn SideDialect,
+) {
     let mut wire = wire::BufferedWire::new(stream);
     loop {
         let question = future::timeout(IDLE_LIMIT, read_question(&mut wire)).await;
@@ -75,7 +89,14 @@
             return;
         };
         let mut sink = sink::AnswerSink::new(wire.stream(), &head, head.keeps_connection());
-        let (status, kind, body) = answer(node, dialect, &head.target);
+        let page = match audience {
+            SideAudience::Operators => status::page(node, &head.target),
+            SideAudience::Callers => None,
+        };
+        let (status, kind, body) = page.map_or_else(
+            || answer(node, dialect, &head.target),
+            |page| (200, "application/json", page),
+        );
         let mut headers = head::HeaderList::default();
         headers.push("Content-Type", kind);
         let response = head::ResponseHead { status, headers };
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -61,7 +61,7 @@
 struct GatewayListeners {
     caller: net::TcpListener,
     peer: net::TcpListener,
-    side: Vec<net::TcpListener>,
+    side: Vec<(net::TcpListener, side::SideAudience)>,
 }
 
 /// Runs a gateway until it is asked to stop.
@@ -100,14 +100,15 @@
 
 fn open_listeners(settings: &settings::GatewaySettings) -> start::Result<GatewayListeners> {
     let mut side = Vec::new();
+    let (callers, operators) = (side::SideAudience::Callers, side::SideAudience::Operators);
     let fields = [
-        ("ready address", settings.ready_listen),
-        ("address for questions", settings.address_listen),
-        ("metrics address", settings.metrics_listen),
+        ("ready address", settings.ready_listen, callers),
+        ("address for questions", settings.address_listen, callers),
+        ("metrics address", settings.metrics_listen, operators),
     ];
-    for (field, address) in fields {
+    for (field, address, audience) in fields {
         if let Some(address) = address {
-            side.push(listen(field, address)?);
+            side.push((listen(field, address)?, audience));
         }
     }
     Ok(GatewayListeners {
@@ -216,7 +217,9 @@
         zone: settings.zone.clone(),
         caller_address: settings.caller_listen.to_string(),
         peer_address: settings.peer_listen.to_string(),
-        admin_address: settings.peer_listen.to_string(),
+        admin_address: settings
+            .metrics_listen
+            .map_or_else(String::new, |address| address.to_string()),
     }
 }
 
--- a/tests/gateway/whole.rs
+++ b/tests/gateway/whole.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time;
 
+use kumquatpulley::process::telemetry::{status, timeline};
+
 use crate::common;
 use crate::support::{caller, router, stand_in};
 
@@ -604,6 +606,35 @@
     }
 }
 
+/// What `kumquatpulley status` and `timeline` ask; callers are not told.
+fn operators_are_told_the_status() {
+    let system = System::start(1);
+    assert!(System::send(system.ip(), "/once/1", "r1").is_some());
+    let ask = |port: u16, path: &str| {
+        let asked = format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n");
+        let address = net::SocketAddr::from((system.ip(), port));
+        caller::exchange(address, asked.as_bytes()).expect("an answer")
+    };
+    let answer = ask(METRICS_PORT, "/admin/status");
+    let told: status::RouterStatus = serde_json::from_str(&answer.text()).expect("a status");
+    assert_eq!((told.state.as_str(), told.config), ("ready", 1));
+    assert_eq!((told.members.len(), told.endpoints.len()), (1, 2));
+    let admin = format!("{}:{METRICS_PORT}", system.ip());
+    assert_eq!(told.members[0].admin_address, admin);
+    assert!(told.counters.contains_key("relay.attempt"), "{told:?}");
+    let answer = ask(METRICS_PORT, "/admin/timeline");
+    let events: Vec<timeline::TimelineEvent> =
+        serde_json::from_str(&answer.text()).expect("events");
+    let in_force = timeline::EventKind::VersionInForce { number: 1 };
+    assert!(
+        events.iter().any(|event| event.kind == in_force),
+        "{events:?}"
+    );
+    let answer = ask(METRICS_PORT, "/admin/timeline?request=nobody");
+    assert_eq!(answer.text(), "[]");
+    assert_eq!(ask(8224, "/admin/status").head.status, 404);
+}
+
 /// More refusals in a second than lines are written of one kind.
 const REFUSAL_STORM: usize = 2_000;
 
@@ -689,6 +720,7 @@
     caller_leaves: a_caller_that_leaves_stops_the_engine();
     kept_connection: two_requests_share_a_connection();
     metrics: metrics_tell_what_became_of_requests();
+    operators_pages: operators_are_told_the_status();
     refusal_storm: a_storm_of_refusals_does_not_flood_the_logs();
     settings_faults: settings_faults_end_the_daemon_with_78();
     two_lengths: bad_input_is_refused(
