Drop decoded fields that nobody reads, and move the driver's waits to its steps

Ruled out: using the wanted time as a limit for attempts: an answer that is late still counts, and what is silent is found by other signs.

Change: both fields go; the wait before the next measure, with its limits, stands beside the measures in driver_steps.

--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -40,7 +40,6 @@
     /// `safe`, `unsafe` or `stream`.
     kind: String,
     timeout_ms: Option<f64>,
-    goal_ms: Option<f64>,
     gap_goal_ms: Option<f64>,
     priority: Option<u8>,
     /// The only service; absent where `split` names several.
@@ -65,8 +64,6 @@
 #[derive(serde::Deserialize)]
 struct ServiceWire {
     name: String,
-    #[serde(default)]
-    health_path: String,
     /// Only services of model engines have it.
     engine: Option<EngineWire>,
 }
@@ -157,7 +154,6 @@
             prefix: wire.prefix,
             kind,
             timeout,
-            goal: wire.goal_ms.map_or(timeout, millis),
             gap_goal: wire.gap_goal_ms.map(millis),
             priority: wire.priority.unwrap_or(DEFAULT_PRIORITY),
             services,
@@ -188,7 +184,6 @@
     fn from(wire: ServiceWire) -> Self {
         Self {
             name: wire.name,
-            health_path: wire.health_path,
             has_backups: wire.engine.as_ref().is_some_and(|engine| engine.backups),
             has_moves: wire.engine.is_some_and(|engine| engine.moves),
         }
--- a/src/request/driver.rs
+++ b/src/request/driver.rs
@@ -16,20 +16,10 @@
 use crate::request::recovery;
 use crate::request::sequencer;
 use crate::request::source;
-use crate::request::suspicion;
 
 /// Time for which a generation without readers is kept running.
 pub const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(10);
 
-/// Longest time between two tokens of an engine that shows signs of life.
-const STALL_LIMIT: time::Duration = time::Duration::from_secs(2);
-
-/// Time for a recovery step to reach its engine.
-const STEP_LIMIT: time::Duration = time::Duration::from_millis(800);
-
-/// Pause before the next try when no engine can serve.
-const NO_ENGINE_PAUSE: time::Duration = time::Duration::from_millis(100);
-
 /// Longest step of the orphan clock, so that a pause of the process does not count as absence.
 const ORPHAN_STEP: time::Duration = time::Duration::from_millis(250);
 
@@ -348,28 +338,6 @@
         self.recover_from(attempt, "");
     }
 
-    /// Time to wait for the next message before the next measure is due.
-    fn wait_limit(&self) -> time::Duration {
-        let Some(newest) = self.sources.last() else {
-            return NO_ENGINE_PAUSE;
-        };
-        let is_opened = self.sources.iter().any(|source| source.is_opened);
-        let deadline = if self.round > 0 {
-            let limit = if newest.is_opened {
-                STALL_LIMIT
-            } else {
-                STEP_LIMIT
-            };
-            self.last_sign + limit
-        } else if self.has_token && is_opened {
-            let limit = newest.endpoint.silence_limit();
-            (self.last_sign + limit).min(self.last_token + STALL_LIMIT.max(limit))
-        } else {
-            self.last_sign + suspicion::FIRST_TOKEN_SILENCE
-        };
-        deadline.saturating_duration_since(time::Instant::now())
-    }
-
     /// Cancels the generation when nobody has read it for a while.
     fn check_readers(&mut self) {
         let now = time::Instant::now();
--- a/src/request/driver_steps.rs
+++ b/src/request/driver_steps.rs
@@ -10,6 +10,7 @@
 use crate::request::generation;
 use crate::request::recovery;
 use crate::request::source;
+use crate::request::suspicion;
 use crate::request::verdict;
 
 /// Time without a token after a loss until the caller is told to come back.
@@ -21,10 +22,41 @@
 /// When a caller whose generation was given up may ask again.
 pub const RETRY_DELAY: time::Duration = time::Duration::from_secs(2);
 
+/// Longest time between two tokens of an engine that shows signs of life.
+const STALL_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// Time for a recovery step to reach its engine.
+const STEP_LIMIT: time::Duration = time::Duration::from_millis(800);
+
+/// Pause before the next try when no engine can serve.
+const NO_ENGINE_PAUSE: time::Duration = time::Duration::from_millis(100);
+
 /// Streams of one generation that are open at the same time.
 const MAX_SOURCES: usize = 4;
 
 impl driver::GenerationDriver {
+    /// Time to wait for the next message before the next measure is due.
+    pub(super) fn wait_limit(&self) -> time::Duration {
+        let Some(newest) = self.sources.last() else {
+            return NO_ENGINE_PAUSE;
+        };
+        let is_opened = self.sources.iter().any(|source| source.is_opened);
+        let deadline = if self.round > 0 {
+            let limit = if newest.is_opened {
+                STALL_LIMIT
+            } else {
+                STEP_LIMIT
+            };
+            self.last_sign + limit
+        } else if self.has_token && is_opened {
+            let limit = newest.endpoint.silence_limit();
+            (self.last_sign + limit).min(self.last_token + STALL_LIMIT.max(limit))
+        } else {
+            self.last_sign + suspicion::FIRST_TOKEN_SILENCE
+        };
+        deadline.saturating_duration_since(time::Instant::now())
+    }
+
     /// Takes the next measure after `attempt` at `endpoint` was lost or went silent.
     pub(super) fn recover_from(&mut self, attempt: cursor::AttemptId, endpoint: &str) {
         let lost_since = *self.lost_since.get_or_insert_with(time::Instant::now);
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -53,8 +53,6 @@
     pub kind: RepeatKind,
     /// Longest time that a request is kept.
     pub timeout: time::Duration,
-    /// Time within which an answer is wanted.
-    pub goal: time::Duration,
     /// Longest wanted pause between events; streams only.
     pub gap_goal: Option<time::Duration>,
     /// Rank, 0 first.
@@ -72,8 +70,6 @@
 pub struct ServiceProfile {
     /// Service name.
     pub name: String,
-    /// Path of the health check.
-    pub health_path: String,
     /// Whether its engines keep copies of a running request's memory at each other.
     pub has_backups: bool,
     /// Whether its engines copy a running request's memory when they are asked to.
