Take circles out of settings, admission and the member table

Ruled out: one file for each pair (they do two jobs each); a trait between them (nothing is exchanged there).

Change: settings_file::load is called by those who want it; limits and order of admission stand in admission_terms, and the queue does not know what it grants; the key of a member stands beside the changes that name it.

Left: caller_client, caller_run and caller_progress; gossip with its load and targets; outcome and request in the benches.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,6 +12,7 @@
 use kumquatpulley::process::endpoints::prefix_index;
 use kumquatpulley::process::endpoints::subset;
 use kumquatpulley::process::limits::admission;
+use kumquatpulley::process::limits::admission_terms;
 use kumquatpulley::process::limits::limit;
 use kumquatpulley::request::cursor;
 use kumquatpulley::request::digest;
@@ -166,13 +167,13 @@
 
 fn time_admission() -> TimedDecision {
     let gate = admission::AdmissionGate::new();
-    let limit = admission::WorkspaceLimit {
+    let limit = admission_terms::WorkspaceLimit {
         share: 64,
         max_queue: 64,
     };
     measure("admit", || {
         let deadline = time::Instant::now() + time::Duration::from_secs(30);
-        let admitted = gate.admit("brides", limit, admission::Priority::New, deadline);
+        let admitted = gate.admit("brides", limit, admission_terms::Priority::New, deadline);
         drop(hint::black_box(async_std::task::block_on(admitted)));
     })
 }
--- a/src/bin/kumquatpulleyd.rs
+++ b/src/bin/kumquatpulleyd.rs
@@ -8,6 +8,7 @@
 use kumquatpulley::platform::settings_wire;
 use kumquatpulley::process::gateway::start as gateway_start;
 use kumquatpulley::process::setup::settings;
+use kumquatpulley::process::setup::settings_file;
 use kumquatpulley::process::start;
 use kumquatpulley::process::telemetry::logging;
 
@@ -45,7 +46,7 @@
     let file = matches
         .get_one::<path::PathBuf>("config")
         .expect("clap requires --config");
-    let settings = match settings::load(file) {
+    let settings = match settings_file::load(file) {
         Ok(settings) => settings,
         Err(faults) => return report_faults(&faults).into(),
     };
--- a/src/process/limits/admission.rs
+++ b/src/process/limits/admission.rs
@@ -11,32 +11,11 @@
 use futures::channel::oneshot;
 use xxhash_rust::xxh3;
 
-use crate::process::limits::admission_queue;
+use crate::process::limits::{admission_queue, admission_terms};
 use crate::request::verdict;
 
-/// Outcome of admission.
-pub type Result<T> = verdict::Result<T>;
-
 const SHARD_COUNT: usize = 16;
 
-/// Part of a workspace's limit that this router may use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkspaceLimit {
-    /// Requests running at this router at most.
-    pub share: u32,
-    /// Requests waiting at this router at most.
-    pub max_queue: u32,
-}
-
-/// Order of admission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Priority {
-    /// Work that begins.
-    New,
-    /// Work that was lost elsewhere and goes on.
-    Resumed,
-}
-
 /// Demand of one workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkspaceDemand {
@@ -54,7 +33,7 @@
 
 #[derive(Debug, Default)]
 struct GateShard {
-    workspaces: collections::HashMap<String, admission_queue::WorkspaceState>,
+    workspaces: collections::HashMap<String, admission_queue::WorkspaceState<AdmissionPermit>>,
     next_waiter: u64,
 }
 
@@ -101,7 +80,10 @@
 #[derive(Debug)]
 enum Arrival {
     Run,
-    Wait(QueueGuard, oneshot::Receiver<Result<AdmissionPermit>>),
+    Wait(
+        QueueGuard,
+        oneshot::Receiver<admission_terms::Result<AdmissionPermit>>,
+    ),
     Refuse(verdict::RequestRefusal),
 }
 
@@ -122,10 +104,10 @@
     pub fn admit(
         self: &sync::Arc<Self>,
         workspace: &str,
-        limit: WorkspaceLimit,
-        priority: Priority,
+        limit: admission_terms::WorkspaceLimit,
+        priority: admission_terms::Priority,
         deadline: time::Instant,
-    ) -> impl Future<Output = Result<AdmissionPermit>> + Send + use<> {
+    ) -> impl Future<Output = admission_terms::Result<AdmissionPermit>> + Send + use<> {
         let gate = sync::Arc::clone(self);
         let workspace = workspace.to_owned();
         async move {
@@ -147,7 +129,11 @@
     }
 
     /// Sets the share of a workspace and lets waiting requests in if it grew.
-    pub fn update_share(self: &sync::Arc<Self>, workspace: &str, limit: WorkspaceLimit) {
+    pub fn update_share(
+        self: &sync::Arc<Self>,
+        workspace: &str,
+        limit: admission_terms::WorkspaceLimit,
+    ) {
         let granted = {
             let mut shard = self.shard(workspace).lock();
             let Some(state) = shard.workspaces.get_mut(workspace) else {
@@ -197,8 +183,8 @@
     fn arrive(
         self: &sync::Arc<Self>,
         workspace: &str,
-        limit: WorkspaceLimit,
-        priority: Priority,
+        limit: admission_terms::WorkspaceLimit,
+        priority: admission_terms::Priority,
         deadline: time::Instant,
         now: time::Instant,
     ) -> Arrival {
@@ -256,7 +242,11 @@
     }
 
     /// Lets queue entries run whose slots are counted already.
-    fn grant(self: &sync::Arc<Self>, workspace: &str, entries: Vec<admission_queue::QueueEntry>) {
+    fn grant(
+        self: &sync::Arc<Self>,
+        workspace: &str,
+        entries: Vec<admission_queue::QueueEntry<AdmissionPermit>>,
+    ) {
         for entry in entries {
             // A request that gave up drops the permit, which gives the slot back.
             drop(entry.reply.send(Ok(self.permit(workspace))));
@@ -267,6 +257,6 @@
         let mut shard = self.shard(workspace).lock();
         let state = shard.workspaces.entry(workspace.to_owned()).or_default();
         state.note_refusal(time::Instant::now());
-        admission_queue::refuse_overload(state.expected_wait(Priority::New))
+        admission_queue::refuse_overload(state.expected_wait(admission_terms::Priority::New))
     }
 }
--- a/src/process/limits/admission_queue.rs
+++ b/src/process/limits/admission_queue.rs
@@ -5,7 +5,7 @@
 
 use futures::channel::oneshot;
 
-use crate::process::limits::admission;
+use crate::process::limits::admission_terms;
 use crate::request::verdict;
 
 /// Weight of the newest service time in the moving average.
@@ -20,38 +20,52 @@
 /// Longest delay named to a refused caller.
 const MAX_RETRY_DELAY: time::Duration = time::Duration::from_secs(600);
 
-#[derive(Debug, Default)]
-/// Slots and queue of one workspace.
-pub(crate) struct WorkspaceState {
+/// Slots and queue of one workspace, whose waiting requests are granted a `P`.
+#[derive(Debug)]
+pub(crate) struct WorkspaceState<P> {
     pub(crate) share: u32,
     pub(crate) running: u32,
-    pub(crate) resumed: collections::VecDeque<QueueEntry>,
-    pub(crate) fresh: collections::VecDeque<QueueEntry>,
+    pub(crate) resumed: collections::VecDeque<QueueEntry<P>>,
+    pub(crate) fresh: collections::VecDeque<QueueEntry<P>>,
     service_seconds: Option<f64>,
     refused: u32,
     refused_at: Option<time::Instant>,
 }
 
-#[derive(Debug)]
 /// A waiting request.
-pub(crate) struct QueueEntry {
+#[derive(Debug)]
+pub(crate) struct QueueEntry<P> {
     pub(crate) id: u64,
-    pub(crate) reply: oneshot::Sender<admission::Result<admission::AdmissionPermit>>,
+    pub(crate) reply: oneshot::Sender<admission_terms::Result<P>>,
 }
 
-#[derive(Debug)]
 /// What happens to an arriving request.
+#[derive(Debug)]
 pub(crate) enum QueueDecision {
     Run,
     Wait { displace: bool },
     Refuse(verdict::RequestRefusal),
 }
 
-impl WorkspaceState {
+impl<P> Default for WorkspaceState<P> {
+    fn default() -> Self {
+        Self {
+            share: 0,
+            running: 0,
+            resumed: collections::VecDeque::new(),
+            fresh: collections::VecDeque::new(),
+            service_seconds: None,
+            refused: 0,
+            refused_at: None,
+        }
+    }
+}
+
+impl<P> WorkspaceState<P> {
     pub(crate) fn decide(
         &self,
-        limit: admission::WorkspaceLimit,
-        priority: admission::Priority,
+        limit: admission_terms::WorkspaceLimit,
+        priority: admission_terms::Priority,
         deadline: time::Instant,
         now: time::Instant,
     ) -> QueueDecision {
@@ -68,7 +82,7 @@
         if self.queue_len() < limit.max_queue as usize {
             return QueueDecision::Wait { displace: false };
         }
-        if priority == admission::Priority::Resumed && !self.fresh.is_empty() {
+        if priority == admission_terms::Priority::Resumed && !self.fresh.is_empty() {
             return QueueDecision::Wait { displace: true };
         }
         QueueDecision::Refuse(refuse_limit(wait))
@@ -79,10 +93,10 @@
     }
 
     /// Expected wait of a request that arrives now.
-    pub(crate) fn expected_wait(&self, priority: admission::Priority) -> time::Duration {
+    pub(crate) fn expected_wait(&self, priority: admission_terms::Priority) -> time::Duration {
         let ahead = match priority {
-            admission::Priority::Resumed => self.resumed.len(),
-            admission::Priority::New => self.queue_len(),
+            admission_terms::Priority::Resumed => self.resumed.len(),
+            admission_terms::Priority::New => self.queue_len(),
         };
         let Some(seconds) = self.service_seconds else {
             return time::Duration::ZERO;
@@ -96,19 +110,19 @@
     pub(crate) fn enqueue(
         &mut self,
         id: u64,
-        priority: admission::Priority,
-    ) -> oneshot::Receiver<admission::Result<admission::AdmissionPermit>> {
+        priority: admission_terms::Priority,
+    ) -> oneshot::Receiver<admission_terms::Result<P>> {
         let (reply, receiver) = oneshot::channel();
         let queue = match priority {
-            admission::Priority::Resumed => &mut self.resumed,
-            admission::Priority::New => &mut self.fresh,
+            admission_terms::Priority::Resumed => &mut self.resumed,
+            admission_terms::Priority::New => &mut self.fresh,
         };
         queue.push_back(QueueEntry { id, reply });
         receiver
     }
 
     /// Takes the entries that may run now out of the queue and counts them as running.
-    pub(crate) fn take_next(&mut self) -> Vec<QueueEntry> {
+    pub(crate) fn take_next(&mut self) -> Vec<QueueEntry<P>> {
         let mut entries = Vec::new();
         while self.running < self.share {
             let next = self.resumed.pop_front();
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub(crate) mod admission_queue;
+pub mod admission_terms;
 pub mod budget;
 pub mod limit;
 pub mod share;
--- a/src/process/limits/share.rs
+++ b/src/process/limits/share.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::peer_wire;
 use crate::process::limits::admission;
+use crate::process::limits::admission_terms;
 use crate::process::limits::limit;
 use crate::version::route;
 
@@ -15,16 +16,16 @@
 /// Shares of this router by workspace name.
 #[derive(Debug, Default)]
 pub struct WorkspaceShares {
-    limits: parking_lot::RwLock<collections::HashMap<String, admission::WorkspaceLimit>>,
+    limits: parking_lot::RwLock<collections::HashMap<String, admission_terms::WorkspaceLimit>>,
 }
 
 impl WorkspaceShares {
     /// The share of a workspace; nothing for one that is not declared.
     #[must_use]
-    pub fn limit(&self, workspace: &str) -> admission::WorkspaceLimit {
+    pub fn limit(&self, workspace: &str) -> admission_terms::WorkspaceLimit {
         let limits = self.limits.read();
         let limit = limits.get(workspace).copied();
-        limit.unwrap_or(admission::WorkspaceLimit {
+        limit.unwrap_or(admission_terms::WorkspaceLimit {
             share: 0,
             max_queue: 0,
         })
@@ -58,7 +59,7 @@
                 others[*index].requests = *requests;
             }
             let share = limit::split_limit(workspace.max_in_flight, name, own_demand, &others);
-            let limit = admission::WorkspaceLimit {
+            let limit = admission_terms::WorkspaceLimit {
                 share,
                 max_queue: workspace.max_queue,
             };
--- a/src/process/members/member_digest.rs
+++ b/src/process/members/member_digest.rs
@@ -6,7 +6,6 @@
 
 use crate::connection::peer_wire;
 use crate::process::endpoints::leaving;
-use crate::process::members::member_table;
 
 /// Buckets of a digest.
 pub const BUCKETS: usize = 64;
@@ -76,11 +75,16 @@
     usize::try_from(hash).unwrap_or_default() % BUCKETS
 }
 
+slotmap::new_key_type! {
+    /// Key of one member in the table.
+    pub struct MemberKey;
+}
+
 /// What a change was about.
 #[derive(Clone, Debug)]
 pub enum ChangeKey {
     /// A member.
-    Member(member_table::MemberKey),
+    Member(MemberKey),
     /// A leaving endpoint.
     Leaving(leaving::EndpointLife),
 }
--- a/src/process/members/member_expiry.rs
+++ b/src/process/members/member_expiry.rs
@@ -16,11 +16,11 @@
         now: time::Instant,
     ) -> Vec<peer_wire::MemberWire> {
         let records = &self.records;
-        let is_due = |key: &&member_table::MemberKey| {
+        let is_due = |key: &&member_digest::MemberKey| {
             let record = records.get(**key);
             record.is_some_and(|record| now.duration_since(record.changed) >= suspicion)
         };
-        let due: Vec<member_table::MemberKey> =
+        let due: Vec<member_digest::MemberKey> =
             self.suspects.iter().filter(is_due).copied().collect();
         for key in &due {
             let fact = self.records[*key].fact.clone();
@@ -50,7 +50,7 @@
             .records
             .iter()
             .filter(|(key, record)| *key != own && is_old(record));
-        let old: Vec<member_table::MemberKey> = old.map(|(key, _)| key).collect();
+        let old: Vec<member_digest::MemberKey> = old.map(|(key, _)| key).collect();
         for key in old {
             let Some(record) = self.records.remove(key) else {
                 continue;
--- a/src/process/members/member_table.rs
+++ b/src/process/members/member_table.rs
@@ -16,11 +16,6 @@
 /// Members kept at most; facts about further ones are ignored.
 pub const MAX_MEMBERS: usize = 16_384;
 
-slotmap::new_key_type! {
-    /// Key of one member in the table.
-    pub struct MemberKey;
-}
-
 /// What the table keeps about one member.
 #[derive(Clone, Debug)]
 pub struct MemberRecord {
@@ -49,14 +44,14 @@
 /// All member facts that one router holds.
 #[derive(Debug)]
 pub struct MemberTable {
-    pub(super) own: MemberKey,
-    pub(super) records: slotmap::SlotMap<MemberKey, MemberRecord>,
-    pub(super) index: collections::HashMap<String, MemberKey>,
+    pub(super) own: member_digest::MemberKey,
+    pub(super) records: slotmap::SlotMap<member_digest::MemberKey, MemberRecord>,
+    pub(super) index: collections::HashMap<String, member_digest::MemberKey>,
     pub(super) leaving: leaving::LeavingSet,
     pub(super) loads: member_load::LoadBook,
     pub(super) changes: member_digest::ChangeLog,
     pub(super) digest: member_digest::BucketDigest,
-    pub(super) suspects: Vec<MemberKey>,
+    pub(super) suspects: Vec<member_digest::MemberKey>,
     changed: Option<time::Instant>,
     epoch: u64,
 }
@@ -66,7 +61,7 @@
     #[must_use]
     pub fn new(own: peer_wire::MemberWire, now: time::Instant) -> Self {
         let mut table = Self {
-            own: MemberKey::default(),
+            own: member_digest::MemberKey::default(),
             records: slotmap::SlotMap::with_key(),
             index: collections::HashMap::new(),
             leaving: leaving::LeavingSet::default(),
@@ -285,7 +280,7 @@
         rank: member_rank::MemberRank,
         source: Option<String>,
         now: time::Instant,
-    ) -> MemberKey {
+    ) -> member_digest::MemberKey {
         let router = fact.router.clone();
         let key = self.records.insert(MemberRecord {
             fact: fact.clone(),
@@ -305,7 +300,7 @@
 
     fn replace(
         &mut self,
-        key: MemberKey,
+        key: member_digest::MemberKey,
         mut fact: peer_wire::MemberWire,
         rank: member_rank::MemberRank,
         source: Option<String>,
@@ -335,7 +330,7 @@
         self.epoch += u64::from(was_live != rank.is_live());
     }
 
-    fn toggle_member(&mut self, key: MemberKey) {
+    fn toggle_member(&mut self, key: member_digest::MemberKey) {
         let record = &self.records[key];
         if !record.rank.is_live() {
             return;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -12,6 +12,7 @@
 use crate::process::endpoints::endpoint;
 use crate::process::endpoints::watch;
 use crate::process::limits::admission;
+use crate::process::limits::admission_terms;
 use crate::process::limits::share;
 use crate::process::members::address;
 use crate::process::members::gossip;
@@ -104,7 +105,7 @@
     pub async fn admit(
         &self,
         workspace: &str,
-        priority: admission::Priority,
+        priority: admission_terms::Priority,
         deadline: time::Instant,
     ) -> verdict::Result<admission::AdmissionPermit> {
         let limit = self.shares.limit(workspace);
--- a/src/process/setup/settings.rs
+++ b/src/process/setup/settings.rs
@@ -4,8 +4,6 @@
 use std::net;
 use std::path;
 
-use crate::process::setup::settings_file;
-
 /// Outcome of loading settings.
 pub type Result<T> = std::result::Result<T, Vec<SettingsFault>>;
 
@@ -122,11 +120,3 @@
 }
 
 impl std::error::Error for SettingsFault {}
-
-/// Reads and checks a settings file.
-///
-/// # Errors
-/// Every fault that was found, each with file, line, field and what is allowed.
-pub fn load(file: &path::Path) -> Result<RouterSettings> {
-    settings_file::load(file)
-}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -6,6 +6,7 @@
 
 use async_std::task;
 use kumquatpulley::process::limits::admission;
+use kumquatpulley::process::limits::admission_terms;
 use kumquatpulley::process::limits::budget;
 use kumquatpulley::process::limits::limit;
 use kumquatpulley::request::verdict;
@@ -151,7 +152,7 @@
     assert_eq!(retries, 20);
 }
 
-const LIMIT: admission::WorkspaceLimit = admission::WorkspaceLimit {
+const LIMIT: admission_terms::WorkspaceLimit = admission_terms::WorkspaceLimit {
     share: 2,
     max_queue: 3,
 };
@@ -168,12 +169,12 @@
         let jobs = (0..60).map(|index| {
             let (gate, running) = (sync::Arc::clone(&gate), sync::Arc::clone(&running));
             task::spawn(async move {
-                let limit = admission::WorkspaceLimit {
+                let limit = admission_terms::WorkspaceLimit {
                     share: 4,
                     max_queue: 100,
                 };
                 let deadline = soon(if index % 3 == 0 { 5 } else { 5_000 });
-                let priority = admission::Priority::New;
+                let priority = admission_terms::Priority::New;
                 let Ok(_permit) = gate.admit("brides", limit, priority, deadline).await else {
                     return 0;
                 };
@@ -193,12 +194,12 @@
 fn resumed_work_goes_before_new_work() {
     task::block_on(async {
         let gate = admission::AdmissionGate::new();
-        let one = admission::WorkspaceLimit {
+        let one = admission_terms::WorkspaceLimit {
             share: 1,
             max_queue: 2,
         };
         let admit = |priority| gate.admit("brides", one, priority, soon(2_000));
-        let held = admit(admission::Priority::New).await.unwrap();
+        let held = admit(admission_terms::Priority::New).await.unwrap();
         let order = sync::Arc::new(parking_lot::Mutex::new(Vec::new()));
         let job = |name: &'static str, priority| {
             let (order, admitted) = (sync::Arc::clone(&order), admit(priority));
@@ -208,11 +209,11 @@
                 task::sleep(time::Duration::from_millis(5)).await;
             })
         };
-        let mut jobs = vec![job("new-1", admission::Priority::New)];
+        let mut jobs = vec![job("new-1", admission_terms::Priority::New)];
         task::sleep(time::Duration::from_millis(20)).await;
-        jobs.push(job("new-2", admission::Priority::New));
+        jobs.push(job("new-2", admission_terms::Priority::New));
         task::sleep(time::Duration::from_millis(20)).await;
-        jobs.push(job("resumed", admission::Priority::Resumed));
+        jobs.push(job("resumed", admission_terms::Priority::Resumed));
         task::sleep(time::Duration::from_millis(20)).await;
         drop(held);
         futures::future::join_all(jobs).await;
@@ -228,7 +229,14 @@
 fn wait_beyond_the_deadline_is_refused_at_once() {
     task::block_on(async {
         let gate = admission::AdmissionGate::new();
-        let admit = |millis| gate.admit("brides", LIMIT, admission::Priority::New, soon(millis));
+        let admit = |millis| {
+            gate.admit(
+                "brides",
+                LIMIT,
+                admission_terms::Priority::New,
+                soon(millis),
+            )
+        };
         let warm = admit(1_000).await.unwrap();
         task::sleep(time::Duration::from_millis(400)).await;
         drop(warm);
@@ -248,7 +256,14 @@
 fn deadline_that_passes_in_the_queue_is_refused_then() {
     task::block_on(async {
         let gate = admission::AdmissionGate::new();
-        let admit = |millis| gate.admit("brides", LIMIT, admission::Priority::New, soon(millis));
+        let admit = |millis| {
+            gate.admit(
+                "brides",
+                LIMIT,
+                admission_terms::Priority::New,
+                soon(millis),
+            )
+        };
         let _held = (admit(1_000).await.unwrap(), admit(1_000).await.unwrap());
         let asked = time::Instant::now();
         let refusal = admit(100).await.unwrap_err();
@@ -264,11 +279,11 @@
 fn workspace_without_share_is_refused_and_counts_as_demand() {
     task::block_on(async {
         let gate = admission::AdmissionGate::new();
-        let none = admission::WorkspaceLimit {
+        let none = admission_terms::WorkspaceLimit {
             share: 0,
             max_queue: 3,
         };
-        let admitted = gate.admit("brides", none, admission::Priority::New, soon(1_000));
+        let admitted = gate.admit("brides", none, admission_terms::Priority::New, soon(1_000));
         let refusal = admitted.await.unwrap_err();
         assert_eq!(
             (refusal.status, refusal.code),
@@ -285,11 +300,11 @@
 fn larger_share_lets_waiting_work_in() {
     task::block_on(async {
         let gate = admission::AdmissionGate::new();
-        let admit = || gate.admit("brides", LIMIT, admission::Priority::New, soon(1_000));
+        let admit = || gate.admit("brides", LIMIT, admission_terms::Priority::New, soon(1_000));
         let _held = (admit().await.unwrap(), admit().await.unwrap());
         let waiting = task::spawn(admit());
         task::sleep(time::Duration::from_millis(50)).await;
-        let larger = admission::WorkspaceLimit { share: 3, ..LIMIT };
+        let larger = admission_terms::WorkspaceLimit { share: 3, ..LIMIT };
         gate.update_share("brides", larger);
         let asked = time::Instant::now();
         let permit = waiting.await;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -7,6 +7,7 @@
 use std::path;
 
 use kumquatpulley::process::setup::settings;
+use kumquatpulley::process::setup::settings_file;
 
 const SOUND: &str = "\
 router: r1
@@ -33,7 +34,7 @@
 
     fn faults(&self) -> Vec<String> {
         let file = self.folder.path().join("router.yaml");
-        let faults = settings::load(&file).expect_err("settings are at fault");
+        let faults = settings_file::load(&file).expect_err("settings are at fault");
         let name = |fault: &settings::SettingsFault| {
             assert_eq!(fault.file, file);
             format!("{}: {}: {}", fault.line, fault.field, fault.message)
@@ -42,7 +43,7 @@
     }
 
     fn settings(&self) -> settings::RouterSettings {
-        settings::load(&self.folder.path().join("router.yaml")).expect("settings are sound")
+        settings_file::load(&self.folder.path().join("router.yaml")).expect("settings are sound")
     }
 
     fn daemon(&self, arguments: &[&str]) -> assert_cmd::Command {
@@ -73,7 +74,7 @@
 #[test]
 fn the_example_settings_are_sound() {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/router.yaml");
-    let settings = settings::load(path::Path::new(file)).unwrap();
+    let settings = settings_file::load(path::Path::new(file)).unwrap();
     assert_eq!(settings.router, "r1");
     assert_eq!(settings.seeds.len(), 3);
 }
