Prove that routers come back after all were lost at once

Cause: docs/PROOFS.md listed no test of all routers lost at once.

Change: case all_routers_lost: three gateways are killed at once while the store turns one of their VMs away and the configuration changes; all serve again within the 4 s of the long run's aim, the one turned away through its peers.

--- a/tests/gateway/whole.rs
+++ b/tests/gateway/whole.rs
@@ -480,6 +480,38 @@
     assert!(system.first.seen().is_empty(), "{}", system.logs());
 }
 
+/// Time from the start of lost routers to their next answers, as the aim of the long run gives it.
+const RECOVERY_BOUND: time::Duration = time::Duration::from_secs(4);
+
+/// All processes are killed at once, and the store turns one of the VMs away meanwhile: that one comes
+/// back through the others, and what it then knows is what they know.
+fn all_routers_lost_at_once_come_back() {
+    let mut system = System::start(3);
+    assert!(System::send(system.ip(), "/safe/1", "r1").is_some());
+    let doors: Vec<net::SocketAddr> = system.gateways.iter().map(|lost| lost.door).collect();
+    system.store.turn_away(doors[2], true);
+    system.gateways.clear();
+    system.put_config(2, r#""k""#);
+    let started = time::Instant::now();
+    for (number, door) in (1..).zip(doors) {
+        let gateway = router::spawn(system.folder.path(), system.net, number, door);
+        system.gateways.push(gateway);
+    }
+    for (number, gateway) in system.gateways.iter().enumerate() {
+        let id = format!("back{number}");
+        system.wait_for("a request is served again", || {
+            System::send(gateway.ip, "/safe/1", &id).is_some_and(|answer| answer.head.status == 200)
+        });
+    }
+    assert!(
+        started.elapsed() < RECOVERY_BOUND,
+        "{:?}",
+        started.elapsed()
+    );
+    let from_peer = r#""source":"peer","version":2"#;
+    assert!(system.logs().contains(from_peer), "{}", system.logs());
+}
+
 fn addresses(system: &System, ip: net::IpAddr) -> String {
     let text = "GET /resolve?name=h&region=r&zone=z1 HTTP/1.1\r\nHost: h\r\n\r\n";
     let answer = caller::exchange((ip, 8224).into(), text.as_bytes());
@@ -720,6 +752,7 @@
     caller_leaves: a_caller_that_leaves_stops_the_engine();
     kept_connection: two_requests_share_a_connection();
     metrics: metrics_tell_what_became_of_requests();
+    all_routers_lost: all_routers_lost_at_once_come_back();
     operators_pages: operators_are_told_the_status();
     refusal_storm: a_storm_of_refusals_does_not_flood_the_logs();
     settings_faults: settings_faults_end_the_daemon_with_78();
