--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -15,8 +15,8 @@
 /// Time for a peer's answer.
 const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(500);
 
-/// Parts of the rows of endpoints in one question: an answer then stays within some ten kilobytes, also
-/// for a router that lacks everything, and many askers at once do not fill a small VM's memory.
+/// Parts of the rows of endpoints in one question: an answer then holds an eighth of all rows at most, and
+/// the routers that ask the same one at once, lacking everything, do not fill a small VM's memory.
 const PARTS_A_QUESTION: usize = 8;
 
 /// Age from which a peer's list of endpoints proves nothing about those it lacks.
@@ -245,47 +245,6 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Whom a router asks, and how long it waits until it asks again.
-#[derive(Clone, Debug)]
-pub struct AskedPeers {
-    /// One of the own zone and one of another zone, if any.
-    pub peers: Vec<peer_wire::MemberWire>,
-    /// Pause before the questions.
-    pub interval: time::Duration,
-}
-
-/// One router of the own zone that is nearer to its reader, and the reader of one other zone, or any
-/// router where there is no other zone, unless the own zone's word is young.
-///
-/// `ready` are the ready routers.
-#[must_use]
-pub fn whom_to_ask(
-    router: &str,
-    zone: &str,
-    ready: Vec<peer_wire::MemberWire>,
-    has_zone_word: bool,
-    random: &mut fastrand::Rng,
-) -> AskedPeers {
-    let (mut near, mut far): (Vec<_>, Vec<_>) = ready
-        .into_iter()
-        .filter(|member| member.router != router)
-        .partition(|member| member.zone == zone);
-    near.sort_unstable_by(|one, other| one.router.cmp(&other.router));
-    let place = near.partition_point(|member| member.router.as_str() < router);
-    let interval = readers::ask_interval(near.len() + 1);
-    let asked = readers::ZonePlace(place).asked();
-    let asked = asked.map(|place| near[place].clone());
-    if asked.is_some() && has_zone_word {
-        let peers = asked.into_iter().collect();
-        return AskedPeers { peers, interval };
-    }
-    far.sort_unstable_by(|one, other| (&one.zone, &one.router).cmp(&(&other.zone, &other.router)));
-    far.dedup_by(|later, first| later.zone == first.zone);
-    let other = random.choice(&far).or_else(|| random.choice(&near));
-    let peers = asked.into_iter().chain(other.cloned()).collect();
-    AskedPeers { peers, interval }
-}
-
 /// Asks other routers what they know of the store, until `token` is cancelled.
 pub async fn ask_peers(node: sync::Arc<node::GatewayNode>, token: stop_token::StopToken) {
     let (router, zone) = (&node.settings.router, &node.settings.zone);
@@ -296,7 +255,8 @@
             let ready = node
                 .gossip
                 .ready_facts(|fact| !has_word || fact.zone == *zone);
-            let asked = whom_to_ask(router, zone, ready, has_word, &mut fastrand::Rng::new());
+            let asked =
+                readers::whom_to_ask(router, zone, ready, has_word, &mut fastrand::Rng::new());
             let asks = asked.peers.iter().map(|peer| node.ask_peer(peer));
             future::join_all(asks).await;
             task::sleep(asked.interval).await;
--- a/src/process/gateway/readers.rs
+++ b/src/process/gateway/readers.rs
@@ -6,6 +6,7 @@
 
 use std::time;
 
+use crate::connection::peer_wire;
 use crate::process::gateway::boot_clock;
 
 /// Longest wait of a call of a reader for changes.
@@ -63,6 +64,47 @@
     ZONE_DELAY / ZonePlace(routers.saturating_sub(1)).depth().max(1)
 }
 
+/// Whom a router asks, and how long it waits until it asks again.
+#[derive(Clone, Debug)]
+pub struct AskedPeers {
+    /// One of the own zone and one of another zone, if any.
+    pub peers: Vec<peer_wire::MemberWire>,
+    /// Pause before the questions.
+    pub interval: time::Duration,
+}
+
+/// One router of the own zone that is nearer to its reader, and the reader of one other zone, or any
+/// router where there is no other zone, unless the own zone's word is young.
+///
+/// `ready` are the ready routers.
+#[must_use]
+pub fn whom_to_ask(
+    router: &str,
+    zone: &str,
+    ready: Vec<peer_wire::MemberWire>,
+    has_zone_word: bool,
+    random: &mut fastrand::Rng,
+) -> AskedPeers {
+    let (mut near, mut far): (Vec<_>, Vec<_>) = ready
+        .into_iter()
+        .filter(|member| member.router != router)
+        .partition(|member| member.zone == zone);
+    near.sort_unstable_by(|one, other| one.router.cmp(&other.router));
+    let place = near.partition_point(|member| member.router.as_str() < router);
+    let interval = ask_interval(near.len() + 1);
+    let asked = ZonePlace(place).asked();
+    let asked = asked.map(|place| near[place].clone());
+    if asked.is_some() && has_zone_word {
+        let peers = asked.into_iter().collect();
+        return AskedPeers { peers, interval };
+    }
+    far.sort_unstable_by(|one, other| (&one.zone, &one.router).cmp(&(&other.zone, &other.router)));
+    far.dedup_by(|later, first| later.zone == first.zone);
+    let other = random.choice(&far).or_else(|| random.choice(&near));
+    let peers = asked.into_iter().chain(other.cloned()).collect();
+    AskedPeers { peers, interval }
+}
+
 /// When the store last answered a reader, as far as this router was told.
 ///
 /// A reader that the store has stopped to answer does not know it before its call has waited in
--- a/src/process/gateway/status.rs
+++ b/src/process/gateway/status.rs
@@ -1,6 +1,7 @@
 //! What a gateway tells operators about itself, in the form that `kumquatpulley status` and `timeline`
 //! read.
 
+use std::sync::atomic;
 use std::time;
 
 use crate::process::gateway::node;
@@ -52,7 +53,7 @@
     }
 
     fn state_name(&self) -> &'static str {
-        if self.is_draining.load(std::sync::atomic::Ordering::SeqCst) {
+        if self.is_draining.load(atomic::Ordering::SeqCst) {
             return "draining";
         }
         if self.is_ready() { "ready" } else { "joining" }
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
-use kumquatpulley::process::gateway::{boot_clock, peers, readers, stopping};
+use kumquatpulley::process::gateway::{boot_clock, readers, stopping};
 use kumquatpulley::request::relay::{choice, copy, decision, events, fleet, report, silence};
 use kumquatpulley::request::verdict;
 use kumquatpulley::version::traffic;
@@ -189,7 +189,7 @@
     has_zone_word: bool,
 ) -> (Vec<String>, time::Duration) {
     let mut random = fastrand::Rng::with_seed(7);
-    let asked = peers::whom_to_ask(router, "a", ready.to_vec(), has_zone_word, &mut random);
+    let asked = readers::whom_to_ask(router, "a", ready.to_vec(), has_zone_word, &mut random);
     let names = asked.peers.into_iter().map(|peer| peer.router);
     (names.collect(), asked.interval)
 }
