Replay a hot key and a shift of callers against the choice of engines

Change: the replay of the clumps takes any choice; a hot key is compared with an engine for each key, a shift to one zone with the engines of that zone.

Before and after: the mean wait by load is under a third of either baseline (cases hot_key and shift). No code of the product changes.

--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -73,44 +73,93 @@
     assert_eq!(choice::by_load(engines).first().copied(), index);
 }
 
-/// Arrivals of prompts at engines that read one at a time: the load that the choice answers.
+/// Engines of a replay, the same number in each of two zones.
+const ENGINES: usize = 18;
+
+/// Time for which an engine reads one prompt, in milliseconds; of the order of the median time to a first
+/// event on the users' bench.
+const READ_MS: u64 = 1_030;
+
+/// One arrival of a replay.
+struct ReplayedArrival {
+    now: u64,
+    /// Key of the prompt; a hot one comes with every third arrival.
+    key: usize,
+}
+
+/// Replays arrivals of prompts at engines that read one at a time: the load that the choice answers.
 ///
-/// Each arrival asks three engines by chance; the baseline takes the first of them. Returns the mean
-/// wait in milliseconds.
-fn replayed_wait(chooses: bool) -> u64 {
-    const ENGINES: usize = 18;
-    const READ_MS: u64 = 1_030;
+/// `choose` gets the arrival and when each engine is free, and names an engine. Returns the mean wait in
+/// milliseconds.
+fn replayed_wait(
+    mut choose: impl FnMut(&ReplayedArrival, &[u64; ENGINES], &mut fastrand::Rng) -> usize,
+) -> u64 {
     const ARRIVALS: u64 = 400;
     const GAP_MS: u64 = 210;
     let mut random = fastrand::Rng::with_seed(7);
     let mut free_at = [0_u64; ENGINES];
     let mut waited = 0;
-    for arrival in 0..ARRIVALS {
-        // Callers come in clumps of three.
-        let now = arrival / 3 * 3 * GAP_MS;
-        let sample = random.choose_multiple(0..ENGINES, choice::ASKED_ENGINES);
-        let engines: Vec<choice::AskedEngine> = sample
-            .iter()
-            .map(|engine| {
-                let backlog = free_at[*engine].saturating_sub(now).div_ceil(READ_MS);
-                asked(u32::try_from(backlog).unwrap_or(u32::MAX), 0, 0, 0)
-            })
-            .collect();
-        let index = if chooses {
-            choice::by_load(&engines)[0]
-        } else {
-            0
+    for number in 0..ARRIVALS {
+        let is_hot = number % 3 == 0;
+        let arrival = ReplayedArrival {
+            // Callers come in clumps of three.
+            now: number / 3 * 3 * GAP_MS,
+            key: if is_hot { 0 } else { random.usize(1..1_000) },
         };
-        let engine = sample[index];
-        let begins = free_at[engine].max(now);
-        waited += begins - now;
+        let engine = choose(&arrival, &free_at, &mut random);
+        let begins = free_at[engine].max(arrival.now);
+        waited += begins - arrival.now;
         free_at[engine] = begins + READ_MS;
     }
     waited / ARRIVALS
 }
 
+/// The least loaded of three engines that are asked.
+fn least_loaded(
+    arrival: &ReplayedArrival,
+    free_at: &[u64; ENGINES],
+    random: &mut fastrand::Rng,
+) -> usize {
+    let sample = random.choose_multiple(0..ENGINES, choice::ASKED_ENGINES);
+    let engines: Vec<choice::AskedEngine> = sample
+        .iter()
+        .map(|engine| {
+            let backlog = free_at[*engine].saturating_sub(arrival.now);
+            asked(
+                u32::try_from(backlog.div_ceil(READ_MS)).unwrap_or(u32::MAX),
+                0,
+                0,
+                0,
+            )
+        })
+        .collect();
+    sample[choice::by_load(&engines)[0]]
+}
+
+/// A hot key: a third of all prompts. The baseline sends each key to an engine of its own, which may hold
+/// its prefix.
+fn a_hot_key_is_spread_over_engines() {
+    let baseline = replayed_wait(|arrival, _free_at, _random| arrival.key % ENGINES);
+    let chosen = replayed_wait(least_loaded);
+    assert!(
+        chosen * 3 < baseline,
+        "mean wait {chosen} ms by load, {baseline} ms by key"
+    );
+}
+
+/// A shift: all callers come to routers of one zone. The baseline keeps to the engines of that zone.
+fn a_shift_to_one_zone_is_spread_over_all() {
+    let baseline = replayed_wait(|_arrival, _free_at, random| random.usize(0..ENGINES / 2));
+    let chosen = replayed_wait(least_loaded);
+    assert!(
+        chosen * 3 < baseline,
+        "mean wait {chosen} ms in all zones, {baseline} ms in one"
+    );
+}
+
 fn asking_engines_shortens_the_wait_for_clumps_of_prompts() {
-    let (baseline, chosen) = (replayed_wait(false), replayed_wait(true));
+    let baseline = replayed_wait(|_arrival, _free_at, random| random.usize(0..ENGINES));
+    let chosen = replayed_wait(least_loaded);
     assert!(
         chosen * 3 < baseline,
         "mean wait {chosen} ms with reports, {baseline} ms without"
@@ -381,6 +430,8 @@
     mute_engine: chosen_is(&[choice::AskedEngine::default(), asked(5, 1, 0, 0)], Some(1));
     only_mute_engines: chosen_is(&[choice::AskedEngine::default()], Some(0));
     no_engine: chosen_is(&[], None);
+    hot_key: a_hot_key_is_spread_over_engines();
+    shift: a_shift_to_one_zone_is_spread_over_all();
     clumps: asking_engines_shortens_the_wait_for_clumps_of_prompts();
     prompt_being_read: held(&[report_of(1, 0, &[]), report_of(1, 0, &[])], &[true, true]);
     prompt_that_waits: held(&[report_of(1, 1, &["other"]), report_of(1, 1, &["other"])], &[true, true]);
