--- a/src/process/members/gossip.rs
+++ b/src/process/members/gossip.rs
@@ -1,6 +1,6 @@
 //! The gossip node of a router: its facts, its answers to peers, and its view of all routers.
 //!
-//! The rounds that carry facts and find dead routers are in `process::gossip_round`.
+//! The rounds that carry facts and find dead routers are in `gossip_round`.
 
 use std::fmt;
 use std::sync;
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -13,7 +13,9 @@
 use crate::soak::{clients, relay};
 use crate::support::{router, stand_in};
 
-const GATEWAYS: u8 = 3;
+/// Gateways for each of which faults strike as often as in the smallest bed.
+const GATEWAYS_A_FAULT: u8 = 6;
+
 const ENDPOINTS: u8 = 4;
 const CALLERS: u64 = 6;
 
@@ -68,19 +70,21 @@
     started: time::Instant,
 }
 
-/// Runs one seed; returns what broke a promise.
-pub fn run(seed: u64, faults: time::Duration) -> Vec<String> {
-    let mut bed = Bed::start(seed);
+/// Runs one seed with so many gateways, all in one availability zone; returns what broke a promise.
+pub fn run(seed: u64, faults: time::Duration, gateways: u8) -> Vec<String> {
+    let mut bed = Bed::start(seed, gateways);
     let callers: Vec<thread::JoinHandle<()>> = (0..CALLERS)
         .map(|number| {
-            let gateways = (1..=GATEWAYS).map(|gateway| bed.ip(gateway)).collect();
-            clients::spawn(&bed.desk, gateways, format!("c{number}"), seed + number)
+            let ips = (1..=gateways).map(|gateway| bed.ip(gateway)).collect();
+            clients::spawn(&bed.desk, ips, format!("c{number}"), seed + number)
         })
         .collect();
     thread::sleep(KNOWN_BOUND);
     let until = time::Instant::now() + faults;
     while time::Instant::now() < until {
-        bed.strike();
+        for _fault in 0..gateways.div_ceil(GATEWAYS_A_FAULT) {
+            bed.strike();
+        }
         bed.end_faults(false);
         thread::sleep(time::Duration::from_millis(
             bed.random.u64(50..LONGEST_PAUSE),
@@ -104,7 +108,7 @@
 }
 
 impl Bed {
-    fn start(seed: u64) -> Self {
+    fn start(seed: u64, gateways: u8) -> Self {
         let net = router::loopback_net();
         let ip = |last: u8| net::IpAddr::from([net[0], net[1], net[2], last]);
         let store = stand_in::StoreStandIn::new(ip(250));
@@ -115,7 +119,7 @@
             .iter()
             .map(|endpoint| relay::Relay::start(ip(230), endpoint.address));
         let store_doors: Vec<net::SocketAddr> =
-            (0..GATEWAYS).map(|_door| store.open_door()).collect();
+            (0..gateways).map(|_door| store.open_door()).collect();
         let store_links = store_doors
             .iter()
             .map(|door| relay::Relay::start(ip(231), *door));
@@ -140,7 +144,7 @@
         for index in 0..bed.endpoints.len() {
             bed.put_entry(index, "ready");
         }
-        for index in 0..usize::from(GATEWAYS) {
+        for index in 0..usize::from(gateways) {
             let gateway = bed.spawn(index);
             bed.gateways.push(Some(gateway));
         }
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! One short run of a fixed seed and the seeds that ever failed are part of the usual tests. Many
 //! seeds by hand: `KUMQUATPULLEY_SOAK_SEEDS=50 cargo test --test gateway soak -- --ignored --nocapture`;
-//! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn.
+//! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn; `KUMQUATPULLEY_SOAK_GATEWAYS` the
+//! number of gateways, 200 at most.
 
 mod bed;
 mod clients;
@@ -16,8 +17,14 @@
 /// Time of faults in a usual run.
 const FAULT_TIME: time::Duration = time::Duration::from_secs(12);
 
-fn soak(seed: u64) {
-    let findings = bed::run(seed, FAULT_TIME);
+/// Gateways of a usual run.
+const GATEWAYS: u8 = 3;
+
+/// Gateways of a zone in which some are two questions away from the one that reads the store.
+const DEEP_ZONE: u8 = 20;
+
+fn soak(seed: u64, gateways: u8) {
+    let findings = bed::run(seed, FAULT_TIME, gateways);
     assert!(findings.is_empty(), "seed {seed}:\n{}", findings.join("\n"));
 }
 
@@ -30,9 +37,11 @@
 fn many_seeds() {
     let first = number("KUMQUATPULLEY_SOAK_FIRST").unwrap_or_else(|| fastrand::u64(..1 << 32));
     let count = number("KUMQUATPULLEY_SOAK_SEEDS").unwrap_or(5);
+    let gateways = number("KUMQUATPULLEY_SOAK_GATEWAYS").unwrap_or(u64::from(GATEWAYS));
+    let gateways = u8::try_from(gateways.clamp(1, 200)).expect("a small number");
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let findings = bed::run(seed, FAULT_TIME);
+        let findings = bed::run(seed, FAULT_TIME, gateways);
         println!("seed {seed}: {} findings", findings.len());
         if !findings.is_empty() {
             println!("{}", findings.join("\n"));
@@ -48,7 +57,9 @@
 
 common::cases! {
     // Keyed requests were refused at calm routers: calls waited half of the age at which keys end.
-    fixed_seed: soak(20_261_204);
+    fixed_seed: soak(20_261_204, GATEWAYS);
     // Endpoints that once answered as another one were never used again.
-    endpoints_shut_out: soak(3_001);
+    endpoints_shut_out: soak(3_001, GATEWAYS);
+    // Routers that ask through one another, with faults at any of them.
+    deep_zone: soak(20_261_205, DEEP_ZONE);
 }
