Act on what endpoints say of themselves: leaving, and pauses after 503

An endpoint that leaves says so in all its answers, and one that refuses may say for how long it wants nothing. The router went by the store's entry alone, so a request went to an endpoint that had just said that it leaves, or every 100 ms to one that had asked for seconds.

Ruled out: taking the word of a report for final. A report is not passed on to a caller and its state may be old, so it only takes the engine out of the present choice. Word of a 421 is ignored, as another endpoint speaks there.

Change: the adapter decodes both words of any answer; the fleet keeps them for one life of an endpoint, also when its entry vanishes and comes back (gateway/endpoint_word). Choice, sample, copy holders and "only this one" go by one check. When all endpoints that stay pause, callers are refused at once with the shortest pause left, spread by a quarter.

Shown by: tests word::* through the real program on loopback and beliefs::word_of_leaving, pausing_endpoint, pause_bound, formats::leaving_*, pause_*.

--- a/src/platform/report_wire.rs
+++ b/src/platform/report_wire.rs
@@ -7,9 +7,14 @@
 /// Outcome of decoding.
 pub type Result<T> = std::result::Result<T, serde_json::Error>;
 
+/// State of an engine that takes no new work.
+const LEAVING_STATE: &str = "draining";
+
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
 struct ReportWire {
+    #[serde(default)]
+    state: Option<String>,
     /// Requests that wait.
     #[serde(default)]
     queued: u32,
@@ -87,6 +92,7 @@
             runs.collect()
         });
         Self {
+            is_leaving: wire.state.as_deref() == Some(LEAVING_STATE),
             waiting: wire.queued,
             running: wire.active,
             memory_used: wire.kv_used,
--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -25,6 +25,10 @@
 /// Address of the copy's holder and the request that it belongs to.
 const COPY_SOURCE: &str = "Kv-From";
 const LAST_EVENT: &str = "Last-Event-Id";
+/// `1` on all answers of an endpoint that is about to go.
+const LEAVING: &str = "Server-Leaving";
+/// Seconds, which may have a fraction, for which an endpoint that answers 503 wants no requests.
+const RETRY_AFTER: &str = "Retry-After";
 
 /// What only the system may set; values that a caller sends are dropped.
 const SYSTEM_FIELDS: [&str; 11] = [
@@ -112,6 +116,10 @@
             is_sealed: head.headers.count(SEAL) == 1,
             is_not_run: head.headers.count(NOT_RUN) > 0,
             is_altered: head.headers.count("Content-Encoding") > 0,
+            word: dialect::AnswerWord {
+                is_leaving: is_leaving(&head.headers),
+                pause: pause(head),
+            },
         }
     }
 
@@ -126,7 +134,7 @@
             headers.push(REQUEST_ID, request);
         }
         if let Some(delay) = refusal.retry_after {
-            headers.push("Retry-After", format!("{:.3}", delay.as_secs_f64()));
+            headers.push(RETRY_AFTER, format!("{:.3}", delay.as_secs_f64()));
         }
         if refusal.status == 401 {
             headers.push("WWW-Authenticate", "Bearer");
@@ -164,13 +172,34 @@
         attempt::side_head("DELETE", &format!("/kv-handle/{name}"), source)
     }
 
-    fn report(&self, body: &[u8]) -> Option<report::EngineReport> {
-        let decoded = report_wire::decode(body);
+    fn report(&self, answer: &attempt::WholeAnswer) -> Option<report::EngineReport> {
+        let decoded = report_wire::decode(&answer.body);
         if let Err(error) = &decoded {
             log::warn!(cause = error.to_string().as_str(); "report cannot be read");
         }
-        decoded.ok()
+        let mut report = decoded.ok()?;
+        report.is_leaving |= is_leaving(&answer.head.headers);
+        Some(report)
+    }
+}
+
+fn is_leaving(headers: &head::HeaderList) -> bool {
+    headers
+        .get(LEAVING)
+        .is_some_and(|value| value.trim() == "1")
+}
+
+fn pause(head: &head::ResponseHead) -> Option<time::Duration> {
+    let text = head.headers.get(RETRY_AFTER)?;
+    if head.status != 503 {
+        return None;
+    }
+    let seconds = text.trim().parse::<f64>().ok();
+    let pause = seconds.and_then(|seconds| time::Duration::try_from_secs_f64(seconds).ok());
+    if pause.is_none() {
+        log::warn!(value = text; "Retry-After of an endpoint is no number of seconds; ignored");
     }
+    pause
 }
 
 fn number(headers: &head::HeaderList, name: &str) -> verdict::Result<Option<u64>> {
--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::process::endpoints::{endpoint_entry, placement};
-use crate::process::gateway::endpoint_book;
+use crate::process::gateway::{endpoint_book, endpoint_word};
 use crate::process::telemetry::status;
 use crate::request::relay::fleet;
 
@@ -31,6 +31,7 @@
     in_flight: u32,
     failures: u32,
     avoided_until: Option<time::Instant>,
+    word: endpoint_word::EndpointWord,
     sent: collections::VecDeque<time::Instant>,
 }
 
@@ -38,6 +39,7 @@
 struct FleetState {
     entries: slotmap::SlotMap<fleet::EndpointKey, FleetEntry>,
     by_service: collections::HashMap<String, Vec<fleet::EndpointKey>>,
+    removed: endpoint_word::RemovedWords,
 }
 
 /// Endpoints of all services and this router's requests at them.
@@ -63,12 +65,13 @@
 
     /// Takes over what the book holds; what this router saw of a life of an endpoint stays.
     pub fn update<'a>(&self, records: impl Iterator<Item = &'a endpoint_book::EndpointRecord>) {
+        let now = time::Instant::now();
         let mut state = self.state.lock();
         let mut held: collections::HashMap<(String, u64), FleetEntry> = collections::HashMap::new();
         let mut keys: collections::HashMap<(String, u64), fleet::EndpointKey> =
             collections::HashMap::new();
         for (key, entry) in &state.entries {
-            keys.insert((entry.record.name.clone(), entry.record.born), key);
+            keys.insert(entry.life(), key);
         }
         for record in records {
             let life = (record.name.clone(), record.born);
@@ -76,6 +79,7 @@
                 state.entries[key].record = record.clone();
                 continue;
             }
+            let word = state.removed.take(&life);
             held.insert(
                 life,
                 FleetEntry {
@@ -83,12 +87,15 @@
                     in_flight: 0,
                     failures: 0,
                     avoided_until: None,
+                    word,
                     sent: collections::VecDeque::new(),
                 },
             );
         }
         for key in keys.into_values() {
-            state.entries.remove(key);
+            if let Some(entry) = state.entries.remove(key) {
+                state.removed.keep(entry.life(), entry.word, now);
+            }
         }
         for entry in held.into_values() {
             state.entries.insert(entry);
@@ -109,7 +116,8 @@
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
         let state = self.state.lock();
-        let open = state.entries.values().filter(|entry| entry.is_open());
+        let now = time::Instant::now();
+        let open = state.entries.values().filter(|entry| entry.is_open(now));
         (state.entries.len(), open.count())
     }
 
@@ -127,7 +135,8 @@
 
     fn pick(&self, state: &FleetState, need: &fleet::ChoiceNeed<'_>) -> Option<fleet::EndpointKey> {
         if let Some(key) = need.only {
-            return state.entries.get(key)?.is_open().then_some(key);
+            let entry = state.entries.get(key)?;
+            return entry.is_open(time::Instant::now()).then_some(key);
         }
         let keys = state.wanted(need);
         let candidates: Vec<placement::Candidate> = keys
@@ -150,7 +159,7 @@
             return Vec::new();
         };
         let is_wanted = |key: &&fleet::EndpointKey| {
-            !need.excluded.contains(key) && self.entries[**key].is_open()
+            !need.excluded.contains(key) && self.entries[**key].is_open(now)
         };
         let open: Vec<fleet::EndpointKey> = keys.iter().filter(is_wanted).copied().collect();
         let is_sound = |key: &&fleet::EndpointKey| !self.entries[**key].is_avoided(now);
@@ -186,8 +195,16 @@
 }
 
 impl FleetEntry {
-    fn is_open(&self) -> bool {
-        !self.record.is_leaving
+    fn life(&self) -> endpoint_word::EndpointLife {
+        (self.record.name.clone(), self.record.born)
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.word.is_leaving
+    }
+
+    fn is_open(&self, now: time::Instant) -> bool {
+        !self.is_leaving() && self.word.takes_requests(now)
     }
 
     fn is_avoided(&self, now: time::Instant) -> bool {
@@ -195,9 +212,9 @@
     }
 
     fn status(&self, now: time::Instant) -> status::EndpointStatus {
-        let state = if self.record.is_leaving {
+        let state = if self.is_leaving() {
             endpoint_entry::EndpointState::Leaving
-        } else if self.is_avoided(now) {
+        } else if self.is_avoided(now) || !self.is_open(now) {
             endpoint_entry::EndpointState::Suspect
         } else {
             endpoint_entry::EndpointState::Serving
@@ -258,7 +275,8 @@
     fn is_sound(&self, key: fleet::EndpointKey) -> bool {
         let state = self.state.lock();
         let entry = state.entries.get(key);
-        entry.is_some_and(|entry| entry.is_open() && entry.failures == 0)
+        let now = time::Instant::now();
+        entry.is_some_and(|entry| entry.is_open(now) && entry.failures == 0)
     }
 
     fn recent(&self, key: fleet::EndpointKey, now: time::Instant) -> u32 {
@@ -270,6 +288,16 @@
         u32::try_from(entry.sent.len()).unwrap_or(u32::MAX)
     }
 
+    fn pause_left(&self, service: &str, now: time::Instant) -> Option<time::Duration> {
+        let state = self.state.lock();
+        let keys = state.by_service.get(service)?;
+        let entries = keys.iter().map(|key| &state.entries[*key]);
+        let staying = entries.filter(|entry| !entry.is_leaving());
+        let pauses: Option<Vec<time::Duration>> =
+            staying.map(|entry| entry.word.pause_left(now)).collect();
+        pauses?.into_iter().min()
+    }
+
     fn release(&self, key: fleet::EndpointKey) {
         if let Some(entry) = self.state.lock().entries.get_mut(key) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
@@ -304,6 +332,24 @@
                     "another endpoint answers at the address"
                 );
             }
+            fleet::EndpointSign::Leaving if entry.word.is_leaving => {}
+            fleet::EndpointSign::Leaving => {
+                entry.word.is_leaving = true;
+                log::info!(
+                    endpoint = entry.record.name.as_str(),
+                    entry_says_leaving = entry.record.is_leaving;
+                    "endpoint says that it leaves; it gets nothing new"
+                );
+            }
+            fleet::EndpointSign::Pausing(pause) => {
+                entry.word.pause(pause, now);
+                log::info!(
+                    endpoint = entry.record.name.as_str(),
+                    pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+                    is_cut = pause > endpoint_word::MAX_PAUSE;
+                    "endpoint wants no requests for a while"
+                );
+            }
         }
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod endpoint_book;
 pub mod endpoint_fleet;
 pub mod endpoint_rows;
+pub mod endpoint_word;
 pub mod follow;
 pub mod freshness;
 pub mod front;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -234,7 +234,8 @@
         };
         let number = checked.version.number();
         let Some(request) = relay_request(head, body, terms, checked, arrived) else {
-            let refusal = context::refuse_unserved(verdict::RunVerdict::NotRun);
+            let refusal =
+                context::refuse_unserved(verdict::RunVerdict::NotRun, context::NO_ENDPOINT_DELAY);
             return self.refuse(sink, &refusal, Some(&id)).await;
         };
         if let Some(refusal) = self.refuse_at_stop(&request) {
--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -164,7 +164,7 @@
 ) -> Option<report::EngineReport> {
     let head = side_head("GET", dialect.report_path(), address);
     let answer = side_call(address, &head, &[], REPORT_LIMIT).await?;
-    dialect.report(&answer.body)
+    dialect.report(&answer)
 }
 
 /// Head of a call to an engine that is no caller's request.
--- a/src/request/relay/choice.rs
+++ b/src/request/relay/choice.rs
@@ -40,10 +40,15 @@
     }
 }
 
-/// Indices of the engines, the one with the least load first; engines without a report come last.
+/// Indices of the engines that stay, the one with the least load first; engines without a report come
+/// last.
 #[must_use]
 pub fn by_load(engines: &[AskedEngine]) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..engines.len()).collect();
+    let stays = |index: &usize| {
+        let report = engines[*index].report.as_ref();
+        !report.is_some_and(|report| report.is_leaving)
+    };
+    let mut order: Vec<usize> = (0..engines.len()).filter(stays).collect();
     order.sort_by_key(|&index| engines[index].load().unwrap_or(u64::MAX));
     order
 }
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -129,6 +129,20 @@
         let now = time::Instant::now();
         self.fleet.note(self.endpoint.key, sign, now);
     }
+
+    /// Takes note of what the endpoint says of itself in an answer.
+    pub fn hear(&self, status: u16, word: dialect::AnswerWord) {
+        // Another endpoint speaks for itself.
+        if status == 421 {
+            return;
+        }
+        if word.is_leaving {
+            self.note(fleet::EndpointSign::Leaving);
+        }
+        if let Some(pause) = word.pause {
+            self.note(fleet::EndpointSign::Pausing(pause));
+        }
+    }
 }
 
 impl Drop for EndpointLease {
@@ -141,16 +155,47 @@
 /// order of what a lost endpoint needs to be replaced or its entry to go.
 pub const NO_ENDPOINT_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// The refusal of a request that no endpoint answered.
+/// Longest part of a pause that is added by chance, so that callers do not all return at its end.
+const RETURN_SPREAD: f64 = 0.25;
+
+impl RelayContext {
+    /// The refusal of a request that no endpoint of `service` answered.
+    #[must_use]
+    pub fn refuse_unserved(
+        &self,
+        service: &str,
+        ran: verdict::RunVerdict,
+    ) -> verdict::RequestRefusal {
+        let pause = self.fleet.pause_left(service, time::Instant::now());
+        let delay = pause.map(|pause| pause.mul_f64(1.0 + RETURN_SPREAD * fastrand::f64()));
+        refuse_unserved(ran, delay.unwrap_or(NO_ENDPOINT_DELAY))
+    }
+
+    /// The refusal of a request for `service` whose time is over.
+    #[must_use]
+    pub fn refuse_late(&self, service: &str, ran: verdict::RunVerdict) -> verdict::RequestRefusal {
+        match ran {
+            verdict::RunVerdict::NotRun => self.refuse_unserved(service, ran),
+            verdict::RunVerdict::MayHaveRun => verdict::RequestRefusal::may_have_run(
+                504,
+                verdict::RefusalCode::DeadlineExceeded,
+                "the endpoint did not answer in time; look up the effect before asking again",
+            ),
+        }
+    }
+}
+
+/// The refusal of a request that no endpoint answered; one that did not run may come back after
+/// `delay`.
 #[must_use]
-pub fn refuse_unserved(ran: verdict::RunVerdict) -> verdict::RequestRefusal {
+pub fn refuse_unserved(ran: verdict::RunVerdict, delay: time::Duration) -> verdict::RequestRefusal {
     match ran {
         verdict::RunVerdict::NotRun => verdict::RequestRefusal::not_run(
             503,
             verdict::RefusalCode::NoEndpoint,
             "no endpoint of the service took the request; ask again",
         )
-        .retry_after(NO_ENDPOINT_DELAY),
+        .retry_after(delay),
         verdict::RunVerdict::MayHaveRun => verdict::RequestRefusal::may_have_run(
             502,
             verdict::RefusalCode::EndpointFailed,
@@ -158,16 +203,3 @@
         ),
     }
 }
-
-/// The refusal of a request whose time is over.
-#[must_use]
-pub fn refuse_late(ran: verdict::RunVerdict) -> verdict::RequestRefusal {
-    match ran {
-        verdict::RunVerdict::NotRun => refuse_unserved(ran),
-        verdict::RunVerdict::MayHaveRun => verdict::RequestRefusal::may_have_run(
-            504,
-            verdict::RefusalCode::DeadlineExceeded,
-            "the endpoint did not answer in time; look up the effect before asking again",
-        ),
-    }
-}
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -63,6 +63,17 @@
     pub is_not_run: bool,
     /// Whether the body was changed on the way.
     pub is_altered: bool,
+    /// What the endpoint says of itself.
+    pub word: AnswerWord,
+}
+
+/// What an endpoint says of itself in an answer, whatever the answer is to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerWord {
+    /// Whether it is about to go.
+    pub is_leaving: bool,
+    /// How long it wants no requests of this router.
+    pub pause: Option<time::Duration>,
 }
 
 /// Reads and writes the headers of one platform.
@@ -104,6 +115,6 @@
     /// Call to the engine at `source`: drop the moved copy of this name.
     fn free_copy(&self, source: net::SocketAddr, name: &str) -> head::RequestHead;
 
-    /// Reads a report; `None` for bytes that are none.
-    fn report(&self, body: &[u8]) -> Option<report::EngineReport>;
+    /// Reads a report; `None` for an answer that is none.
+    fn report(&self, answer: &attempt::WholeAnswer) -> Option<report::EngineReport>;
 }
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -46,6 +46,10 @@
     Failed,
     /// Another process answers at its address.
     Replaced,
+    /// It says that it is about to go.
+    Leaving,
+    /// It wants no requests of this router for so long.
+    Pausing(time::Duration),
 }
 
 /// The endpoints of all services.
@@ -62,6 +66,9 @@
     /// Requests that this router sent to the endpoint within the time that a report lags.
     fn recent(&self, key: EndpointKey, now: time::Instant) -> u32;
 
+    /// Time until an endpoint of `service` takes requests again; `None` unless all that stay pause.
+    fn pause_left(&self, service: &str, now: time::Instant) -> Option<time::Duration>;
+
     /// Ends what [`EndpointFleet::acquire`] began.
     fn release(&self, key: EndpointKey);
 
--- a/src/request/relay/plain.rs
+++ b/src/request/relay/plain.rs
@@ -34,7 +34,7 @@
     let answering = find_answer(context, request, &log);
     let found = match future::timeout(request.time_left(), answering).await {
         Ok(found) => found,
-        Err(_elapsed) => Err(context::refuse_late(log.verdict())),
+        Err(_elapsed) => Err(context.refuse_late(&request.service, log.verdict())),
     };
     match found {
         Err(refusal) => context::RelayEnd::Refused(refusal),
@@ -66,7 +66,8 @@
         let is_allowed = offered == 0 || may_repeat(context, request);
         let lease = is_allowed.then(|| acquire(context, request, &excluded));
         let Some(lease) = lease.flatten() else {
-            return fallback.ok_or_else(|| context::refuse_unserved(log.verdict()));
+            return fallback
+                .ok_or_else(|| context.refuse_unserved(&request.service, log.verdict()));
         };
         excluded.push(lease.endpoint.key);
         let (end, answer) = try_endpoint(context, request, &lease, log).await;
@@ -89,10 +90,11 @@
         match step {
             decision::NextStep::Repeat => context.counters.count("relay.repeated"),
             decision::NextStep::Deliver => {
-                return fallback.ok_or_else(|| context::refuse_unserved(log.verdict()));
+                return fallback
+                    .ok_or_else(|| context.refuse_unserved(&request.service, log.verdict()));
             }
             decision::NextStep::GiveUp(ran) => {
-                return fallback.ok_or_else(|| context::refuse_unserved(ran));
+                return fallback.ok_or_else(|| context.refuse_unserved(&request.service, ran));
             }
         }
     }
@@ -145,7 +147,10 @@
         return (decision::AttemptEnd::NotRun, None);
     };
     let answer = match open.head().await {
-        Ok(head) => open.whole(&request.head.method, head).await,
+        Ok(head) => {
+            lease.hear(head.status, context.dialect.answer_marks(&head).word);
+            open.whole(&request.head.method, head).await
+        }
         Err(error) => Err(error),
     };
     let Ok(answer) = answer else {
--- a/src/request/relay/report.rs
+++ b/src/request/relay/report.rs
@@ -14,6 +14,8 @@
 /// An engine's report, some hundred milliseconds old when it arrives.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Whether the engine is about to go.
+    pub is_leaving: bool,
     /// Requests that wait.
     pub waiting: u32,
     /// Requests that are computed.
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -74,7 +74,7 @@
         Ok(end) => end,
         Err(_elapsed) => {
             let ran = relay.verdict(relay.is_sent);
-            relay.give_up(context::refuse_late(ran))
+            relay.give_up(context.refuse_late(&request.service, ran))
         }
     }
 }
@@ -84,7 +84,7 @@
         loop {
             let Some((lease, source)) = self.next_endpoint().await else {
                 let ran = self.verdict(false);
-                return self.give_up(context::refuse_unserved(ran));
+                return self.give_up(self.refuse_unserved(ran));
             };
             self.offered += 1;
             let end = self.attempt(&lease, source.as_ref()).await;
@@ -99,10 +99,10 @@
                 decision::NextStep::Repeat => {}
                 decision::NextStep::Deliver => {
                     let ran = self.verdict(false);
-                    return self.give_up(context::refuse_unserved(ran));
+                    return self.give_up(self.refuse_unserved(ran));
                 }
                 decision::NextStep::GiveUp(ran) => {
-                    return self.give_up(context::refuse_unserved(ran));
+                    return self.give_up(self.refuse_unserved(ran));
                 }
             }
         }
@@ -115,6 +115,10 @@
         verdict::RunVerdict::MayHaveRun
     }
 
+    fn refuse_unserved(&self, ran: verdict::RunVerdict) -> verdict::RequestRefusal {
+        self.context.refuse_unserved(&self.request.service, ran)
+    }
+
     fn give_up(&self, refusal: verdict::RequestRefusal) -> context::RelayEnd {
         if self.sink.state() == sink::SinkState::Untouched {
             return context::RelayEnd::Refused(refusal);
@@ -185,6 +189,7 @@
             return StreamEnd::Lost;
         };
         let marks = self.context.dialect.answer_marks(&head);
+        lease.hear(head.status, marks.word);
         if marks.is_not_run || head.status == 421 {
             return StreamEnd::NotRun(plain::refusal_sign(head.status));
         }
--- a/tests/gateway/beliefs.rs
+++ b/tests/gateway/beliefs.rs
@@ -7,7 +7,9 @@
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::endpoints::placement;
 use kumquatpulley::process::gateway::{boot_clock, budgets, endpoint_book, freshness};
-use kumquatpulley::process::gateway::{endpoint_fleet, endpoint_rows, readers, settings};
+use kumquatpulley::process::gateway::{
+    endpoint_fleet, endpoint_rows, endpoint_word, readers, settings,
+};
 use kumquatpulley::process::view;
 use kumquatpulley::request::key;
 use kumquatpulley::request::relay::context::RepeatBudget as _;
@@ -515,6 +517,61 @@
     );
 }
 
+fn noted(fleet: &endpoint_fleet::RouterFleet, name: &str, sign: fleet::EndpointSign) {
+    let sample = fleet.sample(&need(&[]), usize::MAX);
+    let endpoint = sample.iter().find(|endpoint| endpoint.name == name);
+    let key = endpoint.expect("it is known and open").key;
+    fleet.note(key, sign, time::Instant::now());
+}
+
+fn open_names(fleet: &endpoint_fleet::RouterFleet) -> Vec<String> {
+    let sample = fleet.sample(&need(&[]), usize::MAX);
+    let mut names: Vec<String> = sample.into_iter().map(|endpoint| endpoint.name).collect();
+    names.sort();
+    names
+}
+
+/// An entry that the store loses and has again, still ready, does not undo what the endpoint itself
+/// said; only a new life does.
+fn word_of_leaving_outlives_the_entry() {
+    let ready = [record("a", "z1", 1, false), record("b", "z1", 1, false)];
+    let fleet = fleet_of(&ready);
+    noted(&fleet, "a", fleet::EndpointSign::Leaving);
+    assert_eq!(open_names(&fleet), ["b"]);
+    fleet.update(ready[1..].iter());
+    fleet.update(ready.iter());
+    assert_eq!(open_names(&fleet), ["b"]);
+    fleet.update([record("a", "z1", 2, false)].iter());
+    assert_eq!(open_names(&fleet), ["a"]);
+}
+
+/// A pause holds for the choice, the sample and a wanted copy holder, also as the last resort.
+fn a_pausing_endpoint_gets_nothing() {
+    let fleet = fleet_of(&[record("a", "z1", 1, false)]);
+    let key = fleet.sample(&need(&[]), 1)[0].key;
+    let now = time::Instant::now();
+    assert_eq!(fleet.pause_left("models", now), None);
+    let pause = time::Duration::from_secs(3);
+    fleet.note(key, fleet::EndpointSign::Pausing(pause), now);
+    assert_eq!(fleet.acquire(&need(&[])), None);
+    let mut wanted = need(&[]);
+    wanted.only = Some(key);
+    assert_eq!(fleet.acquire(&wanted), None);
+    assert!(!fleet.is_sound(key));
+    assert_eq!(fleet.pause_left("models", now), Some(pause));
+    assert_eq!(fleet.pause_left("models", now + pause), None);
+}
+
+fn a_pause_is_bounded_and_only_grows() {
+    let now = time::Instant::now();
+    let mut word = endpoint_word::EndpointWord::default();
+    word.pause(time::Duration::MAX, now);
+    assert_eq!(word.pause_left(now), Some(endpoint_word::MAX_PAUSE));
+    word.pause(time::Duration::from_secs(1), now);
+    assert_eq!(word.pause_left(now), Some(endpoint_word::MAX_PAUSE));
+    assert!(word.takes_requests(now + endpoint_word::MAX_PAUSE));
+}
+
 fn copies_are_kept_in_another_zone() {
     let records = [
         record("a", "z1", 1, false),
@@ -652,6 +709,9 @@
     no_word: a_router_without_word_reads_itself();
     leaving_endpoint: leaving_endpoints_get_no_work();
     failed_endpoint: failed_endpoints_are_avoided_but_better_than_none();
+    word_of_leaving: word_of_leaving_outlives_the_entry();
+    pausing_endpoint: a_pausing_endpoint_gets_nothing();
+    pause_bound: a_pause_is_bounded_and_only_grows();
     copies_apart: copies_are_kept_in_another_zone();
     replaced_endpoint: an_endpoint_that_answered_as_another_is_avoided_but_better_than_none();
     new_life: a_new_life_forgets_what_was_seen_of_the_old_one();
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -59,6 +59,7 @@
     };
     choice::AskedEngine {
         report: Some(report::EngineReport {
+            is_leaving: false,
             waiting,
             running: reading + listed,
             memory_used: 8_000,
@@ -173,6 +174,7 @@
         events: 1,
     });
     report::EngineReport {
+        is_leaving: false,
         waiting,
         running,
         memory_used: 0,
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -257,11 +257,40 @@
     );
 }
 
+fn marks(status: u16, fields: &[(&str, &str)]) -> dialect::AnswerMarks {
+    let mut headers = head::HeaderList::default();
+    for (name, value) in fields {
+        headers.push(name, value);
+    }
+    request_header::HeaderDialect.answer_marks(&head::ResponseHead { status, headers })
+}
+
+fn pause_is(status: u16, value: &str, pause: Option<u64>) {
+    let marks = marks(status, &[("Retry-After", value)]);
+    assert_eq!(marks.word.pause, pause.map(time::Duration::from_millis));
+}
+
+fn leaving_is(value: &str, is_leaving: bool) {
+    assert_eq!(
+        marks(200, &[("server-leaving", value)]).word.is_leaving,
+        is_leaving
+    );
+}
+
 fn address(text: &str) -> std::net::SocketAddr {
     text.parse().expect("an address")
 }
 
 common::cases! {
+    leaving_word: leaving_is("1", true);
+    not_leaving_word: leaving_is("0", false);
+    pause_whole: pause_is(503, "2", Some(2_000));
+    pause_with_fraction: pause_is(503, " 0.25 ", Some(250));
+    pause_of_success: pause_is(200, "2", None);
+    pause_negative: pause_is(503, "-1", None);
+    pause_endless: pause_is(503, "inf", None);
+    pause_absurd: pause_is(503, "1e300", None);
+    pause_no_number: pause_is(503, "Fri, 04 Dec 2026 12:00:00 GMT", None);
     moved_copy: a_move_is_asked_for_and_its_answer_read();
     sound_request: sound_terms_are_read();
     no_id: bad_terms_are_refused("Kumquatpulley-Request-Id", &[]);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 mod soak;
 mod support;
 mod whole;
+mod word;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -3,3 +3,4 @@
 pub mod caller;
 pub mod router;
 pub mod stand_in;
+pub mod system;
--- a/tests/gateway/support/stand_in.rs
+++ b/tests/gateway/support/stand_in.rs
@@ -299,6 +299,10 @@
     AnswersOther,
     /// Takes [`SLOW_ANSWER`] for each answer.
     Slow,
+    /// Is sound and says in each answer that it leaves.
+    Leaves,
+    /// Refuses and wants no requests for [`PAUSE`].
+    Pauses,
 }
 
 /// Events of each stream.
@@ -307,6 +311,9 @@
 /// Time for an answer of a slow endpoint.
 const SLOW_ANSWER: time::Duration = time::Duration::from_millis(200);
 
+/// Time for which a pausing endpoint wants no requests.
+pub const PAUSE: time::Duration = time::Duration::from_secs(2);
+
 /// Pause between events.
 const EVENT_PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -422,7 +429,10 @@
     } else {
         EndpointMood::Replaced
     };
-    request.is_run = !matches!(mood, EndpointMood::Full | EndpointMood::Replaced);
+    request.is_run = !matches!(
+        mood,
+        EndpointMood::Full | EndpointMood::Replaced | EndpointMood::Pauses
+    );
     state
         .seen
         .lock()
@@ -432,10 +442,11 @@
         .field("Kumquatpulley-Request-Id")
         .unwrap_or_default();
     let write = |stream: &mut net::TcpStream, text: &str| stream.write_all(text.as_bytes()).is_ok();
+    let leaving = leaving_field(mood);
     let sealed = |id: &str, length: usize| {
         format!(
             "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-             Content-Length: {length}\r\n\r\n"
+             {leaving}Content-Length: {length}\r\n\r\n"
         )
     };
     match mood {
@@ -445,6 +456,16 @@
                 "HTTP/1.1 503 X\r\nKumquatpulley-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
             );
         }
+        EndpointMood::Pauses => {
+            let pause = PAUSE.as_secs();
+            write(
+                stream,
+                &format!(
+                    "HTTP/1.1 503 X\r\nKumquatpulley-Not-Run: 1\r\nRetry-After: {pause}\r\n\
+                     Content-Length: 0\r\n\r\n"
+                ),
+            );
+        }
         EndpointMood::Replaced => {
             write(stream, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
         }
@@ -478,6 +499,14 @@
     write_json(stream, 200, &answer);
 }
 
+/// What all answers of an endpoint that leaves bear.
+const fn leaving_field(mood: EndpointMood) -> &'static str {
+    match mood {
+        EndpointMood::Leaves => "Server-Leaving: 1\r\n",
+        _ => "",
+    }
+}
+
 /// The body of the answer to a plain request.
 pub fn plain_answer(id: &str) -> String {
     format!("hello {id}")
@@ -496,7 +525,8 @@
     let first = last.map_or(1, |last| last + 1);
     let head = format!(
         "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+         {}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        leaving_field(mood)
     );
     if stream.write_all(head.as_bytes()).is_err() {
         return;
--- a/tests/gateway/whole.rs
+++ b/tests/gateway/whole.rs
@@ -10,11 +10,9 @@
 use kumquatpulley::process::telemetry::{status, timeline};
 
 use crate::common;
+use crate::support::system::System;
 use crate::support::{caller, router, stand_in};
 
-/// Longest wait for a process to do what it has to.
-const PATIENCE: time::Duration = time::Duration::from_secs(15);
-
 /// Time in which a leaving endpoint has to be known, as the platform's settings give it.
 const LEAVING_BOUND: time::Duration = time::Duration::from_secs(2);
 
@@ -24,119 +22,6 @@
 /// Pause between events that the declared route wants at most.
 const GAP_GOAL: time::Duration = time::Duration::from_millis(700);
 
-/// A store, endpoints of two zones, and gateways.
-struct System {
-    net: [u8; 3],
-    folder: tempfile::TempDir,
-    store: stand_in::StoreStandIn,
-    first: stand_in::EndpointStandIn,
-    second: stand_in::EndpointStandIn,
-    gateways: Vec<router::Gateway>,
-}
-
-const CONFIG: &str = r#"{"version":VERSION,"routes":[
-    {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":20000,"goal_ms":4500,
-     "service":"m","attempts":5,"can_resume":true,"gap_goal_ms":700},
-    {"name":"once","host":"h","prefix":"/once/","kind":"unsafe","timeout_ms":3000,"service":"m","attempts":1},
-    {"name":"safe","host":"h","prefix":"/safe/","kind":"safe","timeout_ms":3000,"service":"m","attempts":2},
-    {"name":"open","host":"h","prefix":"/open/","kind":"safe","timeout_ms":3000,"service":"m","attempts":2,
-     "public":true}],
-    "services":[{"name":"m","health_path":"/health","engine":{"backups":true,"moves":true}}],
-    "limits":{"max_header_bytes":4096,"max_body_bytes":10000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
-    "tenants":[{"name":"w","api_keys":[KEYS]}]}"#;
-
-impl System {
-    fn start(gateways: u8) -> Self {
-        let net = router::loopback_net();
-        let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
-        let store = stand_in::StoreStandIn::new(ip(250));
-        let mut system = Self {
-            net,
-            folder: tempfile::tempdir().expect("a folder"),
-            store,
-            first: stand_in::EndpointStandIn::start(ip(240), "e1"),
-            second: stand_in::EndpointStandIn::start(ip(241), "e2"),
-            gateways: Vec::new(),
-        };
-        system.put_config(1, r#""k""#);
-        system
-            .store
-            .put("servers", "e1", &system.first.entry("m", "z1", "ready"));
-        system
-            .store
-            .put("servers", "e2", &system.second.entry("m", "z2", "ready"));
-        for number in 1..=gateways {
-            let door = system.store.open_door();
-            let gateway = router::spawn(system.folder.path(), system.net, number, door);
-            system.gateways.push(gateway);
-        }
-        for gateway in &system.gateways {
-            system.wait_for("a gateway is ready", || {
-                System::get(gateway.ip, 8220, "/ready") == 200
-            });
-        }
-        system
-    }
-
-    fn put_config(&self, version: u64, keys: &str) {
-        let text = CONFIG
-            .replace("VERSION", &version.to_string())
-            .replace("KEYS", keys);
-        self.store.put("op", "config", text.as_bytes());
-    }
-
-    fn wait_for(&self, what: &str, is_true: impl Fn() -> bool) {
-        let until = time::Instant::now() + PATIENCE;
-        while !is_true() {
-            assert!(
-                time::Instant::now() < until,
-                "{what}: not within {PATIENCE:?}; {}",
-                self.logs()
-            );
-            thread::sleep(time::Duration::from_millis(20));
-        }
-    }
-
-    fn logs(&self) -> String {
-        let files = fs::read_dir(self.folder.path()).expect("a folder");
-        let files = files.filter_map(|file| fs::read_to_string(file.ok()?.path()).ok());
-        files.collect::<Vec<String>>().join("\n")
-    }
-
-    fn ip(&self) -> net::IpAddr {
-        self.gateways[0].ip
-    }
-
-    fn get(ip: net::IpAddr, port: u16, path: &str) -> u16 {
-        let text = format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n");
-        caller::exchange((ip, port).into(), text.as_bytes()).map_or(0, |answer| answer.head.status)
-    }
-
-    fn send(ip: net::IpAddr, path: &str, id: &str) -> Option<caller::Answer> {
-        caller::exchange((ip, 8227).into(), caller::request(path, id, "k").as_bytes())
-    }
-
-    /// Requests with this id that reached endpoints.
-    fn arrivals(&self, id: &str) -> Vec<stand_in::SeenRequest> {
-        let mut seen = self.first.seen();
-        seen.extend(self.second.seen());
-        seen.retain(|request| request.field("Kumquatpulley-Request-Id").as_deref() == Some(id));
-        seen.sort_by_key(|request| request.at);
-        seen
-    }
-
-    fn set_moods(&self, mood: stand_in::EndpointMood) {
-        self.first.set_mood(mood);
-        self.second.set_mood(mood);
-    }
-
-    /// Makes only the endpoint that gets the next request fall into `mood`, by emptying the other.
-    fn lead_to_first(&self, mood: stand_in::EndpointMood) {
-        self.first.set_mood(mood);
-        self.second.set_mood(stand_in::EndpointMood::Full);
-    }
-}
-
 fn a_call_and_a_stream_are_answered() {
     let system = System::start(1);
     let answer = System::send(system.ip(), "/once/1", "r1").expect("an answer");
