Bound what endpoints in trouble can send, and count silence from events

Cause: bytes without end that are no answer. Shown by tests on the code before (13 cases, 8 failed): a body without end or with a huge length grew the router over its VM's memory; interim heads were read for ever; a stream whose engine sent a comment now and then, or blocks without a number, never counted as silent, and such blocks were passed on among numbered events. Found by reading beside it: a stream that cannot go on elsewhere was cut after 0.5 s of silence although its engine explained it.

Ruled out: one timeout for a whole body, which cuts slow but sound answers; a smaller limit an answer, which does not bound many at once.

Silence counts from the last event, less the time in which the caller was slow; comments are passed on, but not before the first event, and bounded; a block without number in a numbered stream ends the attempt. A stream that cannot go on elsewhere is borne for 10 s while its engine lists it.

--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -19,7 +19,11 @@
 use crate::process::members::{gossip, peering};
 use crate::process::start;
 use crate::process::telemetry::{metrics, timeline};
-use crate::request::relay::{context, dialect};
+use crate::request::relay::{answer_room, context, dialect};
+
+/// Part of the process's memory that answers may take which are read whole. A large one is held
+/// twice while it is put together.
+const ANSWER_MEMORY_SHARE: usize = 8;
 
 /// Time between two looks at readiness and at what still runs.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -175,7 +179,9 @@
         Box::new(placement::PrefixPlacement::default()),
     ));
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
+    let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let relay = context::RelayContext {
+        room: sync::Arc::new(answer_room::AnswerRoom::new(memory / ANSWER_MEMORY_SHARE)),
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&parts.requests),
         budget: sync::Arc::new(budget),
--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -11,7 +11,7 @@
 use async_std::net;
 
 use crate::connection::h1::{body, head, wire};
-use crate::request::relay::{dialect, report};
+use crate::request::relay::{answer_room, dialect, report};
 
 /// Outcome of a step of an attempt.
 pub type Result<T> = std::result::Result<T, AttemptError>;
@@ -25,9 +25,23 @@
 /// Bytes of a response head at most.
 const MAX_HEAD: usize = 64 * 1024;
 
+/// Time from the first byte of a head to its end; a head fits in few packets, and one lost packet is
+/// sent again within a second.
+const HEAD_LIMIT: time::Duration = time::Duration::from_secs(3);
+
+/// Interim heads before the final one at most.
+const MAX_INTERIM: u32 = 8;
+
 /// Bytes of an answer that is passed on whole, at most.
 pub const MAX_ANSWER: usize = 8 * 1024 * 1024;
 
+/// Bytes of an answer that are kept in one buffer while it is read.
+const PIECE_BYTES: usize = 64 * 1024;
+
+/// Bytes of an answer to a call that is no caller's request, at most; a report lists some runs in a
+/// few kilobytes.
+const MAX_SIDE_ANSWER: usize = 256 * 1024;
+
 /// Why an attempt has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptError {
@@ -87,16 +101,35 @@
     /// Reads the head of the final answer.
     ///
     /// # Errors
-    /// [`AttemptError::Broken`].
+    /// [`AttemptError::Broken`], also when a head that has begun does not end within [`HEAD_LIMIT`].
     pub async fn head(&mut self) -> Result<head::ResponseHead> {
+        if self.wire.buffered().is_empty() && self.fill().await? == 0 {
+            return Err(AttemptError::Broken);
+        }
+        let mut interim = 0;
+        loop {
+            let reading = future::timeout(HEAD_LIMIT, self.next_head());
+            let head = reading.await.map_err(|_elapsed| AttemptError::Broken)??;
+            if head.status >= 200 {
+                return Ok(head);
+            }
+            interim += 1;
+            if interim > MAX_INTERIM {
+                return Err(AttemptError::Broken);
+            }
+            // The final head may be seconds behind an interim one.
+            if self.wire.buffered().is_empty() && self.fill().await? == 0 {
+                return Err(AttemptError::Broken);
+            }
+        }
+    }
+
+    async fn next_head(&mut self) -> Result<head::ResponseHead> {
         loop {
             let parsed = head::parse_response(self.wire.buffered());
             let parsed = parsed.map_err(|_malformed| AttemptError::Broken)?;
             if let Some((head, length)) = parsed {
                 self.wire.consume(length);
-                if head.status < 200 {
-                    continue;
-                }
                 return Ok(head);
             }
             if self.wire.buffered().len() > MAX_HEAD || self.fill().await? == 0 {
@@ -105,21 +138,44 @@
         }
     }
 
-    /// Reads the rest of a whole answer.
+    /// Reads the rest of a whole answer, while `room` has memory for it.
     ///
     /// # Errors
-    /// [`AttemptError::Broken`] when the body ends early or is longer than [`MAX_ANSWER`].
-    pub async fn whole(&mut self, method: &str, head: head::ResponseHead) -> Result<WholeAnswer> {
+    /// [`AttemptError::Broken`] when the body ends early, is longer than [`MAX_ANSWER`] or finds no
+    /// room.
+    pub async fn whole(
+        &mut self,
+        method: &str,
+        head: head::ResponseHead,
+        room: &answer_room::AnswerRoom,
+    ) -> Result<WholeAnswer> {
         let framing = head.framing(method);
         let framing = framing.map_err(|_ambiguous| AttemptError::Broken)?;
+        if let head::BodyFraming::Length(length) = framing
+            && length > MAX_ANSWER as u64
+        {
+            return Err(too_large(length));
+        }
         let mut decoder = body::BodyDecoder::new(framing);
-        let mut body = Vec::new();
-        while self.more(&mut decoder, &mut body).await? {
-            if body.len() > MAX_ANSWER {
-                return Err(AttemptError::Broken);
+        let mut taken = room.enter();
+        // In pieces, as one buffer that doubles would hold several times its size for a while.
+        let mut pieces = Vec::new();
+        let (mut piece, mut total) = (Vec::new(), 0);
+        while self.more(&mut decoder, &mut piece).await? {
+            let read = total + piece.len();
+            if read > MAX_ANSWER || !taken.grow(read) {
+                return Err(too_large(read as u64));
+            }
+            if piece.len() >= PIECE_BYTES {
+                total = read;
+                pieces.push(std::mem::take(&mut piece));
             }
         }
-        Ok(WholeAnswer { head, body })
+        if !pieces.is_empty() {
+            pieces.push(piece);
+            piece = pieces.concat();
+        }
+        Ok(WholeAnswer { head, body: piece })
     }
 
     /// Reads more of a body; `false` when it is complete.
@@ -157,6 +213,11 @@
     }
 }
 
+fn too_large(bytes: u64) -> AttemptError {
+    log::warn!(bytes; "answer is too large for this router; given up");
+    AttemptError::Broken
+}
+
 /// The report of the engine at `address`; `None` when none came within [`REPORT_LIMIT`].
 pub async fn report(
     address: std_net::SocketAddr,
@@ -192,7 +253,8 @@
     let exchange = async {
         let mut attempt = send(address, &request).await.ok()?;
         let answer = attempt.head().await.ok()?;
-        let answer = attempt.whole(&head.method, answer).await.ok()?;
+        let room = answer_room::AnswerRoom::new(MAX_SIDE_ANSWER);
+        let answer = attempt.whole(&head.method, answer, &room).await.ok()?;
         (answer.head.status == 200).then_some(answer)
     };
     future::timeout(limit, exchange).await.ok().flatten()
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::process::view;
-use crate::request::relay::{dialect, fleet};
+use crate::request::relay::{answer_room, dialect, fleet};
 use crate::request::verdict;
 use crate::version::traffic;
 
@@ -38,6 +38,8 @@
     pub budget: sync::Arc<dyn RepeatBudget>,
     /// Counters.
     pub counters: sync::Arc<dyn view::CounterSink>,
+    /// Memory for answers that are read whole.
+    pub room: sync::Arc<answer_room::AnswerRoom>,
 }
 
 /// A request that may be passed on.
--- a/src/request/relay/events.rs
+++ b/src/request/relay/events.rs
@@ -10,6 +10,8 @@
     pub id: Option<u64>,
     /// Its bytes as the endpoint wrote them.
     pub bytes: Vec<u8>,
+    /// Whether it holds comments alone, with which endpoints keep connections open.
+    pub is_comment: bool,
 }
 
 /// Collects bytes until an event is whole.
@@ -41,8 +43,11 @@
         let end = event_end(&self.pending)?;
         let rest = self.pending.split_off(end);
         let bytes = std::mem::replace(&mut self.pending, rest);
-        let id = event_id(&bytes);
-        Some(WholeEvent { id, bytes })
+        Some(WholeEvent {
+            id: event_id(&bytes),
+            is_comment: is_comment(&bytes),
+            bytes,
+        })
     }
 }
 
@@ -59,6 +64,11 @@
     None
 }
 
+fn is_comment(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, b"" | b"\r" | [b':', ..]))
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let mut lines = bytes.split(|byte| *byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
@@ -72,6 +82,10 @@
     Accepted,
     /// The caller has it already.
     Repeated,
+    /// It is no event, and may be passed on.
+    Comment,
+    /// It has no number in a stream whose events have one, and may be of another stream or of none.
+    Malformed,
 }
 
 /// Position of an answer over any number of endpoints.
@@ -107,7 +121,13 @@
 
     /// Offers the next event of the present endpoint.
     pub fn offer(&mut self, event: &WholeEvent) -> EventOffer {
+        if event.is_comment {
+            return EventOffer::Comment;
+        }
         let Some(id) = event.id else {
+            if self.last.is_some() {
+                return EventOffer::Malformed;
+            }
             self.is_unnumbered = true;
             return EventOffer::Accepted;
         };
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are in `decision` and `events` and do no I/O; `plain` and `stream` carry them out.
 
+pub mod answer_room;
 pub mod attempt;
 pub mod choice;
 pub mod context;
--- a/src/request/relay/plain.rs
+++ b/src/request/relay/plain.rs
@@ -149,7 +149,7 @@
     let answer = match open.head().await {
         Ok(head) => {
             lease.hear(head.status, context.dialect.answer_marks(&head).word);
-            open.whole(&request.head.method, head).await
+            open.whole(&request.head.method, head, &context.room).await
         }
         Err(error) => Err(error),
     };
--- a/src/request/relay/silence.rs
+++ b/src/request/relay/silence.rs
@@ -9,6 +9,10 @@
 /// Part of the wanted pause after which an engine that shows signs of life is left all the same.
 const LEAVE_SHARE: f64 = 0.72;
 
+/// Silence after which a stream that cannot go on elsewhere is given up although its engine shows signs
+/// of life: longer than any engine reads prompts for, and a caller does not wait for ever.
+const BOUND_LEAVE: time::Duration = time::Duration::from_secs(10);
+
 /// Pause that is assumed where a route wants none.
 const DEFAULT_GAP: time::Duration = time::Duration::from_secs(2);
 
@@ -16,7 +20,7 @@
 /// engine reads prompts for seconds and sends nothing meanwhile.
 pub const FIRST_ASK: time::Duration = time::Duration::from_millis(500);
 
-/// How long silence is borne between two events.
+/// How long it is borne that no event comes, whatever else the engine sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilenceLimits {
     /// After this time the engine is asked for a sign of life.
@@ -35,4 +39,13 @@
             leave: gap.mul_f64(LEAVE_SHARE),
         }
     }
+
+    /// Limits for a stream that no other engine can go on with.
+    #[must_use]
+    pub const fn bound() -> Self {
+        Self {
+            ask: FIRST_ASK,
+            leave: BOUND_LEAVE,
+        }
+    }
 }
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -1,13 +1,12 @@
 //! Relays event streams, and goes on at another engine when one is lost.
 
-use std::sync;
 use std::time;
 
 use async_std::future;
 
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
-    attempt, context, copy, decision, dialect, events, fleet, plain, report, silence, stream_reader,
+    attempt, context, copy, decision, dialect, events, fleet, plain, silence, stream_reader,
 };
 use crate::request::verdict;
 
@@ -169,13 +168,12 @@
         let Ok(open) = sent else {
             return StreamEnd::Unsent;
         };
-        let mut reader = stream_reader::StreamReader {
+        let mut reader = stream_reader::StreamReader::new(
             open,
-            address: lease.endpoint.address,
-            dialect: sync::Arc::clone(&self.context.dialect),
-            request: &self.request.terms.id,
-            watch: report::RunWatch::default(),
-        };
+            lease.endpoint.address,
+            &self.context.dialect,
+            &self.request.terms.id,
+        );
         self.read(&mut reader, lease, holder).await
     }
 
@@ -195,7 +193,10 @@
         }
         let is_own = marks.request.as_deref() == Some(self.request.terms.id.as_str());
         if head.status != 200 {
-            let answer = reader.open.whole(&self.request.head.method, head).await;
+            let answer = reader
+                .open
+                .whole(&self.request.head.method, head, &self.context.room)
+                .await;
             return answer.map_or(StreamEnd::Lost, StreamEnd::Answer);
         }
         let Ok(framing) = head.framing(&self.request.head.method) else {
@@ -220,17 +221,18 @@
         mut holder: Option<fleet::ChosenEndpoint>,
         mut decoder: body::BodyDecoder,
     ) -> StreamEnd {
-        let limits = silence::SilenceLimits::new(self.request.route.gap_goal);
         let mut splitter = events::EventSplitter::default();
         let mut is_first = true;
+        let mut idle_bytes = 0;
         loop {
+            let limits = self.silence_limits();
             let more = reader.more(&mut decoder, &mut splitter, limits, is_first);
             let Some(is_open) = more.await else {
                 return StreamEnd::Lost;
             };
             let mut fresh = Vec::new();
             while let Some(event) = splitter.next_event() {
-                if std::mem::take(&mut is_first) {
+                if !event.is_comment && std::mem::take(&mut is_first) {
                     // The engine copies nothing before it has read the whole prompt.
                     self.copies = copy::CopyKeeper::new(holder.take());
                     let elapsed = self.request.arrived.elapsed();
@@ -241,15 +243,33 @@
                         "first event"
                     );
                 }
-                if self.cursor.offer(&event) == events::EventOffer::Accepted {
-                    fresh.extend_from_slice(&event.bytes);
+                match self.cursor.offer(&event) {
+                    events::EventOffer::Accepted => {
+                        reader.note_progress();
+                        idle_bytes = 0;
+                        fresh.extend_from_slice(&event.bytes);
+                    }
+                    // Before the first event it would only take away the choice to refuse.
+                    events::EventOffer::Comment if is_first => idle_bytes += event.bytes.len(),
+                    events::EventOffer::Comment => {
+                        idle_bytes += event.bytes.len();
+                        fresh.extend_from_slice(&event.bytes);
+                    }
+                    events::EventOffer::Repeated => idle_bytes += event.bytes.len(),
+                    events::EventOffer::Malformed => return StreamEnd::Lost,
                 }
             }
-            if splitter.is_oversized() {
+            let is_stalled = !is_first && reader.quiet() >= limits.leave;
+            if splitter.is_oversized() || idle_bytes > events::MAX_EVENT_BYTES || is_stalled {
                 return StreamEnd::Lost;
             }
-            if !fresh.is_empty() && self.push(&fresh).await.is_err() {
-                return StreamEnd::CallerGone;
+            if !fresh.is_empty() {
+                let began = time::Instant::now();
+                if self.push(&fresh).await.is_err() {
+                    return StreamEnd::CallerGone;
+                }
+                // Nothing is read while the caller is slow; that is not the engine's silence.
+                reader.excuse(began.elapsed());
             }
             if !is_open {
                 break;
@@ -270,6 +290,14 @@
         }
     }
 
+    /// Silence is borne longer where leaving the engine would end the answer.
+    fn silence_limits(&self) -> silence::SilenceLimits {
+        if self.request.route.kind.may_repeat() && self.cursor.can_resume() {
+            return silence::SilenceLimits::new(self.request.route.gap_goal);
+        }
+        silence::SilenceLimits::bound()
+    }
+
     async fn push(&mut self, events: &[u8]) -> std::io::Result<()> {
         if let Some(lost_at) = self.lost_at.take() {
             let pause = lost_at.elapsed();
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -1,6 +1,7 @@
 //! Reads an engine's stream and notices when it falls silent.
 
 use std::sync;
+use std::time;
 
 use async_std::future;
 use async_std::task;
@@ -13,13 +14,53 @@
 /// Reads one engine's stream and notices its silence.
 pub(super) struct StreamReader<'a> {
     pub(super) open: attempt::OpenAttempt,
-    pub(super) address: std::net::SocketAddr,
-    pub(super) dialect: sync::Arc<dyn dialect::RequestDialect>,
-    pub(super) request: &'a str,
-    pub(super) watch: report::RunWatch,
+    address: std::net::SocketAddr,
+    dialect: sync::Arc<dyn dialect::RequestDialect>,
+    request: &'a str,
+    watch: report::RunWatch,
+    /// When the last event came, or the request was sent. Other bytes do not count, so that an engine
+    /// that sends some now and then is not taken for one that works.
+    quiet_since: time::Instant,
+    /// When the engine last gave a sign of life.
+    heard_at: time::Instant,
 }
 
-impl StreamReader<'_> {
+impl<'a> StreamReader<'a> {
+    pub(super) fn new(
+        open: attempt::OpenAttempt,
+        address: std::net::SocketAddr,
+        dialect: &sync::Arc<dyn dialect::RequestDialect>,
+        request: &'a str,
+    ) -> Self {
+        let now = time::Instant::now();
+        Self {
+            open,
+            address,
+            dialect: sync::Arc::clone(dialect),
+            request,
+            watch: report::RunWatch::default(),
+            quiet_since: now,
+            heard_at: now,
+        }
+    }
+
+    /// Takes note that an event came.
+    pub(super) fn note_progress(&mut self) {
+        self.quiet_since = time::Instant::now();
+        self.heard_at = self.quiet_since;
+    }
+
+    /// Leaves `time`, in which nothing was read, out of the engine's silence.
+    pub(super) fn excuse(&mut self, time: time::Duration) {
+        self.quiet_since += time;
+        self.heard_at += time;
+    }
+
+    /// Time since the last event.
+    pub(super) fn quiet(&self) -> time::Duration {
+        self.quiet_since.elapsed()
+    }
+
     /// The head; `None` when the engine broke off or gives no sign of life.
     pub(super) async fn first_head(&mut self) -> Option<head::ResponseHead> {
         let reading = Box::pin(self.open.head());
@@ -28,6 +69,7 @@
             dialect: self.dialect.as_ref(),
             request: self.request,
             watch: &mut self.watch,
+            heard_at: &mut self.heard_at,
         };
         signs.while_alive(reading).await?.ok()
     }
@@ -40,28 +82,31 @@
         limits: silence::SilenceLimits,
         is_first: bool,
     ) -> Option<bool> {
+        let (quiet, quiet_since) = (self.quiet(), self.quiet_since);
         let reading = Box::pin(self.open.more(decoder, splitter.input()));
         let mut signs = SignSource {
             address: self.address,
             dialect: self.dialect.as_ref(),
             request: self.request,
             watch: &mut self.watch,
+            heard_at: &mut self.heard_at,
         };
         if is_first {
             return signs.while_alive(reading).await?.ok();
         }
-        let asked = task::sleep(limits.ask);
+        let asked = task::sleep(limits.ask.saturating_sub(quiet));
         let reading = match futures_future::select(reading, Box::pin(asked)).await {
             Either::Left((read, _timer)) => return read.ok(),
             Either::Right(((), reading)) => reading,
         };
-        let asking = Box::pin(signs.is_alive());
+        let is_heard = *signs.heard_at > quiet_since;
+        let asking = Box::pin(async { is_heard || signs.is_alive().await });
         let reading = match futures_future::select(reading, asking).await {
             Either::Left((read, _asking)) => return read.ok(),
             Either::Right((false, _reading)) => return None,
             Either::Right((true, reading)) => reading,
         };
-        let rest = limits.leave.saturating_sub(limits.ask);
+        let rest = limits.leave.saturating_sub(quiet_since.elapsed());
         future::timeout(rest, reading).await.ok()?.ok()
     }
 }
@@ -72,12 +117,17 @@
     dialect: &'a dyn dialect::RequestDialect,
     request: &'a str,
     watch: &'a mut report::RunWatch,
+    heard_at: &'a mut time::Instant,
 }
 
 impl SignSource<'_> {
     async fn is_alive(&mut self) -> bool {
         let report = attempt::report(self.address, self.dialect).await;
-        report.is_some_and(|report| self.watch.is_held(&report, self.request))
+        let is_held = report.is_some_and(|report| self.watch.is_held(&report, self.request));
+        if is_held {
+            *self.heard_at = time::Instant::now();
+        }
+        is_held
     }
 
     /// Awaits `reading` as long as the engine gives signs of life.
@@ -86,7 +136,8 @@
         Reading: Future + Unpin,
     {
         loop {
-            let timer = Box::pin(task::sleep(silence::FIRST_ASK));
+            let wait = silence::FIRST_ASK.saturating_sub(self.heard_at.elapsed());
+            let timer = Box::pin(task::sleep(wait));
             reading = match futures_future::select(reading, timer).await {
                 Either::Left((read, _timer)) => return Some(read),
                 Either::Right(((), reading)) => reading,
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -327,6 +327,30 @@
     assert!(!cursor.can_resume());
 }
 
+fn a_comment_is_no_event() {
+    let mut cursor = events::EventCursor::after(Some(4));
+    let comment = event(": still there\r\n\r\n");
+    assert_eq!(cursor.offer(&comment), events::EventOffer::Comment);
+    assert!(cursor.can_resume());
+}
+
+/// Found by reading: such a block was passed on, and the stream could not go on elsewhere any more.
+fn an_unnumbered_event_among_numbered_ones_is_not_passed_on() {
+    let mut cursor = events::EventCursor::after(Some(4));
+    let foreign = event("data: of another stream\n\n");
+    assert_eq!(cursor.offer(&foreign), events::EventOffer::Malformed);
+    assert!(cursor.can_resume());
+}
+
+/// A stream that cannot go on elsewhere is not cut for a pause that its engine explains.
+fn a_bound_stream_is_borne_longer() {
+    let goal = time::Duration::from_millis(700);
+    let resumable = silence::SilenceLimits::new(Some(goal));
+    let bound = silence::SilenceLimits::bound();
+    assert!(resumable.leave < goal);
+    assert!(bound.leave > time::Duration::from_secs(5));
+}
+
 fn a_torn_event_is_held_back() {
     let mut splitter = events::EventSplitter::default();
     splitter
@@ -407,6 +431,9 @@
 }
 
 common::cases! {
+    comment: a_comment_is_no_event();
+    foreign_event: an_unnumbered_event_among_numbered_ones_is_not_passed_on();
+    bound_stream: a_bound_stream_is_borne_longer();
     copy_kept_by_engines: copy_step_is(None, true, copy::CopyStep::Keep);
     copy_lost: copy_step_is(None, false, copy::CopyStep::Replace);
     copy_moved_just_now: copy_step_is(Some(time::Duration::from_secs(1)), true, copy::CopyStep::Keep);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 
 mod beliefs;
 mod decisions;
+mod endless;
 mod formats;
 mod framing;
 mod soak;
--- a/tests/gateway/support/stand_in.rs
+++ b/tests/gateway/support/stand_in.rs
@@ -303,6 +303,22 @@
     Leaves,
     /// Refuses and wants no requests for [`PAUSE`].
     Pauses,
+    /// Sends a field of a head without end.
+    EndlessHead,
+    /// Sends a byte of a head now and then, without end.
+    TrickledHead,
+    /// Sends interim heads without end.
+    EndlessInterim,
+    /// Sends a body without end, which holds no event.
+    EndlessBody,
+    /// Names a length that no memory holds, and sends bytes without end.
+    HugeBody,
+    /// Sends comments without end after this event of a stream, and reports that it works.
+    EndlessComments(u64),
+    /// The same, one now and then.
+    TrickledComments(u64),
+    /// Sends blocks that are no events of the stream after this event.
+    ForeignEvents(u64),
 }
 
 /// Events of each stream.
@@ -466,6 +482,11 @@
                 ),
             );
         }
+        EndpointMood::EndlessHead
+        | EndpointMood::TrickledHead
+        | EndpointMood::EndlessInterim
+        | EndpointMood::EndlessBody
+        | EndpointMood::HugeBody => send_without_end(stream, mood, &id),
         EndpointMood::Replaced => {
             write(stream, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
         }
@@ -499,6 +520,40 @@
     write_json(stream, 200, &answer);
 }
 
+/// Sends bytes that are no answer until the caller closes.
+fn send_without_end(stream: &mut net::TcpStream, mood: EndpointMood, id: &str) {
+    let write = |stream: &mut net::TcpStream, text: &str| stream.write_all(text.as_bytes()).is_ok();
+    let sealed = |length: usize| {
+        format!(
+            "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    match mood {
+        EndpointMood::EndlessHead => {
+            write(stream, "HTTP/1.1 200 OK\r\nX: ");
+            while write(stream, &"x".repeat(4096)) {}
+        }
+        EndpointMood::TrickledHead => {
+            write(stream, "HTTP/1.1 200 OK\r\nX: ");
+            while write(stream, "x") {
+                thread::sleep(EVENT_PAUSE);
+            }
+        }
+        EndpointMood::EndlessInterim => while write(stream, "HTTP/1.1 103 X\r\n\r\n") {},
+        EndpointMood::EndlessBody => {
+            let head = sealed(0).replace("Content-Length: 0\r\n", "");
+            write(stream, &head);
+            while write(stream, &"x".repeat(4096)) {}
+        }
+        EndpointMood::HugeBody => {
+            write(stream, &sealed(usize::MAX >> 1));
+            while write(stream, &"x".repeat(4096)) {}
+        }
+        _ => {}
+    }
+}
+
 /// What all answers of an endpoint that leaves bear.
 const fn leaving_field(mood: EndpointMood) -> &'static str {
     match mood {
@@ -544,6 +599,20 @@
                 thread::sleep(time::Duration::from_secs(3));
                 return;
             }
+            EndpointMood::EndlessComments(last) if event > last => {
+                while write_chunk(stream, ": x\n\n") {}
+                return;
+            }
+            EndpointMood::TrickledComments(last) if event > last => {
+                while write_chunk(stream, ": x\n\n") {
+                    thread::sleep(EVENT_PAUSE);
+                }
+                return;
+            }
+            EndpointMood::ForeignEvents(last) if event > last => {
+                while write_chunk(stream, "data: of another stream\n\n") {}
+                return;
+            }
             _ => {}
         }
         let mut chunk = Vec::new();
@@ -564,6 +633,12 @@
     let _gone = stream.write_all(head::LAST_CHUNK);
 }
 
+fn write_chunk(stream: &mut net::TcpStream, text: &str) -> bool {
+    let mut chunk = Vec::new();
+    head::write_chunk(&mut chunk, text.as_bytes());
+    stream.write_all(&chunk).is_ok()
+}
+
 fn is_closed(stream: &mut net::TcpStream) -> bool {
     stream.set_nonblocking(true).expect("a socket option");
     let read = stream.read(&mut [0_u8; 1]);
