Read the store as seldom as the operators' bounds allow, and start from peers

Ruled out: fewer readers than zones, for now; a lost reader would then be found across zones only.

Change: waits, and the limits after which a router steps in, follow the shorter one of the times in which a leaving endpoint and a configuration have to be known (2 s to 4 s; the old figures at 2 s), with the same 0.7 s left to read the store oneself. A router that knows no configuration asks its peers every 50 ms and reads the store itself only after 0.25 to 0.5 s, 0.8 to 1.6 s at the first start of all; seeds read at once, so that there is somebody to ask.

--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -27,6 +27,10 @@
 /// Time for which callers keep addresses that is assumed where the file names none.
 const DEFAULT_KEEP_S: f64 = 5.0;
 
+/// Time in which a change has to be known that is assumed where the file names none; the shortest that
+/// the platform's pages give.
+const DEFAULT_CHANGE_MS: u64 = 2_000;
+
 /// One thing that is wrong with the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsFault(pub String);
@@ -52,6 +56,8 @@
     listen: ListenTable,
     /// Addresses of `listen.control` on at most three VMs; some may be out of date.
     seeds: Vec<String>,
+    /// Whether the whole system starts for the first time.
+    bootstrap: bool,
     limits: LimitTable,
     bounds: BoundTable,
     platform: StoreTable,
@@ -85,6 +91,10 @@
 struct BoundTable {
     strict_revoke: bool,
     revoke_ms: u64,
+    /// Time until a leaving endpoint gets nothing new.
+    drain_ms: Option<u64>,
+    /// Time until a configuration is in force.
+    config_ms: Option<u64>,
     grace_s: Option<f64>,
     ttl_max_s: Option<f64>,
     budget_ratio: f64,
@@ -192,6 +202,7 @@
             store: reader.required("platform.addr", Some(&file.platform.addr)),
             memory_bytes: file.limits.memory_mb * 1024 * 1024,
             max_descriptors: file.limits.max_fds,
+            is_first_start: file.bootstrap,
             bounds: settings::GatewayBounds::from(&file.bounds),
         };
         if reader.faults.is_empty() {
@@ -206,7 +217,11 @@
         let key_age = time::Duration::from_millis(table.revoke_ms);
         let seconds =
             |value: f64| time::Duration::try_from_secs_f64(value).unwrap_or(time::Duration::ZERO);
+        let changes = [table.drain_ms, table.config_ms];
+        let change_ms = changes.into_iter().flatten().min();
+        let change_ms = change_ms.unwrap_or(DEFAULT_CHANGE_MS);
         Self {
+            change: time::Duration::from_millis(change_ms),
             key_age: table.strict_revoke.then_some(key_age),
             stop_grace: seconds(table.grace_s.unwrap_or(DEFAULT_GRACE_S)),
             address_keep: seconds(table.ttl_max_s.unwrap_or(DEFAULT_KEEP_S)),
--- a/src/process/gateway/follow.rs
+++ b/src/process/gateway/follow.rs
@@ -32,9 +32,8 @@
 /// Follows the configuration until `token` is cancelled.
 pub async fn follow_config(node: sync::Arc<node::GatewayNode>, token: stop_token::StopToken) {
     let key_age = node.settings.bounds.key_age;
-    let wait = key_age.map_or(readers::CHANGE_WAIT, |age| {
-        readers::CHANGE_WAIT.min(age / KEY_AGE_PARTS)
-    });
+    let change_wait = node.pace.change_wait;
+    let wait = key_age.map_or(change_wait, |age| change_wait.min(age / KEY_AGE_PARTS));
     let following = follow(
         &node,
         rows::RowTopic::Config,
@@ -59,7 +58,7 @@
     let following = follow(
         &node,
         rows::RowTopic::Endpoints,
-        readers::CHANGE_WAIT,
+        node.pace.change_wait,
         |batch, asked, is_full| {
             take_endpoints(&node, batch, asked, is_full);
         },
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -53,6 +53,10 @@
     pub endpoint_rows: parking_lot::Mutex<endpoint_rows::EndpointRows>,
     /// When the endpoints were last known to be complete.
     pub endpoint_clock: parking_lot::Mutex<freshness::FreshnessClock>,
+    /// How often the store is read.
+    pub pace: readers::ReadPace,
+    /// From when on this router reads the store if nobody has told it a configuration.
+    pub reads_from: time::Instant,
     /// When the store last answered this router, for the configuration and for the endpoints.
     pub store_answers: parking_lot::Mutex<[boot_clock::BootInstant; 2]>,
     /// Word from routers that follow the store.
@@ -103,11 +107,11 @@
     /// Whether this router follows the store, or leaves that to another one of its zone.
     #[must_use]
     pub fn reads_store(&self) -> bool {
-        self.is_reader()
-            || !self
-                .reader_watch
-                .lock()
-                .has_word(boot_clock::BootInstant::now())
+        if self.version_number().is_none() && time::Instant::now() < self.reads_from {
+            return false;
+        }
+        let now = boot_clock::BootInstant::now();
+        self.is_reader() || !self.reader_watch.lock().has_word(self.pace, now)
     }
 
     /// Whether this router reads the store for its zone.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -251,7 +251,7 @@
     let asking = async {
         loop {
             let now = boot_clock::BootInstant::now();
-            let has_word = node.zone_watch.lock().has_zone_word(now);
+            let has_word = node.zone_watch.lock().has_zone_word(node.pace, now);
             let ready = node
                 .gossip
                 .ready_facts(|fact| !has_word || fact.zone == *zone);
@@ -259,7 +259,12 @@
                 readers::whom_to_ask(router, zone, ready, has_word, &mut fastrand::Rng::new());
             let asks = asked.peers.iter().map(|peer| node.ask_peer(peer));
             future::join_all(asks).await;
-            task::sleep(asked.interval).await;
+            let interval = if node.version_number().is_some() {
+                asked.interval
+            } else {
+                readers::FIRST_ASK_INTERVAL
+            };
+            task::sleep(interval).await;
         }
     };
     let _stopped = asking.timeout_at(token).await;
--- a/src/process/gateway/readers.rs
+++ b/src/process/gateway/readers.rs
@@ -9,18 +9,84 @@
 use crate::connection::peer_wire;
 use crate::process::gateway::boot_clock;
 
-/// Longest wait of a call of a reader for changes.
-pub const CHANGE_WAIT: time::Duration = time::Duration::from_millis(600);
+/// Time that a router needs to read the store itself once it gets no word any more.
+const OWN_READ: time::Duration = time::Duration::from_millis(700);
 
-/// Time since the store last answered a reader after which a router follows the store itself. The
-/// wait of a call, the pause behind it and the time to the next question fit in; and the rest of the
-/// two seconds in which a change has to be known is enough to read it.
-const WORD_LIMIT: time::Duration = time::Duration::from_millis(1_300);
+/// Time before a router reads the store itself in which it asks another zone.
+const OTHER_ZONE_LEAD: time::Duration = time::Duration::from_millis(300);
 
-/// Time since the store last answered a reader, as the own zone tells, after which another zone is
-/// asked too. The store may turn away a reader without its notice; until then, what the own zone tells
-/// is the same and crosses no zone. One wait of a call, the pause behind it and a question fit in.
-const ZONE_WORD_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// Part of the time for a change that is no wait of a reader's call: the pause behind the call, the way
+/// through a zone, and another router that steps in.
+const WAY_TIME: time::Duration = time::Duration::from_millis(800);
+
+/// Shortest and longest time for a change that the paces follow. Above it, keys would come near the age
+/// at which they are not taken any more.
+const CHANGE_RANGE: [time::Duration; 2] =
+    [time::Duration::from_secs(2), time::Duration::from_secs(4)];
+
+/// Waits and limits of following the store, from the time in which a change has to be known.
+///
+/// The load it answers: calls to the store, which are priced and limited, on a calm day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadPace {
+    /// Longest wait of a call of a reader for changes.
+    pub change_wait: time::Duration,
+    /// Time since the store last answered a reader after which a router follows the store itself. The
+    /// wait of a call, the pause behind it and the time to the next question fit in; and the rest of
+    /// the time for a change is enough to read it.
+    pub word_limit: time::Duration,
+    /// Time since the store last answered a reader, as the own zone tells, after which another zone is
+    /// asked too. The store may turn away a reader without its notice; until then, what the own zone
+    /// tells is the same and crosses no zone.
+    pub zone_word_limit: time::Duration,
+}
+
+impl ReadPace {
+    /// The pace where a change has to be known within `change`.
+    #[must_use]
+    pub fn new(change: time::Duration) -> Self {
+        let [shortest, longest] = CHANGE_RANGE;
+        let change = change.clamp(shortest, longest);
+        let word_limit = change.saturating_sub(OWN_READ);
+        Self {
+            change_wait: change.saturating_sub(WAY_TIME) / 2,
+            word_limit,
+            zone_word_limit: word_limit.saturating_sub(OTHER_ZONE_LEAD),
+        }
+    }
+}
+
+/// Longest time that a router leaves reading to others at the first start of all, when nobody has callers
+/// yet.
+const FIRST_START_DELAY: time::Duration = time::Duration::from_millis(1_600);
+
+/// Longest time that a router leaves reading to others at another start, at which callers may wait.
+const START_DELAY: time::Duration = time::Duration::from_millis(500);
+
+/// Time after its start from which a router reads the store itself, if no other router has told it what
+/// the store holds by then.
+///
+/// The load it answers: many routers that start at once, as all do at first. Routers that others are
+/// told to ask first begin at once; the rest by chance, so that few of them read before one can tell.
+#[must_use]
+pub fn first_read(
+    is_seed: bool,
+    is_first_start: bool,
+    random: &mut fastrand::Rng,
+) -> time::Duration {
+    if is_seed {
+        return time::Duration::ZERO;
+    }
+    let longest = if is_first_start {
+        FIRST_START_DELAY
+    } else {
+        START_DELAY
+    };
+    longest.mul_f64(0.5 + random.f64() / 2.0)
+}
+
+/// Time between two questions of a router that knows no configuration yet.
+pub const FIRST_ASK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 /// Routers that ask the same one of their zone: two questions in a row then reach 272 routers, more than
 /// the 187 that a zone of the size aimed at has.
@@ -122,14 +188,14 @@
 
     /// Whether the last word is young enough to leave reading to others.
     #[must_use]
-    pub fn has_word(&self, now: boot_clock::BootInstant) -> bool {
-        self.age(now).is_some_and(|age| age < WORD_LIMIT)
+    pub fn has_word(&self, pace: ReadPace, now: boot_clock::BootInstant) -> bool {
+        self.age(now).is_some_and(|age| age < pace.word_limit)
     }
 
     /// Whether the last word, all of it from the own zone, is young enough to ask no other zone.
     #[must_use]
-    pub fn has_zone_word(&self, now: boot_clock::BootInstant) -> bool {
-        self.age(now).is_some_and(|age| age < ZONE_WORD_LIMIT)
+    pub fn has_zone_word(&self, pace: ReadPace, now: boot_clock::BootInstant) -> bool {
+        self.age(now).is_some_and(|age| age < pace.zone_word_limit)
     }
 
     /// Time since the store last answered a reader.
--- a/src/process/gateway/reload.rs
+++ b/src/process/gateway/reload.rs
@@ -44,6 +44,7 @@
                 Ok(settings) => {
                     let needs_restart = settings::GatewaySettings {
                         seeds: held.seeds.clone(),
+                        is_first_start: held.is_first_start,
                         ..settings.clone()
                     } != held;
                     log::info!(by_signal = is_asked, needs_restart; "settings reloaded");
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -28,6 +28,8 @@
     pub memory_bytes: u64,
     /// Descriptors of the process.
     pub max_descriptors: u64,
+    /// Whether the whole system starts for the first time, and no router knows anything yet.
+    pub is_first_start: bool,
     /// Bounds that the platform's operators set.
     pub bounds: GatewayBounds,
 }
@@ -37,6 +39,8 @@
 pub struct GatewayBounds {
     /// Age of the configuration from which keys are not taken any more.
     pub key_age: Option<time::Duration>,
+    /// Time in which a change in the store has to be known at all routers.
+    pub change: time::Duration,
     /// Time from SIGTERM to SIGKILL.
     pub stop_grace: time::Duration,
     /// Longest time that callers keep an address answer.
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -13,8 +13,8 @@
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
-    budgets, endpoint_book, endpoint_fleet, follow, front, node, peers, reload, rows, settings,
-    side,
+    budgets, endpoint_book, endpoint_fleet, follow, front, node, peers, readers, reload, rows,
+    settings, side,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -179,6 +179,11 @@
         Box::new(placement::PrefixPlacement::default()),
     ));
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
+    let pace = readers::ReadPace::new(settings.bounds.change);
+    let own_address = settings.peer_listen.to_string();
+    let is_seed = settings.seeds.contains(&own_address);
+    let delay = readers::first_read(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
+    let reads_from = time::Instant::now() + delay;
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let relay = context::RelayContext {
         room: sync::Arc::new(answer_room::AnswerRoom::new(memory / ANSWER_MEMORY_SHARE)),
@@ -198,6 +203,8 @@
         seeds,
         fleet,
         book: parking_lot::Mutex::new(book),
+        pace,
+        reads_from,
         endpoint_rows: parking_lot::Mutex::default(),
         endpoint_clock: parking_lot::Mutex::default(),
         store_answers: parking_lot::Mutex::default(),
--- a/tests/gateway/beliefs.rs
+++ b/tests/gateway/beliefs.rs
@@ -343,13 +343,45 @@
 }
 
 fn a_router_without_word_reads_itself() {
+    let pace = readers::ReadPace::new(time::Duration::from_secs(2));
     let mut watch = readers::ReaderWatch::default();
-    assert!(!watch.has_word(at(0)));
+    assert!(!watch.has_word(pace, at(0)));
     watch.note_word(at(1_000));
-    assert!(watch.has_word(at(2_200)));
+    assert!(watch.has_word(pace, at(2_200)));
     // Found by a hunt, hunt-2f2f-7: with 1.7 s a leaving endpoint was known after 2.015 s. To read the
     // store takes up to half a second on a busy VM.
-    assert!(!watch.has_word(at(2_500)));
+    assert!(!watch.has_word(pace, at(2_500)));
+}
+
+/// Where more time is given for a change, calls wait longer and are fewer; what is left to read the
+/// store itself stays the same, and keys stay far from the age at which they are not taken.
+fn longer_bounds_draw_fewer_calls() {
+    let seconds = time::Duration::from_secs;
+    let [short, long, longest] = [2, 4, 60].map(|bound| readers::ReadPace::new(seconds(bound)));
+    assert!(long.change_wait >= 2 * short.change_wait);
+    assert_eq!(long.word_limit, short.word_limit + seconds(2));
+    for pace in [short, long] {
+        assert!(pace.change_wait < pace.zone_word_limit && pace.zone_word_limit < pace.word_limit);
+    }
+    assert_eq!(longest, long);
+    assert_eq!(readers::ReadPace::new(time::Duration::ZERO), short);
+}
+
+/// 195 routers start at once, three of them seeds or none: few read the store before one of them can
+/// tell the others, where each of them read it before.
+fn a_common_start_draws_few_calls(seeds: usize, is_first_start: bool, most: usize) {
+    const ROUTERS: usize = 195;
+    const TELLING: time::Duration = time::Duration::from_millis(50);
+    let mut random = fastrand::Rng::with_seed(5);
+    let delays =
+        (0..ROUTERS).map(|router| readers::first_read(router < seeds, is_first_start, &mut random));
+    let delays: Vec<time::Duration> = delays.collect();
+    let first = delays.iter().min().copied().unwrap_or_default();
+    let reading = delays.iter().filter(|delay| **delay <= first + TELLING);
+    let reading = reading.count();
+    assert!(reading <= most, "{reading} of {ROUTERS}");
+    let last = delays.iter().max().copied().unwrap_or_default();
+    assert!(last < time::Duration::from_secs(2));
 }
 
 /// Calls of routers in one zone to a store that is away for a time, against a fixed pause of 0.2 s.
@@ -457,6 +489,7 @@
 
 fn budgets_of(routers: u32) -> budgets::ServiceBudgets {
     let bounds = settings::GatewayBounds {
+        change: time::Duration::from_secs(2),
         key_age: None,
         stop_grace: time::Duration::from_secs(8),
         address_keep: time::Duration::from_secs(5),
@@ -706,6 +739,10 @@
     outage: an_outage_draws_few_calls();
     few_streams: a_router_among_many_repairs_its_few_streams();
     shared_limit: all_routers_together_stay_within_the_limit();
+    longer_bounds: longer_bounds_draw_fewer_calls();
+    common_start: a_common_start_draws_few_calls(3, true, 3);
+    common_start_without_seeds: a_common_start_draws_few_calls(0, true, 30);
+    common_return: a_common_start_draws_few_calls(3, false, 3);
     no_word: a_router_without_word_reads_itself();
     leaving_endpoint: leaving_endpoints_get_no_work();
     failed_endpoint: failed_endpoints_are_avoided_but_better_than_none();
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -284,14 +284,15 @@
     assert_eq!(asked_by("a-0002", &ready, true).0, ["a-0000"]);
     assert_eq!(asked_by("a-0002", &ready, false).0, ["a-0000", "b-0000"]);
     assert_eq!(asked_by("a-0000", &ready, true).0, ["b-0000"]);
+    let pace = readers::ReadPace::new(time::Duration::from_secs(2));
     let mut watch = readers::ReaderWatch::default();
     let at = |millis| boot_clock::BootInstant(time::Duration::from_millis(millis));
-    assert!(!watch.has_zone_word(at(0)));
+    assert!(!watch.has_zone_word(pace, at(0)));
     watch.note_word(at(1_000));
-    assert!(watch.has_zone_word(at(1_900)));
+    assert!(watch.has_zone_word(pace, at(1_900)));
     // Another zone is asked before the store is, and well within the two seconds in which a change
     // has to be known.
-    assert!(!watch.has_zone_word(at(2_000)) && watch.has_word(at(2_000)));
+    assert!(!watch.has_zone_word(pace, at(2_000)) && watch.has_word(pace, at(2_000)));
 }
 
 fn event(text: &str) -> events::WholeEvent {
