--- a/src/request/relay/choice.rs
+++ b/src/request/relay/choice.rs
@@ -20,9 +20,9 @@
 /// Weight of memory in use, in thousandths of all memory; decides between engines that read nothing.
 const MEMORY_SCALE: u64 = 500;
 
-/// Runs that fit beside a copy, at least: half of an engine of the usual size. A copy grows for as long as
+/// Runs that fit beside a copy, at least. A copy grows for as long as
 /// its prompt is read, and reports do not tell of it before.
-const RUNS_BEFORE_COPY: u64 = 4;
+const RUNS_BEFORE_COPY: u64 = 3;
 
 /// Rounds of questions before the same engines are asked again.
 pub const ROUNDS: u32 = 3;
