Never prefer an engine without a sign of life to full ones that live, and split the search

Cause: found by reading the change as a whole. Once nine full engines had been asked, or all of a small service, the sample fell on engines that failed lately; one that gave no report counted as the best of that sample, and the prompt went to an engine that was perhaps dead while others lived.

Ruled out: leaving engines without a report out of every choice; after a loss of all reports they are the only ones there are.

Change: such an engine is taken only from the first engines asked; afterwards the search goes on, and begins again after three rounds. The loop keeps its state in one small type, and one line of it logs.

Shown by: burst::silent_engine.

--- a/src/request/relay/choice.rs
+++ b/src/request/relay/choice.rs
@@ -20,8 +20,8 @@
 /// Weight of memory in use, in thousandths of all memory; decides between engines that read nothing.
 const MEMORY_SCALE: u64 = 500;
 
-/// Runs that fit beside a copy, at least. A copy grows for as long as
-/// its prompt is read, and reports do not tell of it before.
+/// Runs that fit beside a copy, at least. A copy grows for as long as its prompt is read, and reports do
+/// not tell of it before.
 const RUNS_BEFORE_COPY: u64 = 3;
 
 /// Rounds of questions before the same engines are asked again.
@@ -118,20 +118,41 @@
 pub enum ChoiceStep {
     /// Send it to the engine with this index.
     Send(usize),
-    /// It fits at none of them; ask others, and wait before the same ones are asked again.
+    /// None of them will do yet; ask others, and wait before the same ones are asked again.
     AskOthers,
     /// There is no engine to send it to.
     Nobody,
 }
 
-/// The step for a prompt whose run holds `tokens`, which may still wait for room or not.
+/// What is known of the prompt that is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChoiceTerms {
+    /// Tokens that its run holds at the end.
+    pub tokens: u64,
+    /// Whether there is time to wait for room.
+    pub may_wait: bool,
+    /// Whether no other engines were asked before these.
+    pub is_first: bool,
+}
+
+/// The step for a prompt once `engines` were asked.
 #[must_use]
-pub fn choose(engines: &[AskedEngine], tokens: u64, may_wait: bool) -> ChoiceStep {
-    let Some(best) = by_load(engines, tokens).first().copied() else {
-        return ChoiceStep::Nobody;
+pub fn choose(engines: &[AskedEngine], terms: ChoiceTerms) -> ChoiceStep {
+    let Some(best) = by_load(engines, terms.tokens).first().copied() else {
+        return if terms.is_first {
+            ChoiceStep::Nobody
+        } else {
+            ChoiceStep::AskOthers
+        };
+    };
+    let engine = &engines[best];
+    let is_better_elsewhere = match engine.class(terms.tokens) {
+        EngineClass::Full => terms.may_wait && engine.may_fit_later(terms.tokens),
+        // Those asked before gave a sign of life at least.
+        EngineClass::Silent => !terms.is_first,
+        EngineClass::Roomy | EngineClass::Leaving => false,
     };
-    let is_full = engines[best].class(tokens) == EngineClass::Full;
-    if may_wait && is_full && engines[best].may_fit_later(tokens) {
+    if is_better_elsewhere {
         return ChoiceStep::AskOthers;
     }
     ChoiceStep::Send(best)
--- a/src/request/relay/stream_engine.rs
+++ b/src/request/relay/stream_engine.rs
@@ -18,6 +18,27 @@
 /// Tries to find an engine for a broken stream; together a second.
 const MAX_LOOKS: u32 = 20;
 
+/// Which engines were asked for one prompt since the search last began.
+#[derive(Debug, Default)]
+struct EngineSearch {
+    seen: Vec<fleet::EndpointKey>,
+    rounds: u32,
+}
+
+impl EngineSearch {
+    /// Takes note of engines that did not do; returns whether the search begins again, as all or
+    /// enough were asked.
+    fn starts_over(&mut self, asked: &[fleet::ChosenEndpoint]) -> bool {
+        self.seen.extend(asked.iter().map(|endpoint| endpoint.key));
+        self.rounds += 1;
+        if self.rounds < choice::ROUNDS && !asked.is_empty() {
+            return false;
+        }
+        *self = Self::default();
+        true
+    }
+}
+
 impl stream::StreamRelay<'_> {
     /// The endpoint for the next attempt, and the copy that it goes on from.
     pub(super) async fn next_endpoint(
@@ -73,51 +94,50 @@
     async fn acquire_idle(&mut self) -> Option<context::EndpointLease> {
         let began = time::Instant::now();
         let until = self.wait_limit();
-        let mut seen = Vec::new();
-        let mut rounds = 0;
+        let mut search = EngineSearch::default();
         loop {
-            let (endpoints, asked) = self.ask_engines(&seen).await;
-            let may_wait = time::Instant::now() < until;
-            let step = choice::choose(&asked, self.request.terms.tokens, may_wait);
-            let loads: Vec<_> = asked.iter().map(choice::AskedEngine::load).collect();
-            match step {
-                choice::ChoiceStep::Nobody if seen.is_empty() => return None,
-                // All were asked.
-                choice::ChoiceStep::Nobody => {
-                    seen.clear();
-                    rounds = 0;
-                    let wait = choice::LOOK_INTERVAL.mul_f64(1.0 + fastrand::f64());
-                    task::sleep(wait).await;
-                }
+            let (endpoints, asked) = self.ask_engines(&search.seen).await;
+            let terms = choice::ChoiceTerms {
+                tokens: self.request.terms.tokens,
+                may_wait: time::Instant::now() < until,
+                is_first: search.seen.is_empty(),
+            };
+            match choice::choose(&asked, terms) {
+                choice::ChoiceStep::Nobody => return None,
                 choice::ChoiceStep::AskOthers => {
-                    seen.extend(endpoints.iter().map(|endpoint| endpoint.key));
-                    rounds += 1;
-                    if rounds == choice::ROUNDS {
-                        seen.clear();
-                        rounds = 0;
-                        let wait = choice::LOOK_INTERVAL.mul_f64(1.0 + fastrand::f64());
-                        task::sleep(wait).await;
+                    if search.starts_over(&endpoints) {
+                        task::sleep(choice::LOOK_INTERVAL.mul_f64(1.0 + fastrand::f64())).await;
                     }
                 }
                 choice::ChoiceStep::Send(index) => {
-                    let elapsed = began.elapsed();
-                    self.context.counters.time("relay.choice", elapsed);
-                    log::info!(
-                        request = self.request.terms.id.as_str(),
-                        endpoint = endpoints[index].name.as_str(),
-                        load:? = loads[index],
-                        room:? = asked[index].room(self.request.terms.tokens),
-                        tokens = self.request.terms.tokens,
-                        elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
-                        others:? = loads;
-                        "engine chosen"
-                    );
+                    self.note_choice(&endpoints[index], &asked, index, began.elapsed());
                     return self.acquire(Some(endpoints[index].key));
                 }
             }
         }
     }
 
+    fn note_choice(
+        &self,
+        endpoint: &fleet::ChosenEndpoint,
+        asked: &[choice::AskedEngine],
+        index: usize,
+        elapsed: time::Duration,
+    ) {
+        let tokens = self.request.terms.tokens;
+        self.context.counters.time("relay.choice", elapsed);
+        log::info!(
+            request = self.request.terms.id.as_str(),
+            endpoint = endpoint.name.as_str(),
+            load:? = asked[index].load(),
+            room:? = asked[index].room(tokens),
+            tokens,
+            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            others:? = asked.iter().map(choice::AskedEngine::load).collect::<Vec<_>>();
+            "engine chosen"
+        );
+    }
+
     /// Until when a prompt that fits nowhere waits. A stream that broke off goes first, and does not.
     fn wait_limit(&self) -> time::Instant {
         let goal = self.request.route.goal.unwrap_or_default();
--- a/tests/gateway/burst.rs
+++ b/tests/gateway/burst.rs
@@ -74,6 +74,14 @@
     engine
 }
 
+fn terms(tokens: u64, may_wait: bool) -> choice::ChoiceTerms {
+    choice::ChoiceTerms {
+        tokens,
+        may_wait,
+        is_first: true,
+    }
+}
+
 /// Replays a burst of four times the usual prompts for five seconds at 18 engines, where reports are 200 ms
 /// old. Returns prompts after which an engine's memory did not suffice, and those that never began.
 fn replayed_burst(looks_at_memory: bool) -> (usize, usize) {
@@ -99,7 +107,8 @@
                 .collect();
             let tokens = if looks_at_memory { RUN_TOKENS } else { 0 };
             let may_wait = now < arrived + PATIENCE_MS;
-            let choice::ChoiceStep::Send(best) = choice::choose(&sample, tokens, may_wait) else {
+            let choice::ChoiceStep::Send(best) = choice::choose(&sample, terms(tokens, may_wait))
+            else {
                 later.push(arrived);
                 continue;
             };
@@ -131,12 +140,12 @@
 fn a_full_engine_is_better_than_none() {
     let full = full();
     let engines = [full];
-    let step = |tokens, may_wait| choice::choose(&engines, tokens, may_wait);
+    let step = |tokens, may_wait| choice::choose(&engines, terms(tokens, may_wait));
     assert_eq!(step(RUN_TOKENS, true), choice::ChoiceStep::AskOthers);
     assert_eq!(step(RUN_TOKENS, false), choice::ChoiceStep::Send(0));
     assert_eq!(step(10 * RUN_TOKENS, true), choice::ChoiceStep::Send(0));
     assert_eq!(
-        choice::choose(&[], RUN_TOKENS, true),
+        choice::choose(&[], terms(RUN_TOKENS, true)),
         choice::ChoiceStep::Nobody
     );
     assert!(!engines[0].fits_copy(RUN_TOKENS));
@@ -154,11 +163,27 @@
         [2, 0]
     );
     assert_eq!(
-        choice::choose(&[leaving], RUN_TOKENS, true),
+        choice::choose(&[leaving], terms(RUN_TOKENS, true)),
         choice::ChoiceStep::Nobody
     );
 }
 
+/// After full engines that live, engines that give no sign are not the way out.
+fn a_silent_engine_is_no_way_out_of_full_ones() {
+    let silent = [choice::AskedEngine::default()];
+    let first = terms(RUN_TOKENS, false);
+    let later = choice::ChoiceTerms {
+        is_first: false,
+        ..first
+    };
+    assert_eq!(choice::choose(&silent, first), choice::ChoiceStep::Send(0));
+    assert_eq!(
+        choice::choose(&silent, later),
+        choice::ChoiceStep::AskOthers
+    );
+    assert_eq!(choice::choose(&[], later), choice::ChoiceStep::AskOthers);
+}
+
 /// Sends a stream whose run holds 9,000 tokens, in a thread of its own.
 fn begin_stream(system: &System) -> thread::JoinHandle<Option<caller::Answer>> {
     let ip = system.ip();
@@ -204,5 +229,6 @@
     no_room: a_prompt_that_finds_no_room_is_sent_in_the_end();
     burst: a_burst_overfills_no_engine();
     full_engine: a_full_engine_is_better_than_none();
+    silent_engine: a_silent_engine_is_no_way_out_of_full_ones();
     leaving_engine: leaving_and_silent_engines_come_last();
 }
