Log the request limits that endpoints name in their answers

Cause: the logs of the rate limit incident held no line about a limit, so a router that does not know the header could not be told from one that reads it and exceeds the sum. Ruled out: reading it in the gateway's own code; the platform adapter decodes the header once, beside Server-Leaving and Retry-After.

Change: Server-Limit becomes a rate in thousandths of a request a second. Each router keeps the newest observation for one incarnation of an endpoint; an answer without the header ends a limit only if its request was sent after the limit was read. A change is one log line with rate and age. Nothing acts on it yet.

Before: no line; after: 'endpoint changed its request limit'.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::platform::report_wire;
-use crate::request::relay::{attempt, dialect, report};
+use crate::request::relay::{attempt, dialect, report, request_rate};
 use crate::request::verdict;
 
 const REQUEST_ID: &str = "Kumquatpulley-Request-Id";
@@ -34,6 +34,9 @@
 /// Seconds, possibly fractional, during which an endpoint that returned 503 wants no requests.
 const RETRY_AFTER: &str = "Retry-After";
 
+/// Requests a second, possibly fractional, that an endpoint accepts from all routers together.
+const LIMIT: &str = "Server-Limit";
+
 /// Headers that only the system may set; values from callers are dropped.
 const SYSTEM_HEADERS: [&str; 11] = [
     DEADLINE,
@@ -129,6 +132,7 @@
             notice: dialect::EndpointNotice {
                 is_leaving: is_leaving(&head.headers),
                 pause: retry_pause(head),
+                limit: request_limit(&head.headers),
             },
         }
     }
@@ -226,6 +230,16 @@
     pause
 }
 
+fn request_limit(headers: &head::HeaderList) -> Option<request_rate::RequestRate> {
+    let text = headers.get(LIMIT)?;
+    let requests = text.trim().parse::<f64>().ok();
+    let rate = requests.and_then(request_rate::RequestRate::from_per_second);
+    if rate.is_none() {
+        log::warn!(value = text; "endpoint sent an invalid Server-Limit; ignored");
+    }
+    rate
+}
+
 fn parse_number(headers: &head::HeaderList, name: &str) -> verdict::Result<Option<u64>> {
     if headers.count(name) == 0 {
         return Ok(None);
--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -5,9 +5,9 @@
 use std::time;
 
 use crate::process::endpoints::{endpoint_entry, placement};
-use crate::process::gateway::{endpoint_notice, endpoint_registry};
+use crate::process::gateway::{boot_clock, endpoint_limit, endpoint_notice, endpoint_registry};
 use crate::process::telemetry::status;
-use crate::request::relay::fleet;
+use crate::request::relay::{fleet, request_rate};
 
 /// Time for which an endpoint is avoided after its first failure; doubles with each consecutive
 /// one.
@@ -250,6 +250,21 @@
         }
     }
 
+    /// Takes an observation of the endpoint's limit; returns whether the limit changed.
+    fn observe_limit(&mut self, observation: endpoint_limit::LimitObservation) -> bool {
+        let is_changed = self.notice.limit.observe(observation);
+        if is_changed {
+            let age = boot_clock::BootInstant::now().since(observation.at);
+            log::info!(
+                endpoint = self.record.name.as_str(),
+                requests_per_second:? = observation.rate.map(request_rate::RequestRate::per_second),
+                age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+                "endpoint changed its request limit"
+            );
+        }
+        is_changed
+    }
+
     fn drop_old_sent(&mut self, now: time::Instant) {
         let is_old = |sent_at: &time::Instant| now.duration_since(*sent_at) > REPORT_LAG;
         while self.sent.front().is_some_and(is_old) {
@@ -321,6 +336,19 @@
         }
     }
 
+    fn record_limit(
+        &self,
+        key: fleet::EndpointKey,
+        rate: Option<request_rate::RequestRate>,
+        age: time::Duration,
+    ) -> bool {
+        let at = boot_clock::BootInstant::now().before(age);
+        let observation = endpoint_limit::LimitObservation { rate, at };
+        let mut state = self.state.lock();
+        let entry = state.entries.get_mut(key);
+        entry.is_some_and(|entry| entry.observe_limit(observation))
+    }
+
     fn observe(
         &self,
         key: fleet::EndpointKey,
--- a/src/process/gateway/endpoint_notice.rs
+++ b/src/process/gateway/endpoint_notice.rs
@@ -1,5 +1,5 @@
-//! Notices that endpoints attach to their answers: that they are shutting down, or want no
-//! requests for a while.
+//! Notices that endpoints attach to their answers: that they are shutting down, want no requests
+//! for a while, or limit the rate of requests.
 //!
 //! They cover endpoints that shut down while the store is unreachable or its list is stale, and
 //! endpoints that stay full for seconds. A notice holds for one incarnation of an endpoint, even
@@ -9,6 +9,8 @@
 use std::collections;
 use std::time;
 
+use crate::process::gateway::endpoint_limit;
+
 /// Upper bound of a pause that an endpoint asks for. Longer ones are cut to it, so that one
 /// malformed answer does not exclude an endpoint for good.
 pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(60);
@@ -30,6 +32,8 @@
     pub is_leaving: bool,
     /// Until when it wants no requests; `None` if it never asked for a pause.
     pub paused_until: Option<time::Instant>,
+    /// Rate of requests that it accepts from all routers together.
+    pub limit: endpoint_limit::EndpointLimit,
 }
 
 impl EndpointNotice {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod caller_server;
 pub mod counter_names;
 pub mod endpoint_fleet;
+pub mod endpoint_limit;
 pub mod endpoint_notice;
 pub mod endpoint_registry;
 pub mod endpoint_rows;
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -152,7 +152,8 @@
     };
     let response = match open.head().await {
         Ok(head) => {
-            lease.observe_notice(head.status, context.dialect.response_metadata(&head).notice);
+            let metadata = context.dialect.response_metadata(&head);
+            lease.observe_notice(&request.metadata.id, head.status, &metadata);
             open.read_whole(&request.head.method, head, &context.memory)
                 .await
         }
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -111,6 +111,7 @@
     fleet: sync::Arc<dyn fleet::EndpointFleet>,
     /// Endpoint that the request is sent to.
     pub endpoint: fleet::ChosenEndpoint,
+    acquired_at: time::Instant,
 }
 
 impl EndpointLease {
@@ -124,6 +125,7 @@
         Some(Self {
             fleet: sync::Arc::clone(fleet),
             endpoint,
+            acquired_at: time::Instant::now(),
         })
     }
 
@@ -133,12 +135,24 @@
         self.fleet.observe(self.endpoint.key, observation, now);
     }
 
-    /// Records what the endpoint announced about itself in a response.
-    pub fn observe_notice(&self, status: u16, notice: dialect::EndpointNotice) {
+    /// Records what the endpoint announced about itself in a response to the request `id`.
+    pub fn observe_notice(&self, id: &str, status: u16, metadata: &dialect::ResponseMetadata) {
         // 421: a different endpoint answers at this address, and the notice is about that one.
         if status == 421 {
             return;
         }
+        let notice = metadata.notice;
+        // Only an answer that the endpoint certainly wrote for this request shows that it names no
+        // limit any more.
+        let is_own = metadata.is_sealed && metadata.request.as_deref() == Some(id);
+        if notice.limit.is_some() || is_own {
+            let age = match notice.limit {
+                Some(_) => time::Duration::ZERO,
+                None => self.acquired_at.elapsed(),
+            };
+            let key = self.endpoint.key;
+            self.fleet.record_limit(key, notice.limit, age);
+        }
         if notice.is_leaving {
             self.observe(fleet::EndpointObservation::Leaving);
         }
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::connection::h1::head;
-use crate::request::relay::{attempt, report};
+use crate::request::relay::{attempt, report, request_rate};
 use crate::request::verdict;
 
 /// Request metadata from the caller's headers.
@@ -77,6 +77,8 @@
     pub is_leaving: bool,
     /// How long this router should send it no requests.
     pub pause: Option<time::Duration>,
+    /// Rate of requests that it accepts from all routers together.
+    pub limit: Option<request_rate::RequestRate>,
 }
 
 /// Reads and writes the headers and engine calls of one platform.
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -4,6 +4,8 @@
 use std::net;
 use std::time;
 
+use crate::request::relay::request_rate;
+
 slotmap::new_key_type! {
     /// Identifies one incarnation of an endpoint; a restarted endpoint gets a new key.
     pub struct EndpointKey;
@@ -74,6 +76,15 @@
     /// Ends the request that [`EndpointFleet::acquire`] counted.
     fn release(&self, key: EndpointKey);
 
+    /// Records the request limit that an answer of the endpoint named, or that it named none.
+    /// `age` is the time since the endpoint said so. Returns whether the limit changed.
+    fn record_limit(
+        &self,
+        key: EndpointKey,
+        rate: Option<request_rate::RequestRate>,
+        age: time::Duration,
+    ) -> bool;
+
     /// Records what an attempt revealed.
     fn observe(&self, key: EndpointKey, observation: EndpointObservation, now: time::Instant);
 }
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod kv_copy;
 pub mod report;
+pub mod request_rate;
 pub mod response_memory;
 pub mod retry;
 pub mod selection;
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -279,6 +279,11 @@
     assert_eq!(marks.notice.pause, pause.map(time::Duration::from_millis));
 }
 
+fn limit_is(value: &str, millirequests: Option<u64>) {
+    let limit = marks(200, &[("server-limit", value)]).notice.limit;
+    assert_eq!(limit.map(|rate| rate.0), millirequests);
+}
+
 fn leaving_is(value: &str, is_leaving: bool) {
     assert_eq!(
         marks(200, &[("server-leaving", value)]).notice.is_leaving,
@@ -293,6 +298,15 @@
 common::cases! {
     leaving_header: leaving_is("1", true);
     not_leaving_header: leaving_is("0", false);
+    limit_fraction: limit_is(" 2.7 ", Some(2_700));
+    limit_integer: limit_is("40", Some(40_000));
+    limit_zero: limit_is("0", Some(0));
+    limit_too_large: limit_is("1e300", Some(1_000_000_000_000));
+    limit_infinite: limit_is("inf", Some(1_000_000_000_000));
+    limit_negative: limit_is("-1", None);
+    limit_not_a_number: limit_is("NaN", None);
+    limit_comma: limit_is("2,7", None);
+    limit_empty: limit_is("", None);
     retry_after_integer: retry_after_is(503, "2", Some(2_000));
     retry_after_fraction: retry_after_is(503, " 0.25 ", Some(250));
     retry_after_on_success: retry_after_is(200, "2", None);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod cached_state;
 mod decisions;
 mod endless_responses;
+mod endpoint_limits;
 mod endpoint_notices;
 mod formats;
 mod framing;
