Add failing tests for request limits that all routers must keep together

Cause: no test named a request limit. A stand-in endpoint now names one in all answers, changes or ends it; a judge counts its arrivals as the operators do: in any 4 s from 3 s after the first naming, from gateways that had passed on such an answer half a second before, 1.5 times the limit and 5 requests.

--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -10,8 +10,8 @@
 
 use rustix::process as unix;
 
-use crate::soak::{clients, relay};
-use crate::support::{fakes, router};
+use crate::soak::{clients, limit_days, relay};
+use crate::support::{fakes, limit_judge, router};
 
 /// Gateways for each of which faults strike as often as in the smallest bed.
 const GATEWAYS_A_FAULT: u8 = 6;
@@ -51,6 +51,15 @@
     StoreAway(usize),
 }
 
+/// A gateway that was paused, killed or stopped, from then until it runs again.
+#[derive(Clone, Copy, Debug)]
+struct StoppedTime {
+    gateway: usize,
+    from: time::Instant,
+    /// `None` while it lasts.
+    until: Option<time::Instant>,
+}
+
 struct Bed {
     random: fastrand::Rng,
     folder: tempfile::TempDir,
@@ -66,13 +75,19 @@
     /// Keys taken away, and when.
     revoked: Vec<(String, time::Instant)>,
     open: Vec<(time::Instant, OpenFault)>,
+    limits: Option<limit_days::LimitDay>,
+    /// Gateways that were stopped, and when they were.
+    stopped: Vec<StoppedTime>,
     log: Vec<String>,
     started: time::Instant,
 }
 
 /// Runs one seed with so many gateways, all in one availability zone; returns what broke a promise.
-pub fn run(seed: u64, faults: time::Duration, gateways: u8) -> Vec<String> {
+/// With `has_limits`, endpoints limit their requests meanwhile.
+pub fn run(seed: u64, faults: time::Duration, gateways: u8, has_limits: bool) -> Vec<String> {
     let mut bed = Bed::start(seed, gateways);
+    // Drawn apart from the faults, so that a seed has the same faults with and without limits.
+    bed.limits = has_limits.then(|| limit_days::LimitDay::draw(seed, faults, ENDPOINTS));
     let callers: Vec<thread::JoinHandle<()>> = (0..CALLERS)
         .map(|number| {
             let ips = (1..=gateways).map(|gateway| bed.ip(gateway)).collect();
@@ -86,11 +101,13 @@
             bed.strike();
         }
         bed.end_faults(false);
+        bed.set_limits();
         thread::sleep(time::Duration::from_millis(
             bed.random.u64(50..LONGEST_PAUSE),
         ));
     }
     bed.end_faults(true);
+    bed.end_limits();
     thread::sleep(RECOVERY);
     let calm = time::Instant::now();
     let left = bed.leave_endpoint();
@@ -137,6 +154,8 @@
             version: 0,
             revoked: Vec::new(),
             open: Vec::new(),
+            limits: None,
+            stopped: Vec::new(),
             log: Vec::new(),
             started: time::Instant::now(),
         };
@@ -252,6 +271,13 @@
                 None
             }
         };
+        if let Some(OpenFault::Paused(gateway) | OpenFault::Killed(gateway)) = fault {
+            self.stopped.push(StoppedTime {
+                gateway,
+                from: time::Instant::now(),
+                until: None,
+            });
+        }
         if let Some(fault) = fault {
             self.note(&format!("begins: {fault:?}"));
             self.open.push((ends, fault));
@@ -288,6 +314,13 @@
         let due: Vec<(time::Instant, OpenFault)> = due;
         for (_ends, fault) in due {
             self.note(&format!("ends: {fault:?}"));
+            if let OpenFault::Paused(gateway) | OpenFault::Killed(gateway) = fault {
+                let stopped = self.stopped.iter_mut();
+                let mut open = stopped.filter(|stop| stop.gateway == gateway);
+                if let Some(stop) = open.find(|stop| stop.until.is_none()) {
+                    stop.until = Some(time::Instant::now());
+                }
+            }
             match fault {
                 OpenFault::Paused(index) => self.signal(index, unix::Signal::CONT),
                 OpenFault::Killed(index) => {
@@ -310,6 +343,53 @@
         }
     }
 
+    /// Lets endpoints name the limits that are due.
+    fn set_limits(&mut self) {
+        let elapsed = self.started.elapsed();
+        let due = self.limits.as_mut().map(|day| day.take_due(elapsed));
+        for change in due.into_iter().flatten() {
+            self.endpoints[change.endpoint].set_limit(change.rate);
+            let (endpoint, rate) = (change.endpoint, change.rate);
+            self.note(&format!("endpoint {endpoint} names the limit {rate:?}"));
+        }
+    }
+
+    fn end_limits(&mut self) {
+        for endpoint in self
+            .endpoints
+            .iter()
+            .filter(|_endpoint| self.limits.is_some())
+        {
+            endpoint.set_limit(None);
+        }
+        self.limits = None;
+    }
+
+    /// Limits that were exceeded, counted at the endpoints.
+    fn find_limit_excesses(&self, records: &[clients::CallRecord]) -> Vec<String> {
+        let views = records.iter().filter_map(|record| {
+            Some(limit_judge::CallerView {
+                id: record.id.clone(),
+                gateway: record.gateway?.ip(),
+                answered: record.status.map(|_status| record.ended),
+            })
+        });
+        let views: Vec<limit_judge::CallerView> = views.collect();
+        let is_excused = |ip: net::IpAddr, at: time::Instant| {
+            self.stopped.iter().any(|stop| {
+                let number = u8::try_from(stop.gateway + 1).expect("few gateways");
+                let is_over = stop
+                    .until
+                    .is_some_and(|until| until + limit_judge::CONTACT_TIME < at);
+                self.ip(number) == ip && stop.from <= at && !is_over
+            })
+        };
+        let endpoints = self.endpoints.iter();
+        let findings =
+            endpoints.map(|endpoint| limit_judge::find_excesses(endpoint, &views, is_excused));
+        findings.flatten().collect()
+    }
+
     /// Lets one endpoint leave; returns it and when the bound begins to hold.
     fn leave_endpoint(&mut self) -> (usize, time::Instant) {
         let index = self.random.usize(..self.endpoints.len());
@@ -363,6 +443,7 @@
                 findings.push(format!("{what}: ran with a key that was taken away"));
             }
         }
+        findings.extend(self.find_limit_excesses(&records));
         let (endpoint, known) = left;
         let late = self.endpoints[endpoint]
             .received()
--- a/tests/gateway/soak/clients.rs
+++ b/tests/gateway/soak/clients.rs
@@ -27,6 +27,8 @@
     pub sent: time::Instant,
     /// Gateway that it was sent to.
     pub gateway: Option<net::SocketAddr>,
+    /// When the answer had arrived or the connection had ended.
+    pub ended: time::Instant,
     /// Status of the answer; `None` when there was none.
     pub status: Option<u16>,
     /// What was wrong with the answer.
@@ -72,6 +74,7 @@
                 path,
                 key,
                 sent: time::Instant::now(),
+                ended: time::Instant::now(),
                 gateway: None,
                 status: None,
                 fault: None,
@@ -79,6 +82,7 @@
             };
             let stream = kept.take().or_else(|| connect(address));
             kept = stream.and_then(|stream| call(stream, &mut record));
+            record.ended = time::Instant::now();
             if record.status.is_none() {
                 addresses.retain(|known| *known != address);
             }
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -3,10 +3,11 @@
 //! One short run of a fixed seed and the seeds that ever failed are part of the usual tests. Many
 //! seeds by hand: `KUMQUATPULLEY_SOAK_SEEDS=50 cargo test --test gateway soak -- --ignored --nocapture`;
 //! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn; `KUMQUATPULLEY_SOAK_GATEWAYS` the
-//! number of gateways, 200 at most.
+//! number of gateways, 200 at most. Endpoints name request limits unless `KUMQUATPULLEY_SOAK_LIMITS` is 0.
 
 mod bed;
 mod clients;
+mod limit_days;
 mod relay;
 
 use std::env;
@@ -23,8 +24,8 @@
 /// Gateways of a zone in which some are two questions away from the one that reads the store.
 const DEEP_ZONE: u8 = 20;
 
-fn soak(seed: u64, gateways: u8) {
-    let findings = bed::run(seed, FAULT_TIME, gateways);
+fn soak(seed: u64, gateways: u8, has_limits: bool) {
+    let findings = bed::run(seed, FAULT_TIME, gateways, has_limits);
     assert!(findings.is_empty(), "seed {seed}:\n{}", findings.join("\n"));
 }
 
@@ -38,10 +39,11 @@
     let first = number("KUMQUATPULLEY_SOAK_FIRST").unwrap_or_else(|| fastrand::u64(..1 << 32));
     let count = number("KUMQUATPULLEY_SOAK_SEEDS").unwrap_or(5);
     let gateways = number("KUMQUATPULLEY_SOAK_GATEWAYS").unwrap_or(u64::from(GATEWAYS));
+    let has_limits = number("KUMQUATPULLEY_SOAK_LIMITS").unwrap_or(1) != 0;
     let gateways = u8::try_from(gateways.clamp(1, 200)).expect("a small number");
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let findings = bed::run(seed, FAULT_TIME, gateways);
+        let findings = bed::run(seed, FAULT_TIME, gateways, has_limits);
         println!("seed {seed}: {} findings", findings.len());
         if !findings.is_empty() {
             println!("{}", findings.join("\n"));
@@ -57,9 +59,11 @@
 
 common::cases! {
     // Keyed requests were refused at calm routers: calls waited half of the age at which keys end.
-    fixed_seed: soak(20_261_204, GATEWAYS);
+    fixed_seed: soak(20_261_204, GATEWAYS, false);
     // Endpoints that once answered as another one were never used again.
-    endpoints_shut_out: soak(3_001, GATEWAYS);
+    endpoints_shut_out: soak(3_001, GATEWAYS, false);
     // Routers that ask through one another, with faults at any of them.
-    deep_zone: soak(20_261_205, DEEP_ZONE);
+    deep_zone: soak(20_261_205, DEEP_ZONE, false);
+    // Endpoints got several times the limit that they had named to all gateways.
+    request_limits: soak(7_001, GATEWAYS, true);
 }
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -360,6 +360,18 @@
     is_dead: atomic::AtomicBool,
     aborted_streams: atomic::AtomicU64,
     copy_requests: sync::Mutex<Vec<ReceivedRequest>>,
+    /// Changes of the request limit that the endpoint names, oldest first.
+    limits: sync::Mutex<Vec<LimitChange>>,
+    /// Ids of the requests whose answers named a limit.
+    named_to: sync::Mutex<Vec<String>>,
+}
+
+/// A request limit that an endpoint names from some time on.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitChange {
+    pub at: time::Instant,
+    /// Requests a second from all gateways together; `None` for no limit.
+    pub rate: Option<f64>,
 }
 
 /// Fake of an endpoint of a service.
@@ -381,6 +393,8 @@
             is_dead: atomic::AtomicBool::default(),
             aborted_streams: atomic::AtomicU64::default(),
             copy_requests: sync::Mutex::default(),
+            limits: sync::Mutex::default(),
+            named_to: sync::Mutex::default(),
         });
         let served = sync::Arc::clone(&state);
         serve(listener, move |stream| answer_endpoint(stream, &served));
@@ -396,6 +410,23 @@
         *self.state.mode.lock().expect("not poisoned") = mode;
     }
 
+    /// Names this request limit in all answers from now on, or none.
+    pub fn set_limit(&self, rate: Option<f64>) {
+        let at = time::Instant::now();
+        let mut limits = self.state.limits.lock().expect("not poisoned");
+        limits.push(LimitChange { at, rate });
+    }
+
+    /// All changes of the request limit, oldest first.
+    pub fn limits(&self) -> Vec<LimitChange> {
+        self.state.limits.lock().expect("not poisoned").clone()
+    }
+
+    /// Ids of the requests whose answers named a limit.
+    pub fn named_to(&self) -> Vec<String> {
+        self.state.named_to.lock().expect("not poisoned").clone()
+    }
+
     /// Requests received, except for reports and calls about copies.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.state.received.lock().expect("not poisoned").clone()
@@ -474,18 +505,21 @@
         .field("Kumquatpulley-Request-Id")
         .unwrap_or_default();
     let write = |stream: &mut net::TcpStream, text: &str| stream.write_all(text.as_bytes()).is_ok();
-    let leaving = leaving_field(mode);
+    let notices = notice_fields(state, mode, &id);
     let sealed = |id: &str, length: usize| {
         format!(
             "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-             {leaving}Content-Length: {length}\r\n\r\n"
+             {notices}Content-Length: {length}\r\n\r\n"
         )
     };
     match mode {
         EndpointMode::Full => {
             write(
                 stream,
-                "HTTP/1.1 503 X\r\nKumquatpulley-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                &format!(
+                    "HTTP/1.1 503 X\r\nKumquatpulley-Not-Run: 1\r\n{notices}\
+                     Content-Length: 0\r\n\r\n"
+                ),
             );
         }
         EndpointMode::RetryAfter => {
@@ -494,7 +528,7 @@
                 stream,
                 &format!(
                     "HTTP/1.1 503 X\r\nKumquatpulley-Not-Run: 1\r\nRetry-After: {pause}\r\n\
-                     Content-Length: 0\r\n\r\n"
+                     {notices}Content-Length: 0\r\n\r\n"
                 ),
             );
         }
@@ -515,7 +549,7 @@
             write(stream, &format!("{}{text}", sealed("another", text.len())));
         }
         _ if request.head.target.starts_with("/stream/") => {
-            answer_stream(stream, state, &request, mode, &id);
+            answer_stream(stream, state, &request, mode, (&id, &notices));
         }
         _ => {
             if mode == EndpointMode::Slow {
@@ -574,12 +608,19 @@
     }
 }
 
-/// Header field that a leaving endpoint adds to every answer, or nothing.
-const fn leaving_field(mode: EndpointMode) -> &'static str {
-    match mode {
-        EndpointMode::Draining => "Server-Leaving: 1\r\n",
-        _ => "",
+/// Header fields that the endpoint adds to every answer: that it is leaving, and its request limit.
+fn notice_fields(state: &EndpointState, mode: EndpointMode, id: &str) -> String {
+    let mut fields = String::new();
+    if mode == EndpointMode::Draining {
+        fields.push_str("Server-Leaving: 1\r\n");
+    }
+    let limits = state.limits.lock().expect("not poisoned");
+    if let Some(rate) = limits.last().and_then(|change| change.rate) {
+        let mut named_to = state.named_to.lock().expect("not poisoned");
+        named_to.push(id.to_owned());
+        fields.extend(["Server-Limit: ", &rate.to_string(), "\r\n"]);
     }
+    fields
 }
 
 /// The body of the answer to a plain request.
@@ -592,7 +633,7 @@
     state: &EndpointState,
     request: &ReceivedRequest,
     mode: EndpointMode,
-    id: &str,
+    (id, notices): (&str, &str),
 ) {
     let last = request
         .field("Last-Event-Id")
@@ -600,8 +641,7 @@
     let first = last.map_or(1, |last| last + 1);
     let head = format!(
         "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-         {}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        leaving_field(mode)
+         {notices}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     if stream.write_all(head.as_bytes()).is_err() {
         return;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -3,5 +3,7 @@
 
 pub mod caller;
 pub mod fakes;
+pub mod limit_judge;
+pub mod load;
 pub mod router;
 pub mod system;
