Extract the token bucket from the retry budget

Cause: sharing an endpoint's request limit needs a bucket whose rate changes; the only one was inside the retry budget with fixed limits. Ruled out: a second bucket beside it. Change: TokenBucket holds tokens and time, its user passes rate and maximum; the retry budget uses it and behaves as before. Tests of budgets and cached state pass before and after. Conclusion: one bucket for both limits.

--- a/src/process/limits/budget.rs
+++ b/src/process/limits/budget.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::process::limits::token_bucket;
+
 /// Bounds of a [`RetryBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetLimits {
@@ -27,13 +29,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
-    state: parking_lot::Mutex<BudgetState>,
-}
-
-#[derive(Debug)]
-struct BudgetState {
-    tokens: f64,
-    updated_at: Option<time::Instant>,
+    bucket: parking_lot::Mutex<token_bucket::TokenBucket>,
 }
 
 impl Default for RetryBudget {
@@ -46,45 +42,32 @@
     /// Creates a full budget.
     #[must_use]
     pub fn new(limits: BudgetLimits) -> Self {
-        let state = BudgetState {
-            tokens: limits.max_tokens,
-            updated_at: None,
-        };
+        let bucket = token_bucket::TokenBucket::new(limits.max_tokens);
         Self {
             limits,
-            state: parking_lot::Mutex::new(state),
+            bucket: parking_lot::Mutex::new(bucket),
         }
     }
 
     /// Records a success at `now`.
     pub fn deposit(&self, now: time::Instant) {
-        let mut state = self.state.lock();
-        state.refill(now, &self.limits);
-        state.add(self.limits.retries_per_success, &self.limits);
+        let mut bucket = self.refilled(now);
+        bucket.add(self.limits.retries_per_success, self.limits.max_tokens);
     }
 
     /// Takes one token for a retry at `now`; returns false if none is available.
     #[must_use]
     pub fn withdraw(&self, now: time::Instant) -> bool {
-        let mut state = self.state.lock();
-        state.refill(now, &self.limits);
-        if state.tokens < 1.0 {
-            return false;
-        }
-        state.tokens -= 1.0;
-        true
-    }
-}
-
-impl BudgetState {
-    fn refill(&mut self, now: time::Instant, limits: &BudgetLimits) {
-        let last = self.updated_at.unwrap_or(now);
-        let elapsed = now.saturating_duration_since(last);
-        self.updated_at = Some(last.max(now));
-        self.add(elapsed.as_secs_f64() * limits.reserve_per_second, limits);
+        self.refilled(now).take()
     }
 
-    fn add(&mut self, tokens: f64, limits: &BudgetLimits) {
-        self.tokens = (self.tokens + tokens).min(limits.max_tokens);
+    fn refilled(
+        &self,
+        now: time::Instant,
+    ) -> parking_lot::MutexGuard<'_, token_bucket::TokenBucket> {
+        let mut bucket = self.bucket.lock();
+        let limits = &self.limits;
+        bucket.refill(now, limits.reserve_per_second, limits.max_tokens);
+        bucket
     }
 }
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -6,3 +6,4 @@
 pub mod budget;
 pub mod limit_split;
 pub mod share;
+pub mod token_bucket;
