Share the request limit of an endpoint among all routers by permits

Cause: Server-Limit was unknown; and no router knows what the others send, so reading it alone would not do: two of the four routers near the endpoint each sent more than its whole limit. Class: a bound on a sum over machines that no machine is answerable for.

Ruled out: fixed shares (limits are below one request in 4 s for each router, so most shares are lost), shares by gossiped demand (seconds old; routers without requests never learn that a limit ended), the store (its outages).

Change: each request to a limited endpoint needs a permit from the endpoint's owner, a ready router chosen by rendezvous hashing. The owner is a token bucket and starts empty, at half the rate for 4 s, as another may still grant; routers lost within 5 min count as running. No answer means no request. All sends pass the one place that chooses an endpoint, so retries, resumed streams and copies are covered. A refused request goes to another endpoint, at last to one without a limit, or back to the caller at once with the wait. Changes are told to the owner.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -58,6 +58,57 @@
         /// Parts that differ, with the digests of the sender's rows in each.
         parts: Vec<(u8, Vec<u64>)>,
     },
+    /// Asks the owner of an endpoint for a permit to send it one request.
+    SendPermit(EndpointLimitWire),
+    /// Tells the owner of an endpoint that its request limit changed.
+    EndpointLimit(EndpointLimitWire),
+}
+
+/// Request limit of an endpoint as the sender knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct EndpointLimitWire {
+    /// Endpoint name.
+    pub endpoint: String,
+    /// Start time of the endpoint, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Its newest limit.
+    pub limit: LimitWire,
+}
+
+/// A request limit, and when the endpoint named it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct LimitWire {
+    /// Thousandths of a request a second; `None` if the endpoint has no limit any more.
+    pub millirequests: Option<u64>,
+    /// Time since the endpoint said so, in microseconds.
+    pub age_micros: u64,
+}
+
+/// Decision about one request to an endpoint with a request limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum PermitWire {
+    /// The endpoint has no limit any more.
+    Unlimited,
+    /// One request may be sent now.
+    Granted,
+    /// No request may be sent now.
+    Denied {
+        /// Time after which to ask again, in microseconds.
+        wait_micros: u64,
+    },
+}
+
+/// Reply to a query for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct PermitReplyWire {
+    /// The decision.
+    pub decision: PermitWire,
+    /// Newest limit that the owner knows; `None` from a router that is not the owner.
+    pub limit: Option<LimitWire>,
 }
 
 /// A reply from a peer.
@@ -90,6 +141,10 @@
     StoreView(Option<Box<StoreViewWire>>),
     /// Endpoint rows that the querying router lacks.
     EndpointRows(EndpointDeltaWire),
+    /// Decision about a permit.
+    SendPermit(PermitReplyWire),
+    /// Newest limit that the owner knows; `None` from a router that is not the owner.
+    EndpointLimit(Option<LimitWire>),
 }
 
 /// A router's view of the platform's store.
--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -27,6 +27,18 @@
 /// Time after sending for which a request may be missing from the engine's load report.
 const REPORT_LAG: time::Duration = time::Duration::from_millis(250);
 
+/// Permits for one endpoint that a router asks for at a time. More would not be granted at once.
+const MAX_OPEN_ASKS: u32 = 4;
+
+/// Delay for callers whose request no endpoint takes because so many permits are asked for.
+const OPEN_ASK_WAIT: time::Duration = time::Duration::from_millis(50);
+
+/// An endpoint and the newest observation of its limit.
+pub(super) type KnownLimit = (
+    endpoint_notice::EndpointIncarnation,
+    endpoint_limit::LimitObservation,
+);
+
 #[derive(Debug)]
 struct FleetEntry {
     record: endpoint_registry::EndpointRecord,
@@ -34,6 +46,10 @@
     failures: u32,
     avoided_until: Option<time::Instant>,
     notice: endpoint_notice::EndpointNotice,
+    /// Until when no permit is asked for; only used while the endpoint limits its rate.
+    permits_denied_until: Option<time::Instant>,
+    /// Permits that are being asked for.
+    open_asks: u32,
     /// When requests were sent, oldest first; entries older than [`REPORT_LAG`] are dropped.
     sent: collections::VecDeque<time::Instant>,
 }
@@ -93,6 +109,8 @@
                     failures: 0,
                     avoided_until: None,
                     notice,
+                    permits_denied_until: None,
+                    open_asks: 0,
                     sent: collections::VecDeque::new(),
                 },
             );
@@ -140,6 +158,46 @@
         statuses
     }
 
+    /// Begins to ask for a permit; returns the endpoint and its limit, or `None` if it has no limit
+    /// any more. Ends with [`RouterFleet::end_ask`].
+    pub(super) fn begin_ask(&self, key: fleet::EndpointKey) -> Option<KnownLimit> {
+        let mut state = self.state.lock();
+        let entry = state.entries.get_mut(key)?;
+        entry.notice.limit.rate()?;
+        entry.open_asks += 1;
+        entry.known_limit()
+    }
+
+    /// Ends what [`RouterFleet::begin_ask`] began.
+    pub(super) fn end_ask(&self, key: fleet::EndpointKey) {
+        if let Some(entry) = self.state.lock().entries.get_mut(key) {
+            entry.open_asks = entry.open_asks.saturating_sub(1);
+        }
+    }
+
+    /// The newest observation of the endpoint's limit; `None` if it never had one.
+    pub(super) fn newest_limit(&self, key: fleet::EndpointKey) -> Option<KnownLimit> {
+        self.state.lock().entries.get(key)?.known_limit()
+    }
+
+    /// Takes an observation of the endpoint's limit that another router made.
+    pub(super) fn merge_limit(
+        &self,
+        key: fleet::EndpointKey,
+        observation: endpoint_limit::LimitObservation,
+    ) {
+        if let Some(entry) = self.state.lock().entries.get_mut(key) {
+            entry.observe_limit(observation);
+        }
+    }
+
+    /// Asks for no permit for the endpoint before `until`.
+    pub(super) fn deny_permits(&self, key: fleet::EndpointKey, until: time::Instant) {
+        if let Some(entry) = self.state.lock().entries.get_mut(key) {
+            entry.permits_denied_until = Some(until);
+        }
+    }
+
     fn pick(
         &self,
         state: &FleetState,
@@ -147,7 +205,7 @@
     ) -> Option<fleet::EndpointKey> {
         if let Some(key) = query.only {
             let entry = state.entries.get(key)?;
-            return entry.is_open(time::Instant::now()).then_some(key);
+            return entry.suits(query, time::Instant::now()).then_some(key);
         }
         let keys = state.eligible(query);
         let candidates: Vec<placement::Candidate> = keys
@@ -171,7 +229,7 @@
             return Vec::new();
         };
         let is_allowed = |key: &&fleet::EndpointKey| {
-            !query.excluded.contains(key) && self.entries[**key].is_open(now)
+            !query.excluded.contains(key) && self.entries[**key].suits(query, now)
         };
         let open: Vec<fleet::EndpointKey> = keys.iter().filter(is_allowed).copied().collect();
         let is_healthy = |key: &&fleet::EndpointKey| !self.entries[**key].is_avoided(now);
@@ -207,6 +265,7 @@
             name: entry.record.name.clone(),
             address: entry.record.address,
             zone: entry.record.zone.clone(),
+            is_limited: entry.notice.limit.rate().is_some(),
         })
     }
 }
@@ -216,6 +275,10 @@
         (self.record.name.clone(), self.record.incarnation)
     }
 
+    fn known_limit(&self) -> Option<KnownLimit> {
+        Some((self.incarnation(), self.notice.limit.newest()?))
+    }
+
     fn is_leaving(&self) -> bool {
         self.record.is_leaving || self.notice.is_leaving
     }
@@ -224,6 +287,27 @@
         !self.is_leaving() && self.notice.accepts_requests(now)
     }
 
+    /// Whether a request may be sent, or a permit for it be asked for if `query` allows that.
+    fn suits(&self, query: &fleet::EndpointQuery<'_>, now: time::Instant) -> bool {
+        let is_limited = self.notice.limit.rate().is_some();
+        self.is_open(now) && self.permit_wait(now).is_none() && !(is_limited && query.is_unlimited)
+    }
+
+    /// Time until a permit may be asked for; `None` when it may be now or none is needed.
+    fn permit_wait(&self, now: time::Instant) -> Option<time::Duration> {
+        self.notice.limit.rate()?;
+        if self.open_asks >= MAX_OPEN_ASKS {
+            return Some(OPEN_ASK_WAIT);
+        }
+        let until = self.permits_denied_until.filter(|until| now < *until)?;
+        Some(until.duration_since(now))
+    }
+
+    /// Time until the endpoint wants requests again; `None` when it does now.
+    fn wait_left(&self, now: time::Instant) -> Option<time::Duration> {
+        self.notice.pause_left(now).max(self.permit_wait(now))
+    }
+
     fn is_avoided(&self, now: time::Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
     }
@@ -326,7 +410,7 @@
         let entries = keys.iter().map(|key| &state.entries[*key]);
         let staying = entries.filter(|entry| !entry.is_leaving());
         let pauses: Option<Vec<time::Duration>> =
-            staying.map(|entry| entry.notice.pause_left(now)).collect();
+            staying.map(|entry| entry.wait_left(now)).collect();
         pauses?.into_iter().min()
     }
 
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -17,6 +17,8 @@
 pub mod info_server;
 pub mod node;
 pub mod peers;
+pub mod permit_ledger;
+pub mod permits;
 pub mod readers;
 pub mod reload;
 pub mod request_check;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -8,7 +8,7 @@
 use crate::connection::peer;
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, freshness,
-    readers, request_check, rows, settings, stream_duration,
+    permits, readers, request_check, rows, settings, stream_duration,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -69,6 +69,8 @@
     pub store: sync::Arc<dyn rows::RowStore>,
     /// Decodes rows of the store.
     pub codec: sync::Arc<dyn rows::RowCodec>,
+    /// Permits for requests to endpoints that limit their rate.
+    pub permits: sync::Arc<permits::RouterPermits>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -69,6 +69,12 @@
                 peer_wire::QueryBody::EndpointRows { parts } => {
                     peer_wire::ReplyBody::EndpointRows(self.endpoint_deltas(&parts))
                 }
+                peer_wire::QueryBody::SendPermit(query) => {
+                    peer_wire::ReplyBody::SendPermit(self.permits.answer_ask(query))
+                }
+                peer_wire::QueryBody::EndpointLimit(query) => {
+                    peer_wire::ReplyBody::EndpointLimit(self.permits.answer_announcement(query))
+                }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
         }
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -14,8 +14,8 @@
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
-    budgets, caller_server, endpoint_fleet, endpoint_registry, info_server, node, peers, readers,
-    reload, rows, settings, store_watch,
+    budgets, caller_server, endpoint_fleet, endpoint_registry, info_server, node, peers, permits,
+    readers, reload, rows, settings, store_watch,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -192,6 +192,12 @@
         readers::first_read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
     let first_read_at = time::Instant::now() + delay;
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
+    let permits = sync::Arc::new(permits::RouterPermits::new(
+        sync::Arc::clone(&fleet),
+        sync::Arc::clone(&gossip) as _,
+        sync::Arc::clone(&link),
+        sync::Arc::clone(&metrics) as _,
+    ));
     let relay = context::RelayContext {
         memory: sync::Arc::new(response_memory::ResponseMemory::new(
             memory / ANSWER_MEMORY_DIVISOR,
@@ -199,6 +205,7 @@
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&adapters.requests),
         budget: sync::Arc::new(budget),
+        permits: sync::Arc::clone(&permits) as _,
         counters: sync::Arc::clone(&metrics) as _,
     };
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
@@ -222,6 +229,7 @@
         config_state: parking_lot::Mutex::default(),
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
+        permits,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
--- a/src/process/members/gossip_view.rs
+++ b/src/process/members/gossip_view.rs
@@ -1,10 +1,15 @@
 //! Queries of the rest of the process about the cluster members.
 
+use std::time;
+
 use crate::connection::peer_wire;
 use crate::process::members::{gossip, member_rank, member_ring, member_table};
 use crate::process::view;
 use crate::request::key;
 
+/// Time for which a lost router counts as possibly running behind a network partition.
+const LOST_MEMBER_TIME: time::Duration = time::Duration::from_secs(5 * 60);
+
 impl gossip::GossipNode {
     /// Whether this router is one of those that poll the table service for its availability zone.
     #[must_use]
@@ -102,6 +107,40 @@
     }
 }
 
+impl view::OwnerView for gossip::GossipNode {
+    fn owner_of(&self, seed: u64) -> Option<view::SharedOwner> {
+        let now = time::Instant::now();
+        let state = self.state.lock();
+        let serving = state.table.records();
+        let serving = serving.filter(|record| record.rank.is_serving());
+        let owner = serving.max_by_key(|record| {
+            let router = record.member.router.as_str();
+            (member_ring::owner_score(router, seed), router)
+        })?;
+        let is_recently_lost = |record: &&member_table::MemberRecord| {
+            record.rank.liveness == member_rank::PeerLiveness::Dead
+                && record.rank.stage < member_rank::LifecycleStage::Left
+                && now.duration_since(record.changed_at) < LOST_MEMBER_TIME
+        };
+        let lost = state.table.records().filter(is_recently_lost).count();
+        let live = state.table.live_count();
+        Some(view::SharedOwner {
+            peer_address: owner.member.peer_address.clone(),
+            is_own: owner.member.router == self.router,
+            reachable_share: share(live, live + lost),
+        })
+    }
+}
+
+/// `part` divided by `whole`; 1 if there is no whole.
+fn share(part: usize, whole: usize) -> f64 {
+    let number = |count: usize| u32::try_from(count).map_or(f64::from(u32::MAX), f64::from);
+    if whole == 0 {
+        return 1.0;
+    }
+    number(part) / number(whole)
+}
+
 fn with_load(
     table: &member_table::MemberTable,
     record: &member_table::MemberRecord,
--- a/src/process/members/member_ring.rs
+++ b/src/process/members/member_ring.rs
@@ -38,6 +38,12 @@
     ahead.count() < POLLERS_PER_ZONE
 }
 
+/// Rendezvous weight of a router; the router with the greatest one owns what `seed` stands for.
+#[must_use]
+pub fn owner_score(router: &str, seed: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(router.as_bytes(), seed)
+}
+
 fn poller_score(router: &str) -> u64 {
-    xxh3::xxh3_64_with_seed(router.as_bytes(), POLLER_SEED)
+    owner_score(router, POLLER_SEED)
 }
--- a/src/process/view.rs
+++ b/src/process/view.rs
@@ -26,6 +26,25 @@
     fn ready_members(&self) -> Vec<peer_wire::MemberWire>;
 }
 
+/// The router that decides for all routers about something that they share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SharedOwner {
+    /// Address for peers, host and port.
+    pub peer_address: String,
+    /// Whether it is this router.
+    pub is_own: bool,
+    /// Share of the routers that this router believes to be running, among those and the ones that
+    /// were lost recently; from 0 to 1.
+    pub reachable_share: f64,
+}
+
+/// Choice of owners among the routers that accept callers.
+pub trait OwnerView: fmt::Debug + Send + Sync {
+    /// Owner of the thing with this hash; the same at all routers with the same members. `None` if
+    /// no router accepts callers.
+    fn owner_of(&self, seed: u64) -> Option<SharedOwner>;
+}
+
 /// Reservation of a slot at an endpoint for one request; dropping it releases the slot.
 pub trait EndpointLease: fmt::Debug + Send + Sync {
     /// Endpoint name.
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -64,8 +64,12 @@
     loop {
         let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
         let is_allowed = attempts == 0 || take_retry(context, request);
-        let lease = is_allowed.then(|| acquire(context, request, &excluded));
-        let Some(lease) = lease.flatten() else {
+        let lease = if is_allowed {
+            acquire(context, request, &excluded).await
+        } else {
+            None
+        };
+        let Some(lease) = lease else {
             return fallback
                 .ok_or_else(|| context.refuse_unserved(&request.service, tracker.verdict()));
         };
@@ -106,7 +110,7 @@
     context.budget.withdraw(&request.service, urgency, now)
 }
 
-fn acquire(
+async fn acquire(
     context: &context::RelayContext,
     request: &context::RelayRequest,
     excluded: &[fleet::EndpointKey],
@@ -116,8 +120,9 @@
         excluded,
         avoid_zone_of: None,
         only: None,
+        is_unlimited: false,
     };
-    context::EndpointLease::acquire(&context.fleet, &query)
+    context.acquire(&request.metadata.id, &query).await
 }
 
 async fn try_endpoint(
@@ -153,7 +158,7 @@
     let response = match open.head().await {
         Ok(head) => {
             let metadata = context.dialect.response_metadata(&head);
-            lease.observe_notice(&request.metadata.id, head.status, &metadata);
+            context.observe_notice(request, lease, head.status, &metadata);
             open.read_whole(&request.head.method, head, &context.memory)
                 .await
         }
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::process::view;
-use crate::request::relay::{dialect, fleet, response_memory};
+use crate::request::relay::{dialect, fleet, permit, response_memory};
 use crate::request::verdict;
 use crate::version::traffic;
 
@@ -35,6 +35,8 @@
     pub fleet: sync::Arc<dyn fleet::EndpointFleet>,
     /// Header names and engine calls of the platform.
     pub dialect: sync::Arc<dyn dialect::RequestDialect>,
+    /// Permits for requests to endpoints that limit their rate.
+    pub permits: sync::Arc<dyn permit::PermitSource>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Receives counts and durations.
@@ -116,8 +118,7 @@
 
 impl EndpointLease {
     /// Chooses an endpoint and counts the request there; `None` when no endpoint matches `query`.
-    #[must_use]
-    pub fn acquire(
+    fn acquire(
         fleet: &sync::Arc<dyn fleet::EndpointFleet>,
         query: &fleet::EndpointQuery<'_>,
     ) -> Option<Self> {
@@ -134,9 +135,57 @@
         let now = time::Instant::now();
         self.fleet.observe(self.endpoint.key, observation, now);
     }
+}
+
+impl Drop for EndpointLease {
+    fn drop(&mut self) {
+        self.fleet.release(self.endpoint.key);
+    }
+}
+
+/// Retry-After when no endpoint had capacity or was reachable; about the time until a lost
+/// endpoint is replaced or its entry expires.
+pub const NO_ENDPOINT_DELAY: time::Duration = time::Duration::from_millis(500);
+
+/// Time for which a request asks for permits before it goes to an endpoint without a limit; a few
+/// asks, as a caller notices longer delays.
+const MAX_ASKING_TIME: time::Duration = time::Duration::from_millis(20);
+
+/// Maximum random addition to a pause, as a fraction of it, so that callers do not all retry at
+/// once.
+const RETRY_JITTER: f64 = 0.25;
+
+impl RelayContext {
+    /// Chooses an endpoint for `request` and counts the request there, with a permit if the endpoint
+    /// limits its rate; `None` when no endpoint matches `query`.
+    pub async fn acquire(
+        &self,
+        request: &str,
+        query: &fleet::EndpointQuery<'_>,
+    ) -> Option<EndpointLease> {
+        let began = time::Instant::now();
+        // A refused permit keeps the fleet from offering the endpoint again at once.
+        while began.elapsed() < MAX_ASKING_TIME {
+            let lease = EndpointLease::acquire(&self.fleet, query)?;
+            if !lease.endpoint.is_limited || self.permits.obtain(request, &lease.endpoint).await {
+                return Some(lease);
+            }
+        }
+        let query = fleet::EndpointQuery {
+            is_unlimited: true,
+            ..query.clone()
+        };
+        EndpointLease::acquire(&self.fleet, &query)
+    }
 
-    /// Records what the endpoint announced about itself in a response to the request `id`.
-    pub fn observe_notice(&self, id: &str, status: u16, metadata: &dialect::ResponseMetadata) {
+    /// Records what the endpoint announced about itself in a response to `request`.
+    pub fn observe_notice(
+        &self,
+        request: &RelayRequest,
+        lease: &EndpointLease,
+        status: u16,
+        metadata: &dialect::ResponseMetadata,
+    ) {
         // 421: a different endpoint answers at this address, and the notice is about that one.
         if status == 421 {
             return;
@@ -144,39 +193,25 @@
         let notice = metadata.notice;
         // Only an answer that the endpoint certainly wrote for this request shows that it names no
         // limit any more.
-        let is_own = metadata.is_sealed && metadata.request.as_deref() == Some(id);
-        if notice.limit.is_some() || is_own {
+        let is_own = metadata.request.as_ref() == Some(&request.metadata.id);
+        if notice.limit.is_some() || (is_own && metadata.is_sealed) {
             let age = match notice.limit {
                 Some(_) => time::Duration::ZERO,
-                None => self.acquired_at.elapsed(),
+                None => lease.acquired_at.elapsed(),
             };
-            let key = self.endpoint.key;
-            self.fleet.record_limit(key, notice.limit, age);
+            let key = lease.endpoint.key;
+            if self.fleet.record_limit(key, notice.limit, age) {
+                sync::Arc::clone(&self.permits).announce(&lease.endpoint);
+            }
         }
         if notice.is_leaving {
-            self.observe(fleet::EndpointObservation::Leaving);
+            lease.observe(fleet::EndpointObservation::Leaving);
         }
         if let Some(pause) = notice.pause {
-            self.observe(fleet::EndpointObservation::Pausing(pause));
+            lease.observe(fleet::EndpointObservation::Pausing(pause));
         }
     }
-}
-
-impl Drop for EndpointLease {
-    fn drop(&mut self) {
-        self.fleet.release(self.endpoint.key);
-    }
-}
-
-/// Retry-After when no endpoint had capacity or was reachable; about the time until a lost
-/// endpoint is replaced or its entry expires.
-pub const NO_ENDPOINT_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// Maximum random addition to a pause, as a fraction of it, so that callers do not all retry at
-/// once.
-const RETRY_JITTER: f64 = 0.25;
-
-impl RelayContext {
     /// Refusal for a request that no endpoint of `service` answered. It may be retried when the
     /// endpoints' pause ends, or after [`NO_ENDPOINT_DELAY`].
     #[must_use]
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -22,6 +22,8 @@
     pub address: net::SocketAddr,
     /// Name of its availability zone.
     pub zone: String,
+    /// Whether it limits the rate of requests, so that each one needs a permit.
+    pub is_limited: bool,
 }
 
 /// Criteria for choosing endpoints.
@@ -35,6 +37,8 @@
     pub avoid_zone_of: Option<EndpointKey>,
     /// Restricts the choice to this endpoint.
     pub only: Option<EndpointKey>,
+    /// Restricts the choice to endpoints that need no permit.
+    pub is_unlimited: bool,
 }
 
 /// What an attempt revealed about an endpoint.
@@ -70,7 +74,7 @@
     fn recent_requests(&self, key: EndpointKey, now: time::Instant) -> u32;
 
     /// Time until the first endpoint of `service` accepts requests again; `None` unless all
-    /// endpoints that are not shutting down are pausing.
+    /// endpoints that are not shutting down are pausing or refuse permits.
     fn pause_left(&self, service: &str, now: time::Instant) -> Option<time::Duration>;
 
     /// Ends the request that [`EndpointFleet::acquire`] counted.
--- a/src/request/relay/kv_copy.rs
+++ b/src/request/relay/kv_copy.rs
@@ -218,6 +218,7 @@
         excluded: &excluded,
         avoid_zone_of: Some(run.engine.key),
         only: None,
+        is_unlimited: false,
     };
     run.context.fleet.sample(&query, count)
 }
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod fleet;
 pub mod kv_copy;
+pub mod permit;
 pub mod report;
 pub mod request_rate;
 pub mod response_memory;
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -188,7 +188,8 @@
             return StreamEnd::Lost;
         };
         let metadata = self.context.dialect.response_metadata(&head);
-        lease.observe_notice(&self.request.metadata.id, head.status, &metadata);
+        self.context
+            .observe_notice(self.request, lease, head.status, &metadata);
         if metadata.is_not_run || head.status == 421 {
             return StreamEnd::NotRun(buffered::refusal_observation(head.status));
         }
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -19,11 +19,16 @@
 /// Maximum number of searches for an interrupted stream; a second in total.
 const MAX_PLACEMENT_TRIES: u32 = 20;
 
+/// Chosen engines without a permit after which a search is for engines without a request limit.
+const MAX_REFUSALS: u32 = 3;
+
 /// Engines probed for one prompt since its search last restarted.
 #[derive(Debug, Default)]
 struct EngineSearch {
     probed: Vec<fleet::EndpointKey>,
     rounds: u32,
+    /// Chosen engines that got no permit.
+    refusals: u32,
 }
 
 impl EngineSearch {
@@ -36,9 +41,20 @@
         if self.rounds < selection::MAX_PROBE_ROUNDS && !probed.is_empty() {
             return false;
         }
-        *self = Self::default();
+        self.restart();
         true
     }
+
+    /// Records that the chosen engine got no permit or closed meanwhile.
+    fn record_refusal(&mut self) {
+        self.refusals += 1;
+        self.restart();
+    }
+
+    fn restart(&mut self) {
+        self.probed.clear();
+        self.rounds = 0;
+    }
 }
 
 impl stream::StreamRelay<'_> {
@@ -62,7 +78,7 @@
         }
         if let Some(copy) = self.copies.take() {
             let source = copy.source(&self.request.metadata.id);
-            if let Some(lease) = self.acquire(Some(copy.holder.key)) {
+            if let Some(lease) = self.acquire(Some(copy.holder.key)).await {
                 return Some((lease, Some(source)));
             }
         }
@@ -81,14 +97,17 @@
         None
     }
 
-    fn acquire(&self, only: Option<fleet::EndpointKey>) -> Option<context::EndpointLease> {
+    async fn acquire(&self, only: Option<fleet::EndpointKey>) -> Option<context::EndpointLease> {
         let query = fleet::EndpointQuery {
             service: &self.request.service,
             excluded: &self.excluded,
             avoid_zone_of: None,
             only,
+            is_unlimited: false,
         };
-        context::EndpointLease::acquire(&self.context.fleet, &query)
+        self.context
+            .acquire(&self.request.metadata.id, &query)
+            .await
     }
 
     /// Probes a few engines and acquires the least loaded one with room. A prompt that fits
@@ -98,7 +117,7 @@
         let until = self.wait_limit();
         let mut search = EngineSearch::default();
         loop {
-            let (endpoints, candidates) = self.probe_engines(&search.probed).await;
+            let (endpoints, candidates) = self.probe_engines(&search).await;
             let params = selection::SelectionParams {
                 tokens: self.request.metadata.tokens,
                 may_wait: time::Instant::now() < until,
@@ -114,7 +133,11 @@
                 }
                 selection::SelectionStep::Send(index) => {
                     self.log_selection(&endpoints[index], &candidates, index, began.elapsed());
-                    return self.acquire(Some(endpoints[index].key));
+                    let lease = self.acquire(Some(endpoints[index].key)).await;
+                    if lease.is_some() || search.refusals > MAX_REFUSALS {
+                        return lease;
+                    }
+                    search.record_refusal();
                 }
             }
         }
@@ -151,17 +174,18 @@
         self.request.arrived + goal.mul_f64(selection::MAX_WAIT_FRACTION)
     }
 
-    /// Probes a few engines that are not in `probed`.
+    /// Probes a few engines that `search` has not probed yet.
     async fn probe_engines(
         &mut self,
-        probed: &[fleet::EndpointKey],
+        search: &EngineSearch,
     ) -> (Vec<fleet::ChosenEndpoint>, Vec<selection::EngineCandidate>) {
-        let excluded = [self.excluded.as_slice(), probed].concat();
+        let excluded = [self.excluded.as_slice(), search.probed.as_slice()].concat();
         let query = fleet::EndpointQuery {
             service: &self.request.service,
             excluded: &excluded,
             avoid_zone_of: None,
             only: None,
+            is_unlimited: search.refusals >= MAX_REFUSALS,
         };
         let fleet = &self.context.fleet;
         let endpoints = fleet.sample(&query, selection::PROBED_ENGINES);
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -532,6 +532,7 @@
         excluded,
         avoid_zone_of: None,
         only: None,
+        is_unlimited: false,
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,8 @@
 mod endpoint_notices;
 mod formats;
 mod framing;
+mod permit_replays;
+mod permits;
 mod soak;
 mod support;
 mod whole;
