Recompute a router's share of the retry limit when routers come and go

The retry limit is shared by the number of routers, but each router counted them once, at its first request to a service. Routers that start together know only themselves for a moment and then kept a share for one or a few for good.

Evidence: a replay of 14 routers that first know themselves and then each other, each with requests that keep failing, made 2324 retries in 10 s where 748 are allowed. Ruled out: the existing test of the sum, in which all routers know each other from the start; it passes before and after.

Change: the share is computed from the routers that run, and those lost within 5 min, at each use; tokens beyond a smaller maximum are dropped. After: the replay passes, as do the tests of budgets, limits and cached state.

--- a/src/process/gateway/budgets.rs
+++ b/src/process/gateway/budgets.rs
@@ -39,11 +39,13 @@
 pub struct ServiceBudgets {
     bounds: settings::GatewayBounds,
     members: sync::Arc<dyn view::MemberView>,
-    services: parking_lot::Mutex<collections::HashMap<String, sync::Arc<ServiceBudget>>>,
+    services: parking_lot::Mutex<collections::HashMap<String, ServiceBudget>>,
 }
 
 #[derive(Debug)]
 struct ServiceBudget {
+    /// Number of routers that the limits are shared among.
+    routers: usize,
     broken_streams: budget::RetryBudget,
     fresh_requests: budget::RetryBudget,
 }
@@ -60,18 +62,34 @@
         }
     }
 
-    fn budget_of(&self, service: &str) -> sync::Arc<ServiceBudget> {
-        let mut services = self.services.lock();
-        if let Some(budget) = services.get(service) {
-            return sync::Arc::clone(budget);
+    /// The budget of `service`, with this router's share as of `now`.
+    fn budget_of(
+        &self,
+        service: &str,
+        now: time::Instant,
+    ) -> parking_lot::MappedMutexGuard<'_, ServiceBudget> {
+        let routers = self.members.sharing_routers(now).max(1);
+        let [broken, fresh] = self.share_limits(routers);
+        let services = self.services.lock();
+        let mut budget = parking_lot::MutexGuard::map(services, |services| {
+            services
+                .entry(service.to_owned())
+                .or_insert_with(|| ServiceBudget {
+                    routers,
+                    broken_streams: budget::RetryBudget::new(broken),
+                    fresh_requests: budget::RetryBudget::new(fresh),
+                })
+        });
+        if budget.routers != routers {
+            budget.routers = routers;
+            budget.broken_streams.set_limits(broken, now);
+            budget.fresh_requests.set_limits(fresh, now);
         }
-        let budget = sync::Arc::new(self.new_budget());
-        services.insert(service.to_owned(), sync::Arc::clone(&budget));
         budget
     }
 
-    fn new_budget(&self) -> ServiceBudget {
-        let routers = self.members.ready_members().len().max(1);
+    /// This router's share for broken streams and for other retries, among so many routers.
+    fn share_limits(&self, routers: usize) -> [budget::BudgetLimits; 2] {
         let routers = u32::try_from(routers).map_or(f64::from(u32::MAX), f64::from);
         let slack = self.bounds.retry_slack * USED_LIMIT_SHARE / routers;
         let reserve = slack / self.bounds.retry_window.as_secs_f64() / 2.0;
@@ -81,30 +99,30 @@
             reserve_per_second: reserve * share,
             max_tokens: max_tokens.min((slack * share).max(min_capacity)),
         };
-        ServiceBudget {
-            broken_streams: budget::RetryBudget::new(limits(
+        [
+            limits(
                 BROKEN_STREAM_SHARE,
                 BROKEN_STREAM_MIN_CAPACITY_TOKENS,
                 BROKEN_STREAM_MAX_TOKENS,
-            )),
-            fresh_requests: budget::RetryBudget::new(limits(
+            ),
+            limits(
                 1.0 - BROKEN_STREAM_SHARE,
                 FRESH_MIN_CAPACITY_TOKENS,
                 FRESH_MAX_TOKENS,
-            )),
-        }
+            ),
+        ]
     }
 }
 
 impl context::RetryLimiter for ServiceBudgets {
     fn deposit(&self, service: &str, now: time::Instant) {
-        let budget = self.budget_of(service);
+        let budget = self.budget_of(service, now);
         budget.broken_streams.deposit(now);
         budget.fresh_requests.deposit(now);
     }
 
     fn withdraw(&self, service: &str, urgency: context::RetryUrgency, now: time::Instant) -> bool {
-        let budget = self.budget_of(service);
+        let budget = self.budget_of(service, now);
         match urgency {
             context::RetryUrgency::Broken => {
                 budget.broken_streams.withdraw(now) || budget.fresh_requests.withdraw(now)
--- a/src/process/limits/budget.rs
+++ b/src/process/limits/budget.rs
@@ -28,8 +28,13 @@
 /// Token bucket of permitted retries.
 #[derive(Debug)]
 pub struct RetryBudget {
+    state: parking_lot::Mutex<BudgetState>,
+}
+
+#[derive(Debug)]
+struct BudgetState {
     limits: BudgetLimits,
-    bucket: parking_lot::Mutex<token_bucket::TokenBucket>,
+    bucket: token_bucket::TokenBucket,
 }
 
 impl Default for RetryBudget {
@@ -44,30 +49,41 @@
     pub fn new(limits: BudgetLimits) -> Self {
         let bucket = token_bucket::TokenBucket::new(limits.max_tokens);
         Self {
-            limits,
-            bucket: parking_lot::Mutex::new(bucket),
+            state: parking_lot::Mutex::new(BudgetState { limits, bucket }),
         }
     }
 
+    /// Replaces the limits from `now` on; tokens beyond the new maximum are dropped.
+    pub fn set_limits(&self, limits: BudgetLimits, now: time::Instant) {
+        let mut state = self.state.lock();
+        state.refill(now);
+        state.limits = limits;
+        state.bucket.add(0.0, limits.max_tokens);
+    }
+
     /// Records a success at `now`.
     pub fn deposit(&self, now: time::Instant) {
-        let mut bucket = self.refilled(now);
-        bucket.add(self.limits.retries_per_success, self.limits.max_tokens);
+        let mut state = self.state.lock();
+        state.refill(now);
+        let limits = state.limits;
+        state
+            .bucket
+            .add(limits.retries_per_success, limits.max_tokens);
     }
 
     /// Takes one token for a retry at `now`; returns false if none is available.
     #[must_use]
     pub fn withdraw(&self, now: time::Instant) -> bool {
-        self.refilled(now).take()
+        let mut state = self.state.lock();
+        state.refill(now);
+        state.bucket.take()
     }
+}
 
-    fn refilled(
-        &self,
-        now: time::Instant,
-    ) -> parking_lot::MutexGuard<'_, token_bucket::TokenBucket> {
-        let mut bucket = self.bucket.lock();
+impl BudgetState {
+    fn refill(&mut self, now: time::Instant) {
         let limits = &self.limits;
-        bucket.refill(now, limits.reserve_per_second, limits.max_tokens);
-        bucket
+        self.bucket
+            .refill(now, limits.reserve_per_second, limits.max_tokens);
     }
 }
--- a/src/process/members/gossip_view.rs
+++ b/src/process/members/gossip_view.rs
@@ -105,6 +105,21 @@
             .map(|record| with_load(&state.table, record))
             .collect()
     }
+
+    fn sharing_routers(&self, now: time::Instant) -> usize {
+        let state = self.state.lock();
+        state.table.live_count() + lost_count(&state.table, now)
+    }
+}
+
+/// Number of routers that were lost recently and may run behind a network partition.
+fn lost_count(table: &member_table::MemberTable, now: time::Instant) -> usize {
+    let is_recently_lost = |record: &&member_table::MemberRecord| {
+        record.rank.liveness == member_rank::PeerLiveness::Dead
+            && record.rank.stage < member_rank::LifecycleStage::Left
+            && now.duration_since(record.changed_at) < LOST_MEMBER_TIME
+    };
+    table.records().filter(is_recently_lost).count()
 }
 
 impl view::OwnerView for gossip::GossipNode {
@@ -117,13 +132,8 @@
             let router = record.member.router.as_str();
             (member_ring::owner_score(router, seed), router)
         })?;
-        let is_recently_lost = |record: &&member_table::MemberRecord| {
-            record.rank.liveness == member_rank::PeerLiveness::Dead
-                && record.rank.stage < member_rank::LifecycleStage::Left
-                && now.duration_since(record.changed_at) < LOST_MEMBER_TIME
-        };
-        let lost = state.table.records().filter(is_recently_lost).count();
         let live = state.table.live_count();
+        let lost = lost_count(&state.table, now);
         Some(view::SharedOwner {
             peer_address: owner.member.peer_address.clone(),
             is_own: owner.member.router == self.router,
--- a/src/process/view.rs
+++ b/src/process/view.rs
@@ -24,6 +24,12 @@
 
     /// Routers that accept new callers, including this one if it does.
     fn ready_members(&self) -> Vec<peer_wire::MemberWire>;
+
+    /// Number of routers among which limits are shared at `now`: those that run, and those that
+    /// were lost recently and may run behind a network partition.
+    fn sharing_routers(&self, _now: time::Instant) -> usize {
+        self.ready_members().len()
+    }
 }
 
 /// The router that decides for all routers about something that they share.
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use kumquatpulley::connection::peer_wire;
@@ -468,9 +469,40 @@
     );
 }
 
+/// All routers start at once and first know only themselves, then each other. Every request of
+/// every router keeps failing.
+fn routers_that_met_after_their_start_stay_within_the_limit() {
+    const ROUTERS: u32 = 14;
+    const REQUESTS: u32 = 40;
+    const WINDOW: time::Duration = time::Duration::from_secs(10);
+    let start = time::Instant::now();
+    let mut repeats = 0;
+    for _router in 0..ROUTERS {
+        let members = sync::Arc::new(ManyRouters(atomic::AtomicU32::new(1)));
+        let budgets = budgets_among(&members);
+        budgets.deposit("models", start);
+        members.0.store(ROUTERS, atomic::Ordering::Relaxed);
+        for request in 1..=REQUESTS {
+            let now = start + WINDOW * request / REQUESTS;
+            budgets.deposit("models", now);
+            for urgency in [context::RetryUrgency::Fresh, context::RetryUrgency::Broken] {
+                repeats += (0..5)
+                    .filter(|_try| budgets.withdraw("models", urgency, now))
+                    .count();
+            }
+        }
+    }
+    let limit = f64::from(ROUTERS * REQUESTS) * 0.8 + 300.0;
+    let repeats = u32::try_from(repeats).expect("few");
+    assert!(
+        f64::from(repeats) < limit,
+        "{repeats} repeats, {limit} allowed"
+    );
+}
+
 /// A membership view with this many ready routers.
 #[derive(Debug)]
-struct ManyRouters(u32);
+struct ManyRouters(atomic::AtomicU32);
 
 impl view::MemberView for ManyRouters {
     fn home(&self) -> key::HomeName {
@@ -501,11 +533,18 @@
             config: 0,
             demand: Vec::new(),
         };
-        (0..self.0).map(member).collect()
+        let count = self.0.load(atomic::Ordering::Relaxed);
+        (0..count).map(member).collect()
     }
 }
 
 fn budgets_of(routers: u32) -> budgets::ServiceBudgets {
+    budgets_among(&sync::Arc::new(ManyRouters(atomic::AtomicU32::new(
+        routers,
+    ))))
+}
+
+fn budgets_among(members: &sync::Arc<ManyRouters>) -> budgets::ServiceBudgets {
     let bounds = settings::GatewayBounds {
         propagation_limit: time::Duration::from_secs(2),
         max_key_age: None,
@@ -516,7 +555,7 @@
         retry_slack: 300.0,
         retry_window: time::Duration::from_secs(10),
     };
-    budgets::ServiceBudgets::new(bounds, sync::Arc::new(ManyRouters(routers)))
+    budgets::ServiceBudgets::new(bounds, sync::Arc::clone(members) as _)
 }
 
 fn fleet_with(records: &[endpoint_registry::EndpointRecord]) -> endpoint_fleet::RouterFleet {
@@ -767,6 +806,7 @@
     outage: an_outage_causes_few_calls();
     few_streams: a_router_among_many_can_resume_its_few_streams();
     shared_limit: all_routers_together_stay_within_the_limit();
+    budget_of_routers_that_met: routers_that_met_after_their_start_stay_within_the_limit();
     longer_change_times: longer_change_times_cause_fewer_calls();
     simultaneous_start: a_simultaneous_start_causes_few_calls(3, true, 3);
     simultaneous_start_without_seeds: a_simultaneous_start_causes_few_calls(0, true, 30);
