Move one endpoint's state out of the fleet, and test owners across routers

Heads of responses are parsed and their notices recorded in one call.

New test: four routers name the same owners for 64 hashes, each owns some; after a loss only the lost one's owners change, within the detection limit, and it still counts among those that share.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -4,59 +4,16 @@
 use std::sync::atomic;
 use std::time;
 
-use crate::process::endpoints::{endpoint_entry, placement};
-use crate::process::gateway::{boot_clock, endpoint_limit, endpoint_notice, endpoint_registry};
+use crate::process::endpoints::placement;
+use crate::process::gateway::{
+    boot_clock, endpoint_limit, endpoint_notice, endpoint_registry, fleet_entry,
+};
 use crate::process::telemetry::status;
 use crate::request::relay::{fleet, request_rate};
 
-/// Time for which an endpoint is avoided after its first failure; doubles with each consecutive
-/// one.
-const INITIAL_AVOIDANCE: time::Duration = time::Duration::from_millis(400);
-
-/// Longest time for which an endpoint is avoided after failures.
-const MAX_AVOIDANCE: time::Duration = time::Duration::from_millis(1_600);
-
-/// Time for which an endpoint that had no free capacity is avoided.
-const FULL_AVOIDANCE: time::Duration = time::Duration::from_millis(100);
-
-/// Time for which an endpoint is avoided after another one answered at its address. It matches the
-/// time in which the store drops the entry of a dead endpoint. It is limited because a single
-/// wrong answer would otherwise exclude the endpoint for good.
-const REPLACED_AVOIDANCE: time::Duration = time::Duration::from_secs(4);
-
-/// Time after sending for which a request may be missing from the engine's load report.
-const REPORT_LAG: time::Duration = time::Duration::from_millis(250);
-
-/// Permits for one endpoint that a router asks for at a time. More would not be granted at once.
-const MAX_OPEN_ASKS: u32 = 4;
-
-/// Delay for callers whose request no endpoint takes because so many permits are asked for.
-const OPEN_ASK_WAIT: time::Duration = time::Duration::from_millis(50);
-
-/// An endpoint and the newest observation of its limit.
-pub(super) type KnownLimit = (
-    endpoint_notice::EndpointIncarnation,
-    endpoint_limit::LimitObservation,
-);
-
-#[derive(Debug)]
-struct FleetEntry {
-    record: endpoint_registry::EndpointRecord,
-    in_flight: u32,
-    failures: u32,
-    avoided_until: Option<time::Instant>,
-    notice: endpoint_notice::EndpointNotice,
-    /// Until when no permit is asked for; only used while the endpoint limits its rate.
-    permits_denied_until: Option<time::Instant>,
-    /// Permits that are being asked for.
-    open_asks: u32,
-    /// When requests were sent, oldest first; entries older than [`REPORT_LAG`] are dropped.
-    sent: collections::VecDeque<time::Instant>,
-}
-
 #[derive(Debug, Default)]
 struct FleetState {
-    entries: slotmap::SlotMap<fleet::EndpointKey, FleetEntry>,
+    entries: slotmap::SlotMap<fleet::EndpointKey, fleet_entry::FleetEntry>,
     by_service: collections::HashMap<String, Vec<fleet::EndpointKey>>,
     removed_notices: endpoint_notice::RemovedNotices,
 }
@@ -87,7 +44,7 @@
     pub fn update<'a>(&self, records: impl Iterator<Item = &'a endpoint_registry::EndpointRecord>) {
         let now = time::Instant::now();
         let mut state = self.state.lock();
-        let mut added: collections::HashMap<(String, u64), FleetEntry> =
+        let mut added: collections::HashMap<(String, u64), fleet_entry::FleetEntry> =
             collections::HashMap::new();
         let mut keys: collections::HashMap<(String, u64), fleet::EndpointKey> =
             collections::HashMap::new();
@@ -101,19 +58,8 @@
                 continue;
             }
             let notice = state.removed_notices.take(&incarnation);
-            added.insert(
-                incarnation,
-                FleetEntry {
-                    record: record.clone(),
-                    in_flight: 0,
-                    failures: 0,
-                    avoided_until: None,
-                    notice,
-                    permits_denied_until: None,
-                    open_asks: 0,
-                    sent: collections::VecDeque::new(),
-                },
-            );
+            let entry = fleet_entry::FleetEntry::new(record.clone(), notice);
+            added.insert(incarnation, entry);
         }
         for key in keys.into_values() {
             if let Some(entry) = state.entries.remove(key) {
@@ -160,7 +106,7 @@
 
     /// Begins to ask for a permit; returns the endpoint and its limit, or `None` if it has no limit
     /// any more. Ends with [`RouterFleet::end_ask`].
-    pub(super) fn begin_ask(&self, key: fleet::EndpointKey) -> Option<KnownLimit> {
+    pub(super) fn begin_ask(&self, key: fleet::EndpointKey) -> Option<fleet_entry::KnownLimit> {
         let mut state = self.state.lock();
         let entry = state.entries.get_mut(key)?;
         entry.notice.limit.rate()?;
@@ -176,7 +122,7 @@
     }
 
     /// The newest observation of the endpoint's limit; `None` if it never had one.
-    pub(super) fn newest_limit(&self, key: fleet::EndpointKey) -> Option<KnownLimit> {
+    pub(super) fn newest_limit(&self, key: fleet::EndpointKey) -> Option<fleet_entry::KnownLimit> {
         self.state.lock().entries.get(key)?.known_limit()
     }
 
@@ -270,113 +216,12 @@
     }
 }
 
-impl FleetEntry {
-    fn incarnation(&self) -> endpoint_notice::EndpointIncarnation {
-        (self.record.name.clone(), self.record.incarnation)
-    }
-
-    fn known_limit(&self) -> Option<KnownLimit> {
-        Some((self.incarnation(), self.notice.limit.newest()?))
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.record.is_leaving || self.notice.is_leaving
-    }
-
-    fn is_open(&self, now: time::Instant) -> bool {
-        !self.is_leaving() && self.notice.accepts_requests(now)
-    }
-
-    /// Whether a request may be sent, or a permit for it be asked for if `query` allows that.
-    fn suits(&self, query: &fleet::EndpointQuery<'_>, now: time::Instant) -> bool {
-        let is_limited = self.notice.limit.rate().is_some();
-        self.is_open(now) && self.permit_wait(now).is_none() && !(is_limited && query.is_unlimited)
-    }
-
-    /// Time until a permit may be asked for; `None` when it may be now or none is needed.
-    fn permit_wait(&self, now: time::Instant) -> Option<time::Duration> {
-        self.notice.limit.rate()?;
-        if self.open_asks >= MAX_OPEN_ASKS {
-            return Some(OPEN_ASK_WAIT);
-        }
-        let until = self.permits_denied_until.filter(|until| now < *until)?;
-        Some(until.duration_since(now))
-    }
-
-    /// Time until the endpoint wants requests again; `None` when it does now.
-    fn wait_left(&self, now: time::Instant) -> Option<time::Duration> {
-        self.notice.pause_left(now).max(self.permit_wait(now))
-    }
-
-    fn is_avoided(&self, now: time::Instant) -> bool {
-        self.avoided_until.is_some_and(|until| now < until)
-    }
-
-    fn status(&self, now: time::Instant) -> status::EndpointStatus {
-        let state = if self.is_leaving() {
-            endpoint_entry::EndpointState::Leaving
-        } else if self.is_avoided(now) || !self.is_open(now) {
-            endpoint_entry::EndpointState::Suspect
-        } else {
-            endpoint_entry::EndpointState::Serving
-        };
-        status::EndpointStatus {
-            name: self.record.name.clone(),
-            service: self.record.service.clone(),
-            address: self.record.address.to_string(),
-            zone: self.record.zone.clone(),
-            state,
-            running: 0,
-            waiting: 0,
-            slots: self.record.slots,
-            in_flight: self.in_flight,
-            versions: Vec::new(),
-        }
-    }
-
-    /// Takes an observation of the endpoint's limit; returns whether the limit changed.
-    fn observe_limit(&mut self, observation: endpoint_limit::LimitObservation) -> bool {
-        let is_changed = self.notice.limit.observe(observation);
-        if is_changed {
-            let age = boot_clock::BootInstant::now().since(observation.at);
-            log::info!(
-                endpoint = self.record.name.as_str(),
-                requests_per_second:? = observation.rate.map(request_rate::RequestRate::per_second),
-                age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-                "endpoint changed its request limit"
-            );
-        }
-        is_changed
-    }
-
-    fn drop_old_sent(&mut self, now: time::Instant) {
-        let is_old = |sent_at: &time::Instant| now.duration_since(*sent_at) > REPORT_LAG;
-        while self.sent.front().is_some_and(is_old) {
-            self.sent.pop_front();
-        }
-    }
-
-    fn candidate(&self, zone: &str) -> placement::Candidate {
-        placement::Candidate {
-            is_same_zone: self.record.zone == zone,
-            in_flight: self.in_flight,
-            in_flight_at_report: 0,
-            reported_load: 0,
-            slots: self.record.slots,
-            cached_blocks: 0,
-        }
-    }
-}
-
 impl fleet::EndpointFleet for RouterFleet {
     fn acquire(&self, query: &fleet::EndpointQuery<'_>) -> Option<fleet::ChosenEndpoint> {
         let mut state = self.state.lock();
         let key = self.pick(&state, query)?;
         let entry = &mut state.entries[key];
-        entry.in_flight += 1;
-        let now = time::Instant::now();
-        entry.drop_old_sent(now);
-        entry.sent.push_back(now);
+        entry.record_send(time::Instant::now());
         state.chosen_endpoint(key)
     }
 
@@ -397,11 +242,8 @@
 
     fn recent_requests(&self, key: fleet::EndpointKey, now: time::Instant) -> u32 {
         let mut state = self.state.lock();
-        let Some(entry) = state.entries.get_mut(key) else {
-            return 0;
-        };
-        entry.drop_old_sent(now);
-        u32::try_from(entry.sent.len()).unwrap_or(u32::MAX)
+        let entry = state.entries.get_mut(key);
+        entry.map_or(0, |entry| entry.recent_requests(now))
     }
 
     fn pause_left(&self, service: &str, now: time::Instant) -> Option<time::Duration> {
@@ -439,51 +281,8 @@
         observation: fleet::EndpointObservation,
         now: time::Instant,
     ) {
-        let mut state = self.state.lock();
-        let Some(entry) = state.entries.get_mut(key) else {
-            return;
-        };
-        match observation {
-            fleet::EndpointObservation::Answered => {
-                entry.failures = 0;
-                entry.avoided_until = None;
-            }
-            fleet::EndpointObservation::Full => entry.avoided_until = Some(now + FULL_AVOIDANCE),
-            fleet::EndpointObservation::Failed => {
-                let avoidance = INITIAL_AVOIDANCE * 2_u32.saturating_pow(entry.failures.min(4));
-                entry.avoided_until = Some(now + avoidance.min(MAX_AVOIDANCE));
-                entry.failures = entry.failures.saturating_add(1);
-                log::warn!(
-                    endpoint = entry.record.name.as_str(),
-                    failures = entry.failures;
-                    "endpoint failed; avoided for a while"
-                );
-            }
-            fleet::EndpointObservation::Replaced => {
-                entry.avoided_until = Some(now + REPLACED_AVOIDANCE);
-                log::warn!(
-                    endpoint = entry.record.name.as_str();
-                    "another endpoint answers at the address"
-                );
-            }
-            fleet::EndpointObservation::Leaving if entry.notice.is_leaving => {}
-            fleet::EndpointObservation::Leaving => {
-                entry.notice.is_leaving = true;
-                log::info!(
-                    endpoint = entry.record.name.as_str(),
-                    entry_says_leaving = entry.record.is_leaving;
-                    "endpoint says that it leaves; it gets nothing new"
-                );
-            }
-            fleet::EndpointObservation::Pausing(pause) => {
-                entry.notice.pause(pause, now);
-                log::info!(
-                    endpoint = entry.record.name.as_str(),
-                    pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
-                    is_cut = pause > endpoint_notice::MAX_PAUSE;
-                    "endpoint wants no requests for a while"
-                );
-            }
+        if let Some(entry) = self.state.lock().entries.get_mut(key) {
+            entry.observe(observation, now);
         }
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod endpoint_notice;
 pub mod endpoint_registry;
 pub mod endpoint_rows;
+mod fleet_entry;
 pub mod freshness;
 pub mod info_server;
 pub mod node;
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -157,8 +157,7 @@
     };
     let response = match open.head().await {
         Ok(head) => {
-            let metadata = context.dialect.response_metadata(&head);
-            context.observe_notice(request, lease, head.status, &metadata);
+            context.observe_head(request, lease, &head);
             open.read_whole(&request.head.method, head, &context.memory)
                 .await
         }
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -178,18 +178,28 @@
         EndpointLease::acquire(&self.fleet, &query)
     }
 
-    /// Records what the endpoint announced about itself in a response to `request`.
-    pub fn observe_notice(
+    /// Parses the head of a response to `request`, and records what the endpoint announced about
+    /// itself.
+    pub(super) fn observe_head(
         &self,
         request: &RelayRequest,
         lease: &EndpointLease,
-        status: u16,
-        metadata: &dialect::ResponseMetadata,
-    ) {
+        head: &head::ResponseHead,
+    ) -> dialect::ResponseMetadata {
+        let metadata = self.dialect.response_metadata(head);
         // 421: a different endpoint answers at this address, and the notice is about that one.
-        if status == 421 {
-            return;
+        if head.status != 421 {
+            self.observe_notice(request, lease, &metadata);
         }
+        metadata
+    }
+
+    fn observe_notice(
+        &self,
+        request: &RelayRequest,
+        lease: &EndpointLease,
+        metadata: &dialect::ResponseMetadata,
+    ) {
         let notice = metadata.notice;
         // Only an answer that the endpoint certainly wrote for this request shows that it names no
         // limit any more.
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -187,9 +187,7 @@
         let Some(head) = reader.first_head().await else {
             return StreamEnd::Lost;
         };
-        let metadata = self.context.dialect.response_metadata(&head);
-        self.context
-            .observe_notice(self.request, lease, head.status, &metadata);
+        let metadata = self.context.observe_head(self.request, lease, &head);
         if metadata.is_not_run || head.status == 421 {
             return StreamEnd::NotRun(buffered::refusal_observation(head.status));
         }
--- a/tests/gossip/main.rs
+++ b/tests/gossip/main.rs
@@ -7,7 +7,7 @@
 use async_std::{net, task};
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::members::member_rank;
-use kumquatpulley::process::view::MemberView as _;
+use kumquatpulley::process::view::{MemberView as _, OwnerView as _};
 
 mod cluster;
 #[path = "../common/mod.rs"]
@@ -282,3 +282,44 @@
         assert_eq!(pollers.count(), 2 * cluster::ZONES);
     });
 }
+
+/// Hashes for which owners are compared.
+const OWNED: std::ops::Range<u64> = 0..64;
+
+/// All routers name the same owners, and each owns something. What a lost router owned passes to
+/// others, and the lost one still counts as possibly running.
+#[test]
+fn routers_agree_on_owners_and_replace_a_lost_one() {
+    cluster::run(async {
+        let mut routers = cluster::TestCluster::default().start_many(4).await;
+        let owners = |router: &cluster::TestRouter| -> Vec<String> {
+            let owners = OWNED.map(|seed| router.node.owner_of(seed));
+            let owners = owners.map(|owner| owner.expect("routers are ready").peer_address);
+            owners.collect()
+        };
+        let first = owners(&routers[0]);
+        for router in &routers {
+            assert_eq!(owners(router), first);
+            assert!(first.contains(&router.address));
+            let is_own =
+                OWNED.map(|seed| router.node.owner_of(seed).is_some_and(|owner| owner.is_own));
+            let is_named = first.iter().map(|address| *address == router.address);
+            assert!(is_own.eq(is_named));
+        }
+        let lost = routers.pop().expect("a router").kill();
+        let is_replaced = || {
+            let mut others = routers.iter();
+            others.all(|router| {
+                let owner = router.node.owner_of(0).expect("routers are ready");
+                !owners(router).contains(&lost) && (owner.reachable_share - 0.75).abs() < 1e-9
+            })
+        };
+        assert!(cluster::wait_until(cluster::DETECTION_LIMIT, is_replaced).await);
+        let remaining = owners(&routers[0]);
+        let kept = first.iter().zip(&remaining);
+        let mut kept = kept.filter(|(before, _after)| **before != lost);
+        assert!(kept.all(|(before, after)| before == after));
+        let now = time::Instant::now();
+        assert_eq!(routers[0].node.sharing_routers(now), 4);
+    });
+}
