Let a new owner of a request limit grant a quarter of the rate for six seconds

Cause: at 195 routers news of a new owner may take longer than the 4 s, and half of the rate, that a new owner began with. Ruled out: a pause without any permits, which would refuse requests after each loss of a router.

Refused routers now wait half a second or more while there are over four asks for each permit.

--- a/src/process/gateway/permit_ledger.rs
+++ b/src/process/gateway/permit_ledger.rs
@@ -17,10 +17,10 @@
 
 /// Time for which a new owner grants at [`NEW_OWNER_SHARE`] of the rate; longer than news about a
 /// member takes to reach all routers.
-const NEW_OWNER_TIME: time::Duration = time::Duration::from_secs(4);
+const NEW_OWNER_TIME: time::Duration = time::Duration::from_secs(6);
 
 /// Share of the rate at which a new owner grants, as the owner before it may still grant.
-const NEW_OWNER_SHARE: f64 = 0.5;
+const NEW_OWNER_SHARE: f64 = 0.25;
 
 /// Permits saved while there are no requests: a number, and what accrues in some time.
 const SAVED_PERMITS: f64 = 2.0;
@@ -30,9 +30,13 @@
 /// the request whose answer shows that the limit ended.
 const MIN_RATE: f64 = 0.2;
 
-/// Asks for each permit that the waits of refused routers aim at. Asks cost both routers time.
+/// Asks for each permit above which refused routers wait for [`CROWDED_WAIT`] or longer, as each
+/// ask costs both routers time.
 const ASKS_PER_PERMIT: f64 = 4.0;
 
+/// Shortest wait of a refused router while there are many asks.
+const CROWDED_WAIT: time::Duration = time::Duration::from_millis(500);
+
 /// Range of the wait of a refused router.
 const WAIT_RANGE: [time::Duration; 2] = [
     time::Duration::from_millis(20),
@@ -181,8 +185,12 @@
     /// Time until the next permit, longer when so many routers ask that most are refused.
     fn wait(&self, rate: f64) -> time::Duration {
         let [shortest, longest] = WAIT_RANGE;
-        let crowding = (self.asks.asks / (rate * ASKS_PER_PERMIT)).max(1.0);
-        let wait = time::Duration::try_from_secs_f64(self.bucket.missing() / rate * crowding);
+        let crowding = self.asks.asks / (rate * ASKS_PER_PERMIT);
+        let mut seconds = self.bucket.missing() / rate;
+        if crowding > 1.0 {
+            seconds = seconds.max(CROWDED_WAIT.as_secs_f64()) * crowding;
+        }
+        let wait = time::Duration::try_from_secs_f64(seconds);
         wait.unwrap_or(longest).clamp(shortest, longest)
     }
 }
--- a/tests/gateway/permit_replays.rs
+++ b/tests/gateway/permit_replays.rs
@@ -206,6 +206,7 @@
     light_load: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(14, 0.1, 2.3, ReplayEvent::Nothing));
     new_owner: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(14, 2.5, 2.3, ReplayEvent::NewOwner(3_000)));
     new_owner_many: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(195, 1.0, 30.0, ReplayEvent::NewOwner(3_000)));
+    new_owner_slow_news: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(195, 4.0, 60.0, ReplayEvent::NewOwner(6_000)));
     partition: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(14, 5.0, 20.0, ReplayEvent::Partition));
     falling_limit: the_sum_of_all_routers_keeps_the_limit_and_uses_it(replay(14, 5.0, 12.0, ReplayEvent::Falls));
     zero: a_limit_of_zero_is_tested();
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -19,7 +19,7 @@
 use crate::common;
 
 /// A rate at which no permit is granted twice within a test.
-const RATE: request_rate::RequestRate = request_rate::RequestRate(2_000);
+const RATE: request_rate::RequestRate = request_rate::RequestRate(4_000);
 
 /// An owner that sends the given replies in turn, then none.
 #[derive(Debug)]
