--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -181,6 +181,26 @@
     load.finish();
 }
 
+/// Streams break off at one engine again and again and go on at the other, which has a limit.
+fn resumed_streams_count_towards_the_limit() {
+    let load = LimitedLoad::start("/stream/1");
+    load.system.second.set_limit(Some(RATE));
+    load.system
+        .first
+        .set_mode(fakes::EndpointMode::DiesAfter(3));
+    let until = time::Instant::now() + LIMITED_TIME;
+    while time::Instant::now() < until {
+        load.system.first.revive();
+        thread::sleep(time::Duration::from_millis(50));
+    }
+    let (system, _requests) = load.finish();
+    let received = system.second.received();
+    let resumed = received
+        .iter()
+        .filter(|request| request.field("Last-Event-Id").is_some());
+    assert!(resumed.count() > 0, "{}", system.logs());
+}
+
 /// The limit falls, rises and ends under load; it is kept all the time, and afterwards the endpoint
 /// gets as many requests as before.
 fn a_limit_that_changes_and_ends_is_followed() {
@@ -230,6 +250,7 @@
     all_limited_calls: requests_beyond_all_limits_are_refused_at_once("/once/1");
     all_limited_streams: requests_beyond_all_limits_are_refused_at_once("/stream/1");
     repeats: repeated_requests_count_towards_the_limit();
+    resumed_streams: resumed_streams_count_towards_the_limit();
     changing_limit: a_limit_that_changes_and_ends_is_followed();
     restarts: a_limit_is_kept_while_gateways_restart();
     store_away: a_limit_is_kept_while_the_store_is_away();
