Wait for the plain service before a fault of the matrix strikes

The set-up waited for engines only, although it is to wait until routers know all endpoints. The cell then makes the VM list ten seconds late and kills the service, so a router that had not read the service's entry by then rightly knew no endpoint for longer than the caller asks.

Ruled out: the router's refusals, which are true and at once. Change: the set-up also waits until each router knows the service; no bound or check of the cells changes.

--- a/tests/fault_matrix/bench.rs
+++ b/tests/fault_matrix/bench.rs
@@ -304,7 +304,12 @@
             .iter()
             .filter(|endpoint| endpoint["versions"][0].is_string())
             .count();
-        named == self.routers.len() && known == self.engines.len()
+        let knows_service = self.service.as_ref().is_none_or(|service| {
+            endpoints
+                .iter()
+                .any(|endpoint| endpoint["name"] == service.name)
+        });
+        named == self.routers.len() && known == self.engines.len() && knows_service
     }
 
     /// Argument that names the operator addresses of all routers.
