Log what a lost stream had received, and the shared parts of its prompt

The logs could not tell a prompt that crashes engines from prompts that shared an engine with one. Each lost attempt now says how it ended, whether the response head had come, and how many events and bytes of an event; each attempt names the shared parts of its prompt.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::platform::report_wire;
-use crate::request::relay::{attempt, dialect, report, request_rate};
+use crate::request::relay::{attempt, dialect, prompt_part, report, request_rate};
 use crate::request::verdict;
 
 const REQUEST_ID: &str = "Kumquatpulley-Request-Id";
@@ -29,6 +29,8 @@
 const TOKENS: &str = "Kumquatpulley-Token-Counts";
 /// Number of output tokens that the caller expects.
 const LENGTH_HINT: &str = "Kumquatpulley-Length-Hint";
+/// Parts of the prompt in order, each an ID, a colon and its number of tokens, separated by commas.
+const PROMPT_PARTS: &str = "Kumquatpulley-Prompt-Prefix";
 /// `1` on every response of an endpoint that is about to shut down.
 const LEAVING: &str = "Server-Leaving";
 /// Seconds, possibly fractional, during which an endpoint that returned 503 wants no requests.
@@ -55,6 +57,9 @@
 /// Maximum length of a request ID.
 const MAX_REQUEST_ID_BYTES: usize = 200;
 
+/// Maximum number of shared parts of a prompt that are looked at.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// [`dialect::RequestDialect`] for the platform's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct HeaderDialect;
@@ -87,6 +92,7 @@
             key: headers.get("Authorization").and_then(bearer_key),
             last_event: parse_number(headers, LAST_EVENT)?,
             tokens: expected_tokens(headers),
+            shared_parts: shared_parts(headers),
         })
     }
 
@@ -211,6 +217,21 @@
     prompt.saturating_add(output.unwrap_or_default())
 }
 
+/// Parts of the prompt without the last one, at most [`MAX_SHARED_PARTS`].
+fn shared_parts(headers: &head::HeaderList) -> Vec<prompt_part::PromptPart> {
+    let text = headers.get(PROMPT_PARTS).unwrap_or_default();
+    let Some((shared, _last)) = text.rsplit_once(',') else {
+        return Vec::new();
+    };
+    let ids = shared.split(',').take(MAX_SHARED_PARTS).map(|part| {
+        let (id, _tokens) = part.split_once(':').unwrap_or((part, ""));
+        id.trim()
+    });
+    ids.filter(|id| !id.is_empty())
+        .map(prompt_part::PromptPart::parse)
+        .collect()
+}
+
 fn is_leaving(headers: &head::HeaderList) -> bool {
     headers
         .get(LEAVING)
--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -46,7 +46,10 @@
 pub enum AttemptError {
     /// No connection; no byte of the request was sent.
     Unsent,
-    /// The connection closed early or the response is malformed; the request may have run.
+    /// The endpoint closed or reset the connection before the response was complete; the request
+    /// may have run.
+    Closed,
+    /// The response is malformed, too large or too slow; the request may have run.
     Broken,
 }
 
@@ -54,6 +57,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unsent => "cannot connect to the endpoint; try another one",
+            Self::Closed => {
+                "the endpoint closed the connection before a complete response; the request may have run"
+            }
             Self::Broken => {
                 "the connection ended before a valid response; the request may have run"
             }
@@ -102,11 +108,11 @@
     /// Reads the head of the final response.
     ///
     /// # Errors
-    /// [`AttemptError::Broken`], also when a head takes longer than [`HEAD_TIMEOUT`] from its
-    /// first byte.
+    /// [`AttemptError::Closed`] when the connection ends first; [`AttemptError::Broken`] for a
+    /// malformed head, also one that takes longer than [`HEAD_TIMEOUT`] from its first byte.
     pub async fn head(&mut self) -> Result<head::ResponseHead> {
         if self.wire.buffered().is_empty() && self.fill().await? == 0 {
-            return Err(AttemptError::Broken);
+            return Err(AttemptError::Closed);
         }
         let mut interim = 0;
         loop {
@@ -122,7 +128,7 @@
             // The final head may follow an interim one seconds later, so its timeout starts at its
             // first byte.
             if self.wire.buffered().is_empty() && self.fill().await? == 0 {
-                return Err(AttemptError::Broken);
+                return Err(AttemptError::Closed);
             }
         }
     }
@@ -135,17 +141,20 @@
                 self.wire.consume(length);
                 return Ok(head);
             }
-            if self.wire.buffered().len() > MAX_HEAD_BYTES || self.fill().await? == 0 {
+            if self.wire.buffered().len() > MAX_HEAD_BYTES {
                 return Err(AttemptError::Broken);
             }
+            if self.fill().await? == 0 {
+                return Err(AttemptError::Closed);
+            }
         }
     }
 
     /// Buffers the rest of the response, reserving its size in `memory`.
     ///
     /// # Errors
-    /// [`AttemptError::Broken`] when the body ends early, exceeds [`MAX_RESPONSE_BYTES`] or does
-    /// not fit into `memory`.
+    /// [`AttemptError::Closed`] when the body ends early; [`AttemptError::Broken`] when it is
+    /// malformed, exceeds [`MAX_RESPONSE_BYTES`] or does not fit into `memory`.
     pub async fn read_whole(
         &mut self,
         method: &str,
@@ -185,7 +194,8 @@
     /// Reads more of a body into `output`; returns `false` when it is complete.
     ///
     /// # Errors
-    /// [`AttemptError::Broken`] when the body is malformed or ends early.
+    /// [`AttemptError::Broken`] when the body is malformed, [`AttemptError::Closed`] when it ends
+    /// early.
     pub async fn read_body(
         &mut self,
         decoder: &mut body::BodyDecoder,
@@ -204,7 +214,7 @@
             if decoder.ends_with_connection() {
                 return Ok(false);
             }
-            return Err(AttemptError::Broken);
+            return Err(AttemptError::Closed);
         }
         let result = self.wire.decode_buffered(decoder, output);
         result.map_err(|_malformed| AttemptError::Broken)?;
@@ -213,7 +223,7 @@
 
     async fn fill(&mut self) -> Result<usize> {
         let filled = self.wire.fill().await;
-        filled.map_err(|_reset| AttemptError::Broken)
+        filled.map_err(|_reset| AttemptError::Closed)
     }
 }
 
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::connection::h1::head;
-use crate::request::relay::{attempt, report, request_rate};
+use crate::request::relay::{attempt, prompt_part, report, request_rate};
 use crate::request::verdict;
 
 /// Request metadata from the caller's headers.
@@ -23,6 +23,9 @@
     pub last_event: Option<u64>,
     /// Tokens of the prompt plus the expected output; 0 when not stated.
     pub tokens: u64,
+    /// Leading parts of the prompt that other requests may have too; without the last part, which
+    /// belongs to this request or its session.
+    pub shared_parts: Vec<prompt_part::PromptPart>,
 }
 
 /// Where an engine finds the KV copy of a running request.
--- a/src/request/relay/events.rs
+++ b/src/request/relay/events.rs
@@ -32,6 +32,12 @@
         !self.pending.is_empty()
     }
 
+    /// Bytes of the incomplete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether the incomplete event exceeds [`MAX_EVENT_BYTES`].
     #[must_use]
     pub fn is_oversized(&self) -> bool {
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -6,8 +6,8 @@
 
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
-    attempt, buffered, context, dialect, events, fleet, kv_copy, retry, selection, stall,
-    stream_reader,
+    attempt, buffered, context, dialect, events, fleet, kv_copy, prompt_part, retry, selection,
+    stall, stream_reader,
 };
 use crate::request::verdict;
 
@@ -27,10 +27,32 @@
     NotRun(fleet::EndpointObservation),
     /// No connection; nothing was sent.
     Unsent,
-    Lost,
+    Lost(stream_reader::LossCause),
     CallerGone,
 }
 
+/// What the current attempt has received from its engine.
+#[derive(Clone, Copy, Debug)]
+struct AttemptProgress {
+    sent_at: time::Instant,
+    has_head: bool,
+    /// Complete events, also repeated ones; without comments.
+    events: u64,
+    /// Bytes of an incomplete event.
+    partial_bytes: usize,
+}
+
+impl AttemptProgress {
+    fn new() -> Self {
+        Self {
+            sent_at: time::Instant::now(),
+            has_head: false,
+            events: 0,
+            partial_bytes: 0,
+        }
+    }
+}
+
 /// State of one relayed stream.
 pub(super) struct StreamRelay<'a> {
     pub(super) context: &'a context::RelayContext,
@@ -47,6 +69,7 @@
     pub(super) attempts: u32,
     lost_at: Option<time::Instant>,
     is_sent: bool,
+    progress: AttemptProgress,
 }
 
 /// Relays `request` and writes its events; nothing is written when the outcome is a refusal.
@@ -69,6 +92,7 @@
         attempts: 0,
         lost_at: None,
         is_sent: false,
+        progress: AttemptProgress::new(),
     };
     match future::timeout(time_left, relay.run()).await {
         Ok(end) => end,
@@ -160,10 +184,12 @@
             endpoint = lease.endpoint.name.as_str(),
             copy = holder.as_ref().map_or("", |holder| holder.name.as_str()),
             from_copy = source.is_some(),
+            parts = prompt_part::join(&self.request.metadata.shared_parts).as_str(),
             last_event:? = self.cursor.last();
             "stream attempt"
         );
         self.is_sent = true;
+        self.progress = AttemptProgress::new();
         self.context.counters.count("relay.attempt");
         let sent = attempt::send(lease.endpoint.address, &bytes).await;
         let Ok(open) = sent else {
@@ -184,9 +210,11 @@
         lease: &context::EndpointLease,
         holder: Option<fleet::ChosenEndpoint>,
     ) -> StreamEnd {
-        let Some(head) = reader.first_head().await else {
-            return StreamEnd::Lost;
+        let head = match reader.first_head().await {
+            Ok(head) => head,
+            Err(cause) => return StreamEnd::Lost(cause),
         };
+        self.progress.has_head = true;
         let metadata = self.context.observe_head(self.request, lease, &head);
         if metadata.is_not_run || head.status == 421 {
             return StreamEnd::NotRun(buffered::refusal_observation(head.status));
@@ -197,13 +225,16 @@
                 .open
                 .read_whole(&self.request.head.method, head, &self.context.memory)
                 .await;
-            return response.map_or(StreamEnd::Lost, StreamEnd::Response);
+            return match response {
+                Ok(response) => StreamEnd::Response(response),
+                Err(error) => StreamEnd::Lost(error.into()),
+            };
         }
         let Ok(framing) = head.framing(&self.request.head.method) else {
-            return StreamEnd::Lost;
+            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
         };
         if !is_own || !metadata.is_sealed || metadata.is_altered {
-            return StreamEnd::Lost;
+            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
         }
         let mut relayed = head;
         relayed.headers.remove_hop_fields();
@@ -227,11 +258,13 @@
         loop {
             let limits = self.stall_limits();
             let reading = reader.read_events(&mut decoder, &mut splitter, limits, is_first);
-            let Some(is_open) = reading.await else {
-                return StreamEnd::Lost;
+            let is_open = match reading.await {
+                Ok(is_open) => is_open,
+                Err(cause) => return StreamEnd::Lost(cause),
             };
             let mut accepted = Vec::new();
             while let Some(event) = splitter.next_event() {
+                self.progress.events += u64::from(!event.is_comment);
                 if !event.is_comment && std::mem::take(&mut is_first) {
                     // The engine makes the copy only after prefill, which the first event marks.
                     self.copies = kv_copy::CopyManager::new(holder.take());
@@ -256,12 +289,18 @@
                         accepted.extend_from_slice(&event.bytes);
                     }
                     events::EventStatus::Repeated => idle_bytes += event.bytes.len(),
-                    events::EventStatus::Malformed => return StreamEnd::Lost,
+                    events::EventStatus::Malformed => {
+                        return StreamEnd::Lost(stream_reader::LossCause::Invalid);
+                    }
                 }
             }
+            self.progress.partial_bytes = splitter.partial_bytes();
             let is_stalled = !is_first && reader.idle_time() >= limits.abandon_after;
-            if splitter.is_oversized() || idle_bytes > events::MAX_EVENT_BYTES || is_stalled {
-                return StreamEnd::Lost;
+            if splitter.is_oversized() || idle_bytes > events::MAX_EVENT_BYTES {
+                return StreamEnd::Lost(stream_reader::LossCause::Invalid);
+            }
+            if is_stalled {
+                return StreamEnd::Lost(stream_reader::LossCause::Unresponsive);
             }
             if !accepted.is_empty() {
                 let began = time::Instant::now();
@@ -279,10 +318,10 @@
             }
         }
         if splitter.has_partial_event() {
-            return StreamEnd::Lost;
+            return StreamEnd::Lost(stream_reader::LossCause::Closed);
         }
         let Some(head) = self.head.as_ref() else {
-            return StreamEnd::Lost;
+            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
         };
         match self.sink.finish(head).await {
             Ok(()) => StreamEnd::Complete,
@@ -343,7 +382,8 @@
                 lease.observe(fleet::EndpointObservation::Failed);
                 retry::AttemptOutcome::NotRun
             }
-            StreamEnd::Lost => {
+            StreamEnd::Lost(cause) => {
+                self.log_loss(lease, cause);
                 self.possible_runs += 1;
                 self.lost_at.get_or_insert_with(time::Instant::now);
                 self.excluded.push(lease.endpoint.key);
@@ -374,6 +414,20 @@
         AttemptConclusion::Step(step)
     }
 
+    fn log_loss(&self, lease: &context::EndpointLease, cause: stream_reader::LossCause) {
+        let elapsed = self.progress.sent_at.elapsed();
+        log::info!(
+            request = self.request.metadata.id.as_str(),
+            endpoint = lease.endpoint.name.as_str(),
+            cause:? = cause,
+            has_head = self.progress.has_head,
+            events = self.progress.events,
+            partial_bytes = self.progress.partial_bytes,
+            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            "stream lost"
+        );
+    }
+
     fn retry_state(&self) -> retry::RetryState {
         let mut kind = self.request.route.kind;
         if !self.cursor.can_resume() {
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -11,6 +11,29 @@
 use crate::connection::h1::{body, head};
 use crate::request::relay::{attempt, dialect, events, report, stall};
 
+/// Result of reading a stream.
+pub(super) type Result<T> = std::result::Result<T, LossCause>;
+
+/// Why a stream counts as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LossCause {
+    /// The engine closed or reset the connection.
+    Closed,
+    /// The engine sent no event in time, or does not report the request as held.
+    Unresponsive,
+    /// The response is malformed or not the engine's own.
+    Invalid,
+}
+
+impl From<attempt::AttemptError> for LossCause {
+    fn from(error: attempt::AttemptError) -> Self {
+        match error {
+            attempt::AttemptError::Unsent | attempt::AttemptError::Closed => Self::Closed,
+            attempt::AttemptError::Broken => Self::Invalid,
+        }
+    }
+}
+
 /// Reads one engine's stream and detects stalls.
 pub(super) struct StreamReader<'a> {
     pub(super) open: attempt::OpenAttempt,
@@ -61,8 +84,11 @@
         self.last_event_at.elapsed()
     }
 
-    /// Reads the head; `None` when the connection ended or a probe failed.
-    pub(super) async fn first_head(&mut self) -> Option<head::ResponseHead> {
+    /// Reads the head.
+    ///
+    /// # Errors
+    /// Why the stream counts as lost.
+    pub(super) async fn first_head(&mut self) -> Result<head::ResponseHead> {
         let reading = Box::pin(self.open.head());
         let probe = LivenessProbe {
             address: self.address,
@@ -71,18 +97,20 @@
             tracker: &mut self.tracker,
             last_alive_at: &mut self.last_alive_at,
         };
-        probe.while_alive(reading).await?.ok()
+        Ok(probe.while_alive(reading).await??)
     }
 
-    /// Reads more of the body; returns whether more follows, or `None` when the stream is lost or
-    /// stalled.
+    /// Reads more of the body; returns whether more follows.
+    ///
+    /// # Errors
+    /// Why the stream counts as lost.
     pub(super) async fn read_events(
         &mut self,
         decoder: &mut body::BodyDecoder,
         splitter: &mut events::EventSplitter,
         limits: stall::StallLimits,
         is_first: bool,
-    ) -> Option<bool> {
+    ) -> Result<bool> {
         let (idle_time, last_event_at) = (self.idle_time(), self.last_event_at);
         let reading = Box::pin(self.open.read_body(decoder, splitter.buffer()));
         let mut probe = LivenessProbe {
@@ -93,22 +121,23 @@
             last_alive_at: &mut self.last_alive_at,
         };
         if is_first {
-            return probe.while_alive(reading).await?.ok();
+            return Ok(probe.while_alive(reading).await??);
         }
         let probe_timer = task::sleep(limits.probe_after.saturating_sub(idle_time));
         let reading = match futures_future::select(reading, Box::pin(probe_timer)).await {
-            Either::Left((read, _timer)) => return read.ok(),
+            Either::Left((read, _timer)) => return Ok(read?),
             Either::Right(((), reading)) => reading,
         };
         let is_known_alive = *probe.last_alive_at > last_event_at;
         let probing = Box::pin(async { is_known_alive || probe.is_alive().await });
         let reading = match futures_future::select(reading, probing).await {
-            Either::Left((read, _probing)) => return read.ok(),
-            Either::Right((false, _reading)) => return None,
+            Either::Left((read, _probing)) => return Ok(read?),
+            Either::Right((false, _reading)) => return Err(LossCause::Unresponsive),
             Either::Right((true, reading)) => reading,
         };
         let remaining = limits.abandon_after.saturating_sub(last_event_at.elapsed());
-        future::timeout(remaining, reading).await.ok()?.ok()
+        let read = future::timeout(remaining, reading).await;
+        Ok(read.map_err(|_elapsed| LossCause::Unresponsive)??)
     }
 }
 
@@ -131,8 +160,8 @@
         is_held
     }
 
-    /// Awaits `reading`, probing the engine meanwhile; `None` as soon as a probe fails.
-    async fn while_alive<Reading>(mut self, mut reading: Reading) -> Option<Reading::Output>
+    /// Awaits `reading`, probing the engine meanwhile; an error as soon as a probe fails.
+    async fn while_alive<Reading>(mut self, mut reading: Reading) -> Result<Reading::Output>
     where
         Reading: Future + Unpin,
     {
@@ -140,14 +169,14 @@
             let wait = stall::PREFILL_PROBE_INTERVAL.saturating_sub(self.last_alive_at.elapsed());
             let timer = Box::pin(task::sleep(wait));
             reading = match futures_future::select(reading, timer).await {
-                Either::Left((read, _timer)) => return Some(read),
+                Either::Left((read, _timer)) => return Ok(read),
                 Either::Right(((), reading)) => reading,
             };
             let probing = Box::pin(self.is_alive());
             reading = match futures_future::select(reading, probing).await {
-                Either::Left((read, _probing)) => return Some(read),
+                Either::Left((read, _probing)) => return Ok(read),
                 Either::Right((true, reading)) => reading,
-                Either::Right((false, _reading)) => return None,
+                Either::Right((false, _reading)) => return Err(LossCause::Unresponsive),
             };
         }
     }
