Add failing tests for prompts whose part crashes engines

An endpoint of the tests crashes when it begins to answer a prompt with a given part, and a judge counts at the endpoints what reaches them later than 3 s after the fifth crash.

--- /dev/null
+++ b/tests/gateway/crashing_prompts.rs
@@ -0,0 +1,148 @@
+//! A part of some prompts crashes each engine that begins to answer them. All gateways together have
+//! to learn which part it is, and to serve all other prompts.
+
+use std::net;
+use std::thread;
+use std::time;
+
+use crate::common;
+use crate::support::system::System;
+use crate::support::{crash_judge, load};
+
+/// Parts of prompts: one that crashes engines, and one that sound prompts share with it.
+const DEADLY_PART: &str = "dead01";
+const DEADLY_PROMPT: &str = "cafe01:200,dead01:50";
+const SOUND_PROMPT: &str = "cafe01:200";
+
+/// Time of load in which the part is learned; three seconds more than the crashes need.
+const LEARNING_TIME: time::Duration = time::Duration::from_secs(8);
+
+/// Time of load after the fault that a test adds.
+const FAULT_TIME: time::Duration = time::Duration::from_secs(6);
+
+/// Time after its start for which a gateway is excused.
+const RESTART_EXCUSE: time::Duration = time::Duration::from_secs(3);
+
+/// Time in which a caller learns that it is refused.
+const REFUSAL_BOUND: time::Duration = time::Duration::from_millis(200);
+
+/// Part of the sound prompts that must be served by their first engine, of those sent in calm time.
+const MIN_SOUND_SHARE: f64 = 0.9;
+
+/// A system with three gateways under load of prompts, some of which crash engines.
+struct CrashLoad {
+    system: System,
+    sound: load::SteadyLoad,
+    deadly: load::SteadyLoad,
+    /// Gateways that were killed or started again, and when.
+    restarts: Vec<(net::IpAddr, time::Instant)>,
+}
+
+impl CrashLoad {
+    fn start() -> Self {
+        let system = System::start(3);
+        for endpoint in [&system.first, &system.second] {
+            endpoint.set_deadly_part(Some(DEADLY_PART));
+        }
+        let ips: Vec<net::IpAddr> = system.gateways.iter().map(|gateway| gateway.ip).collect();
+        let plan = |callers, pause_ms, shared_parts| load::LoadPlan {
+            callers,
+            pause: time::Duration::from_millis(pause_ms),
+            path: "/stream/1",
+            shared_parts: Some(shared_parts),
+        };
+        Self {
+            sound: load::SteadyLoad::start(&ips, plan(2, 80, SOUND_PROMPT)),
+            deadly: load::SteadyLoad::start(&ips, plan(1, 150, DEADLY_PROMPT)),
+            system,
+            restarts: Vec::new(),
+        }
+    }
+
+    fn restart(&mut self, indices: &[usize]) {
+        let killed: Vec<_> = indices.iter().map(|_index| self.system.kill(0)).collect();
+        for (index, killed) in killed.into_iter().enumerate() {
+            self.system.start_again(index, killed);
+            let (ip, _store_address) = killed;
+            self.restarts.push((ip, time::Instant::now()));
+        }
+    }
+
+    /// Ends the load, and checks that the part was kept from endpoints and that sound prompts sent
+    /// from `calm_since` on were served.
+    fn finish(self, calm_since: time::Instant) {
+        let (sound, deadly) = (self.sound.stop(), self.deadly.stop());
+        let endpoints = [&self.system.first, &self.system.second];
+        let is_excused = |ip: net::IpAddr, at: time::Instant| {
+            let mut restarts = self.restarts.iter().filter(|(known, _at)| *known == ip);
+            restarts.any(|(_ip, start)| at < *start + RESTART_EXCUSE)
+        };
+        let finding = crash_judge::find_late_sends(&endpoints, &deadly, is_excused);
+        assert!(finding.is_none(), "{finding:?}; {}", self.system.logs());
+        let calm = sound.iter().filter(|request| calm_since < request.sent);
+        let (all, served) = calm.fold((0_u32, 0_u32), |(all, served), request| {
+            let is_served = request.status == Some(200)
+                && request.is_complete
+                && self.system.arrivals(&request.view.id).len() == 1;
+            (all + 1, served + u32::from(is_served))
+        });
+        let share = f64::from(served) / f64::from(all.max(1));
+        assert!(share >= MIN_SOUND_SHARE, "{served} of {all} sound prompts");
+        let refused = deadly.iter().filter(|request| calm_since < request.sent);
+        for request in refused {
+            assert!(
+                request.status == Some(503) && request.elapsed < REFUSAL_BOUND,
+                "{request:?}"
+            );
+        }
+    }
+}
+
+fn a_part_that_crashes_engines_is_kept_from_them() {
+    let load = CrashLoad::start();
+    thread::sleep(LEARNING_TIME);
+    let calm = time::Instant::now();
+    thread::sleep(FAULT_TIME);
+    load.finish(calm);
+}
+
+/// The gateways that learned the part are replaced one after the other, then all at once.
+fn a_crashing_part_is_known_after_restarts() {
+    let mut load = CrashLoad::start();
+    thread::sleep(LEARNING_TIME);
+    for index in 0..3 {
+        load.restart(&[index]);
+        thread::sleep(time::Duration::from_secs(2));
+    }
+    load.restart(&[0, 1, 2]);
+    thread::sleep(FAULT_TIME);
+    let calm = time::Instant::now();
+    thread::sleep(FAULT_TIME);
+    load.finish(calm);
+}
+
+/// The store is away while the part is learned.
+fn a_crashing_part_is_learned_without_the_store() {
+    let load = CrashLoad::start();
+    for gateway in &load.system.gateways {
+        load.system
+            .store
+            .set_unavailable(gateway.store_address, true);
+    }
+    thread::sleep(time::Duration::from_secs(2));
+    for gateway in &load.system.gateways {
+        load.system
+            .store
+            .set_unavailable(gateway.store_address, false);
+    }
+    thread::sleep(LEARNING_TIME);
+    let calm = time::Instant::now();
+    thread::sleep(FAULT_TIME);
+    load.finish(calm);
+}
+
+common::cases! {
+    steady: a_part_that_crashes_engines_is_kept_from_them();
+    restarts: a_crashing_part_is_known_after_restarts();
+    store_away: a_crashing_part_is_learned_without_the_store();
+}
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -9,7 +9,7 @@
 
 use crate::common;
 use crate::support::system::System;
-use crate::support::{fakes, limit_judge, load, router};
+use crate::support::{fakes, limit_judge, load};
 
 /// Time of load before a limit is named.
 const WARM_UP: time::Duration = time::Duration::from_secs(1);
@@ -61,7 +61,7 @@
     fn start(path: &'static str) -> Self {
         let system = System::start(3);
         let ips: Vec<net::IpAddr> = system.gateways.iter().map(|gateway| gateway.ip).collect();
-        let load = load::SteadyLoad::start(&ips, path);
+        let load = load::SteadyLoad::start(&ips, load::LoadPlan::plain(path));
         thread::sleep(WARM_UP);
         Self {
             system,
@@ -72,16 +72,12 @@
 
     /// Kills the gateway with this index and starts it again after `pause`, unless it is `None`.
     fn kill(&mut self, index: usize, pause: Option<time::Duration>) {
-        let old = self.system.gateways.remove(index);
-        self.killed.push((old.ip, time::Instant::now()));
-        let (ip, store_address) = (old.ip, old.store_address);
-        drop(old);
+        let killed = self.system.kill(index);
+        let (ip, _store_address) = killed;
+        self.killed.push((ip, time::Instant::now()));
         let Some(pause) = pause else { return };
         thread::sleep(pause);
-        let number = ip_number(ip);
-        let folder = self.system.folder.path();
-        let gateway = router::spawn(folder, self.system.net, number, store_address);
-        self.system.gateways.insert(index, gateway);
+        self.system.start_again(index, killed);
         self.killed.push((ip, time::Instant::now()));
     }
 
@@ -104,13 +100,6 @@
     }
 }
 
-fn ip_number(ip: net::IpAddr) -> u8 {
-    match ip {
-        net::IpAddr::V4(ip) => ip.octets()[3],
-        net::IpAddr::V6(_) => unreachable!("the tests use IPv4"),
-    }
-}
-
 fn seconds_ago(seconds: u64) -> time::Instant {
     let earlier = time::Instant::now().checked_sub(time::Duration::from_secs(seconds));
     earlier.expect("the machine has run that long")
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 
 mod burst;
 mod cached_state;
+mod crashing_prompts;
 mod decisions;
 mod endless_responses;
 mod endpoint_limits;
--- a/tests/gateway/support/caller.rs
+++ b/tests/gateway/support/caller.rs
@@ -13,8 +13,16 @@
 
 /// The text of a request with a body of two bytes.
 pub fn request(path: &str, id: &str, key: &str) -> String {
+    prompt_request(path, id, key, None)
+}
+
+/// The text of a request that names the parts of its prompt, if it has any.
+pub fn prompt_request(path: &str, id: &str, key: &str, parts: Option<&str>) -> String {
+    let prompt = parts.map_or_else(String::new, |parts| {
+        format!("Kumquatpulley-Prompt-Prefix: {parts}\r\n")
+    });
     format!(
-        "POST {path} HTTP/1.1\r\nHost: h\r\nKumquatpulley-Request-Id: {id}\r\n\
+        "POST {path} HTTP/1.1\r\nHost: h\r\nKumquatpulley-Request-Id: {id}\r\n{prompt}\
          Kumquatpulley-Deadline-Ms: 8000\r\nAuthorization: Bearer {key}\r\nContent-Length: 2\r\n\r\nhi"
     )
 }
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -346,6 +346,15 @@
 /// Delay that endpoints ask for in the mode `RetryAfter`.
 pub const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
 
+/// Time until an endpoint that crashed because of a prompt is back.
+const RESTART_TIME: time::Duration = time::Duration::from_millis(400);
+
+/// Time of the prefill of a prompt in which an endpoint looks for a deadly part.
+const PREFILL_TIME: time::Duration = time::Duration::from_millis(60);
+
+/// Time from the head of a response to the crash that its prompt causes.
+const CRASH_DELAY: time::Duration = time::Duration::from_millis(10);
+
 /// Pause between events.
 const EVENT_PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -364,6 +373,15 @@
     limits: sync::Mutex<Vec<LimitChange>>,
     /// Ids of the requests whose answers named a limit.
     named_to: sync::Mutex<Vec<String>>,
+    crashes: sync::Mutex<CrashState>,
+}
+
+/// Crashes of an endpoint that were caused by a prompt.
+#[derive(Debug, Default)]
+struct CrashState {
+    /// Part that crashes the endpoint when it begins to answer a prompt with it.
+    deadly_part: Option<String>,
+    crashed_at: Vec<time::Instant>,
 }
 
 /// A request limit that an endpoint names from some time on.
@@ -395,6 +413,7 @@
             copy_requests: sync::Mutex::default(),
             limits: sync::Mutex::default(),
             named_to: sync::Mutex::default(),
+            crashes: sync::Mutex::default(),
         });
         let served = sync::Arc::clone(&state);
         serve(listener, move |stream| answer_endpoint(stream, &served));
@@ -446,6 +465,19 @@
         self.state.aborted_streams.load(atomic::Ordering::SeqCst)
     }
 
+    /// Crashes from now on when it begins to answer a prompt with this part, unless it is the last
+    /// part; `None` for no part. It is back after [`RESTART_TIME`].
+    pub fn set_deadly_part(&self, part: Option<&str>) {
+        let mut crashes = self.state.crashes.lock().expect("not poisoned");
+        crashes.deadly_part = part.map(str::to_owned);
+    }
+
+    /// When the endpoint crashed because of a prompt, oldest first.
+    pub fn crashes(&self) -> Vec<time::Instant> {
+        let crashes = self.state.crashes.lock().expect("not poisoned");
+        crashes.crashed_at.clone()
+    }
+
     /// Makes an endpoint that stopped answering work again.
     pub fn revive(&self) {
         self.state.is_dead.store(false, atomic::Ordering::SeqCst);
@@ -465,6 +497,44 @@
     }
 }
 
+impl EndpointState {
+    /// Whether the prompt of `request` has the deadly part, and not as its last one.
+    fn is_deadly(&self, request: &ReceivedRequest) -> bool {
+        let crashes = self.crashes.lock().expect("not poisoned");
+        let parts = request.field("Kumquatpulley-Prompt-Prefix");
+        let shared = parts.as_deref().and_then(|parts| parts.rsplit_once(','));
+        shared.is_some_and(|(shared, _last)| {
+            let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+            ids.any(|id| Some(id) == crashes.deadly_part.as_deref())
+        })
+    }
+
+    fn crash_count(&self) -> usize {
+        self.crashes.lock().expect("not poisoned").crashed_at.len()
+    }
+
+    /// Ends all streams and answers nothing for [`RESTART_TIME`].
+    fn crash(&self, stream: &net::TcpStream) {
+        if self.is_dead.swap(true, atomic::Ordering::SeqCst) {
+            return reset(stream);
+        }
+        let mut crashes = self.crashes.lock().expect("not poisoned");
+        crashes.crashed_at.push(time::Instant::now());
+        drop(crashes);
+        reset(stream);
+        thread::sleep(RESTART_TIME);
+        self.is_dead.store(false, atomic::Ordering::SeqCst);
+    }
+}
+
+/// Resets the connection, as the end of a process does.
+fn reset(stream: &net::TcpStream) {
+    let linger = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
+    linger.expect("a socket option");
+    // The peer may have closed already.
+    let _closed = stream.shutdown(net::Shutdown::Both);
+}
+
 fn answer_endpoint(stream: &mut net::TcpStream, state: &EndpointState) {
     let Some(mut request) = read_request(stream) else {
         return;
@@ -643,10 +713,22 @@
         "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
          {notices}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
+    let is_deadly = state.is_deadly(request);
+    let crashes_before = state.crash_count();
+    if is_deadly {
+        thread::sleep(PREFILL_TIME);
+    }
     if stream.write_all(head.as_bytes()).is_err() {
         return;
     }
+    if is_deadly {
+        thread::sleep(CRASH_DELAY);
+        return state.crash(stream);
+    }
     for event in first..=EVENT_COUNT {
+        if state.crash_count() > crashes_before {
+            return reset(stream);
+        }
         match mode {
             EndpointMode::DiesAfter(last) | EndpointMode::SlowThenDiesAfter(last)
                 if event > last =>
--- a/tests/gateway/support/load.rs
+++ b/tests/gateway/support/load.rs
@@ -6,14 +6,36 @@
 use std::thread;
 use std::time;
 
-use crate::support::system::System;
 use crate::support::{caller, limit_judge};
 
-/// Callers at each gateway.
-const CALLERS: u64 = 4;
+/// Requests that callers send.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadPlan {
+    /// Callers at each gateway.
+    pub callers: u64,
+    /// Pause of a caller between two requests.
+    pub pause: time::Duration,
+    pub path: &'static str,
+    /// Shared parts of each prompt, to which a part of its own is added; `None` sends no prompt.
+    pub shared_parts: Option<&'static str>,
+}
 
-/// Pause of a caller between two requests.
-const PAUSE: time::Duration = time::Duration::from_millis(80);
+impl LoadPlan {
+    /// Four callers at each gateway, who send requests without a prompt to `path`.
+    pub const fn plain(path: &'static str) -> Self {
+        Self {
+            callers: 4,
+            pause: time::Duration::from_millis(80),
+            path,
+            shared_parts: None,
+        }
+    }
+
+    fn caller_name(&self, gateway: net::IpAddr, number: u64) -> String {
+        let parts = self.shared_parts.unwrap_or_default();
+        format!("{gateway}-{number}-{parts}")
+    }
+}
 
 /// A request that was answered or not, and how.
 #[derive(Clone, Debug)]
@@ -23,6 +45,7 @@
     pub elapsed: time::Duration,
     /// `None` if there was no answer.
     pub status: Option<u16>,
+    pub is_complete: bool,
     /// Whether a refusal said when to come back.
     pub has_retry_delay: bool,
 }
@@ -35,15 +58,15 @@
 }
 
 impl SteadyLoad {
-    /// Starts [`CALLERS`] callers at each gateway; each sends requests to `path`.
-    pub fn start(gateways: &[net::IpAddr], path: &'static str) -> Self {
+    /// Starts callers of `plan` at each gateway.
+    pub fn start(gateways: &[net::IpAddr], plan: LoadPlan) -> Self {
         let is_over = sync::Arc::new(atomic::AtomicBool::new(false));
         let places = gateways
             .iter()
-            .flat_map(|ip| (0..CALLERS).map(move |number| (*ip, number)));
+            .flat_map(|ip| (0..plan.callers).map(move |number| (*ip, number)));
         let callers = places.map(|(ip, number)| {
             let is_over = sync::Arc::clone(&is_over);
-            thread::spawn(move || send_until(&is_over, ip, &format!("{ip}-{number}"), path))
+            thread::spawn(move || send_until(&is_over, ip, &plan.caller_name(ip, number), plan))
         });
         Self {
             callers: callers.collect(),
@@ -64,13 +87,17 @@
     is_over: &atomic::AtomicBool,
     ip: net::IpAddr,
     name: &str,
-    path: &str,
+    plan: LoadPlan,
 ) -> Vec<SentRequest> {
     let mut requests = Vec::new();
     while !is_over.load(atomic::Ordering::SeqCst) {
         let id = format!("{name}-{}", requests.len());
         let sent = time::Instant::now();
-        let answer: Option<caller::Answer> = System::send(ip, path, &id);
+        let prompt = plan
+            .shared_parts
+            .map(|parts| format!("{parts},{:x}:100", fastrand::u64(..)));
+        let request = caller::prompt_request(plan.path, &id, "k", prompt.as_deref());
+        let answer = caller::exchange((ip, 8227).into(), request.as_bytes());
         let answered = answer.as_ref().map(|_answer| time::Instant::now());
         requests.push(SentRequest {
             view: limit_judge::CallerView {
@@ -81,10 +108,11 @@
             sent,
             elapsed: sent.elapsed(),
             status: answer.as_ref().map(|answer| answer.head.status),
+            is_complete: answer.as_ref().is_some_and(|answer| answer.is_complete),
             has_retry_delay: answer
                 .is_some_and(|answer| answer.head.headers.get("Retry-After").is_some()),
         });
-        thread::sleep(PAUSE);
+        thread::sleep(plan.pause);
     }
     requests
 }
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -2,6 +2,7 @@
 //! else.
 
 pub mod caller;
+pub mod crash_judge;
 pub mod fakes;
 pub mod limit_judge;
 pub mod load;
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -65,6 +65,23 @@
         system
     }
 
+    /// Kills the gateway with this index; returns its address and that of its store.
+    pub fn kill(&mut self, index: usize) -> (net::IpAddr, net::SocketAddr) {
+        let gateway = self.gateways.remove(index);
+        (gateway.ip, gateway.store_address)
+    }
+
+    /// Starts a gateway that was killed, again with this index.
+    pub fn start_again(&mut self, index: usize, killed: (net::IpAddr, net::SocketAddr)) {
+        let (ip, store_address) = killed;
+        let number = match ip {
+            net::IpAddr::V4(ip) => ip.octets()[3],
+            net::IpAddr::V6(_) => unreachable!("the tests use IPv4"),
+        };
+        let gateway = router::spawn(self.folder.path(), self.net, number, store_address);
+        self.gateways.insert(index, gateway);
+    }
+
     pub fn put_config(&self, version: u64, keys: &str) {
         let text = CONFIG
             .replace("VERSION", &version.to_string())
