--- a/src/connection/caller_retry.rs
+++ b/src/connection/caller_retry.rs
@@ -35,7 +35,8 @@
         | verdict::RefusalCode::WrongHome
         | verdict::RefusalCode::HomeUnreachable
         | verdict::RefusalCode::OutcomeForgotten
-        | verdict::RefusalCode::KeyReused => RetryAdvice::Never,
+        | verdict::RefusalCode::KeyReused
+        | verdict::RefusalCode::PromptBlocked => RetryAdvice::Never,
         verdict::RefusalCode::NotReady
         | verdict::RefusalCode::NoEndpoint
         | verdict::RefusalCode::EndpointFailed => RetryAdvice::Elsewhere,
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -52,6 +52,8 @@
         above: u64,
         /// Digest of all the sender's endpoint rows; the reply holds part digests if it differs.
         digest: u64,
+        /// Digest of the prompts that are blocked at the sender; the reply holds them if it differs.
+        blocked: u64,
     },
     /// Asks for the endpoint rows that the sender lacks.
     EndpointRows {
@@ -62,6 +64,48 @@
     SendPermit(EndpointLimitWire),
     /// Tells the owner of an endpoint that its request limit changed.
     EndpointLimit(EndpointLimitWire),
+    /// Tells that a prompt crashed its engine, and asks what the peer knows of its parts.
+    PromptCrash(PromptCrashWire),
+    /// Tells that prompts are blocked.
+    BlockedPrompts(Vec<BlockedPromptWire>),
+}
+
+/// An engine that crashed when it began to answer a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct PromptCrashWire {
+    /// Hash of the request identifier.
+    pub request: u64,
+    /// Hash of the engine's name.
+    pub endpoint: u64,
+    /// Shared parts of the prompt.
+    pub parts: Vec<u64>,
+    /// Time since the crash, in microseconds.
+    pub age_micros: u64,
+    /// Time from the sending of the request to the crash, in microseconds.
+    pub running_micros: u64,
+}
+
+/// What a router knows of some parts of prompts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct PromptEvidenceWire {
+    /// Crashes of prompts that have one of the parts.
+    pub crashes: Vec<PromptCrashWire>,
+    /// Parts with the time since a prompt with it was last answered, in microseconds.
+    pub successes: Vec<(u64, u64)>,
+}
+
+/// Prompts with certain parts that are blocked for a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct BlockedPromptWire {
+    /// Parts that a prompt must have to be blocked.
+    pub parts: Vec<u64>,
+    /// End of the block, in milliseconds since the Unix epoch.
+    pub until_ms: u64,
+    /// Number of times that the prompt was blocked.
+    pub count: u32,
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -145,6 +189,10 @@
     SendPermit(PermitReplyWire),
     /// Newest limit that the owner knows; `None` from a router that is not the owner.
     EndpointLimit(Option<LimitWire>),
+    /// What the peer knows of the parts of a prompt.
+    PromptEvidence(PromptEvidenceWire),
+    /// The blocked prompts were taken.
+    BlockedPrompts,
 }
 
 /// A router's view of the platform's store.
@@ -164,6 +212,8 @@
     pub endpoint_age_micros: u64,
     /// Digests of the sender's endpoint rows by part; empty when both sides have the same rows.
     pub digests: Vec<u64>,
+    /// All prompts blocked at the sender; empty when both sides have the same.
+    pub blocked: Vec<BlockedPromptWire>,
 }
 
 /// Changes that bring some parts of the receiver's endpoint rows up to date.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -134,13 +134,14 @@
         .boxed()
     }
 
-    fn announce<'a>(
+    fn put<'a>(
         &'a self,
-        router: &'a str,
-        peer_address: &'a str,
+        topic: rows::RowTopic,
+        key: &'a str,
+        value: &'a [u8],
     ) -> future::BoxFuture<'a, rows::Result<()>> {
         async move {
-            let body = store_wire::announcement(router, peer_address);
+            let body = store_wire::put_row(topic, key, value);
             let method = http_types::Method::Post;
             let wait = time::Duration::ZERO;
             let call = self.call(method, "/rows-tx", Some(&body), wait);
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -5,8 +5,8 @@
 use base64::Engine as _;
 use base64::engine::general_purpose;
 
-use crate::platform::{config_wire, entry_wire};
-use crate::process::gateway::{endpoint_registry, rows};
+use crate::platform::{block_wire, config_wire, entry_wire};
+use crate::process::gateway::{block_list, endpoint_registry, rows};
 use crate::version::traffic;
 
 /// Result of decoding a store response.
@@ -15,9 +15,6 @@
 /// Key of the row that holds the configuration.
 const CONFIG_KEY: &str = "config";
 
-/// Table of the peer addresses that routers announce.
-const ROUTER_TABLE: &str = "routers";
-
 /// A response of the store that does not match its documented format.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WireError(pub String);
@@ -95,19 +92,20 @@
     match topic {
         rows::RowTopic::Config => "op",
         rows::RowTopic::Endpoints => "servers",
-        rows::RowTopic::Routers => ROUTER_TABLE,
+        rows::RowTopic::Routers => "routers",
+        rows::RowTopic::BlockedPrompts => "blocked_prompts",
     }
 }
 
-/// Builds the transaction that writes a router's peer address unconditionally.
-pub(super) fn announcement(router: &str, peer_address: &str) -> serde_json::Value {
+/// Builds the transaction that writes a row unconditionally.
+pub(super) fn put_row(topic: rows::RowTopic, key: &str, value: &[u8]) -> serde_json::Value {
     serde_json::json!({
         "precondition": [],
         "puts": [{
-            "table": ROUTER_TABLE,
+            "table": table_name(topic),
             "part": "",
-            "key": router,
-            "value": general_purpose::STANDARD.encode(peer_address),
+            "key": key,
+            "value": general_purpose::STANDARD.encode(value),
         }],
         "delete": [],
     })
@@ -143,4 +141,16 @@
     fn peer_address(&self, value: &[u8]) -> Option<String> {
         std::str::from_utf8(value).ok().map(str::to_owned)
     }
+
+    fn blocked_prompt(&self, value: &[u8]) -> Option<block_list::BlockedPrompt> {
+        let decoded = block_wire::decode(value);
+        if let Err(error) = &decoded {
+            log::warn!(cause = error.to_string().as_str(); "cannot decode a blocked prompt");
+        }
+        decoded.ok()
+    }
+
+    fn encode_blocked_prompt(&self, entry: &block_list::BlockedPrompt) -> Vec<u8> {
+        block_wire::encode(entry)
+    }
 }
--- a/src/process/gateway/counter_names.rs
+++ b/src/process/gateway/counter_names.rs
@@ -37,5 +37,6 @@
         verdict::RefusalCode::PlatformUnavailable => "refused.platform_unavailable",
         verdict::RefusalCode::NotReady => "refused.not_ready",
         verdict::RefusalCode::KeyReused => "refused.key_reused",
+        verdict::RefusalCode::PromptBlocked => "refused.prompt_blocked",
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -4,10 +4,12 @@
 //! `rows` and from other gateways through `peers`. `freshness`, `endpoint_registry` and
 //! `endpoint_fleet` hold the cached state and decide from it without I/O.
 
+pub mod block_list;
 pub mod boot_clock;
 pub mod budgets;
 pub mod caller_server;
 pub mod counter_names;
+pub mod crash_ledger;
 pub mod endpoint_fleet;
 pub mod endpoint_limit;
 pub mod endpoint_notice;
@@ -20,6 +22,7 @@
 pub mod peers;
 pub mod permit_ledger;
 pub mod permits;
+pub mod prompt_guard;
 pub mod readers;
 pub mod reload;
 pub mod request_check;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -8,7 +8,7 @@
 use crate::connection::peer;
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, freshness,
-    permits, readers, request_check, rows, settings, stream_duration,
+    permits, prompt_guard, readers, request_check, rows, settings, stream_duration,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -71,6 +71,8 @@
     pub codec: sync::Arc<dyn rows::RowCodec>,
     /// Permits for requests to endpoints that limit their rate.
     pub permits: sync::Arc<permits::RouterPermits>,
+    /// Prompts that are blocked because they crash engines.
+    pub prompts: sync::Arc<prompt_guard::RouterPromptGuard>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
@@ -141,6 +143,16 @@
         ages.max().unwrap_or_default()
     }
 
+    /// Records that the store has just answered a call for `topic`.
+    pub(super) fn record_store_answer(&self, topic: rows::RowTopic) {
+        let index = match topic {
+            rows::RowTopic::Config => 0,
+            rows::RowTopic::Endpoints => 1,
+            rows::RowTopic::Routers | rows::RowTopic::BlockedPrompts => return,
+        };
+        self.store_answered_at.lock()[index] = boot_clock::BootInstant::now();
+    }
+
     /// Whether new callers should use this router.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -62,8 +62,12 @@
                 return reply;
             }
             match query {
-                peer_wire::QueryBody::StoreView { above, digest } => {
-                    let state = self.state_for_peer(above, digest);
+                peer_wire::QueryBody::StoreView {
+                    above,
+                    digest,
+                    blocked,
+                } => {
+                    let state = self.state_for_peer(above, digest, blocked);
                     peer_wire::ReplyBody::StoreView(state.map(Box::new))
                 }
                 peer_wire::QueryBody::EndpointRows { parts } => {
@@ -75,6 +79,13 @@
                 peer_wire::QueryBody::EndpointLimit(query) => {
                     peer_wire::ReplyBody::EndpointLimit(self.permits.answer_announcement(query))
                 }
+                peer_wire::QueryBody::PromptCrash(crash) => {
+                    peer_wire::ReplyBody::PromptEvidence(self.prompts.answer_crash(&crash))
+                }
+                peer_wire::QueryBody::BlockedPrompts(blocked) => {
+                    self.prompts.merge_blocks(blocked, "peer");
+                    peer_wire::ReplyBody::BlockedPrompts
+                }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
         }
@@ -85,8 +96,13 @@
 impl node::GatewayNode {
     /// This router's cached state for a peer; `None` while it has no configuration or no
     /// endpoints. The configuration row is included if newer than `above`, the part digests if
-    /// they differ from `digest`.
-    fn state_for_peer(&self, above: u64, digest: u64) -> Option<peer_wire::StoreViewWire> {
+    /// they differ from `digest`, and the blocked prompts if they differ from `blocked`.
+    fn state_for_peer(
+        &self,
+        above: u64,
+        digest: u64,
+        blocked: u64,
+    ) -> Option<peer_wire::StoreViewWire> {
         let now = boot_clock::BootInstant::now();
         let config_state = self.config_state.lock();
         let number = config_state.version.as_ref()?.number();
@@ -103,6 +119,11 @@
             answer_age_micros: self.store_answer_age().map(micros),
             endpoint_age_micros: micros(endpoint_age),
             digests: if is_same { Vec::new() } else { own.to_vec() },
+            blocked: if self.prompts.digest() == blocked {
+                Vec::new()
+            } else {
+                self.prompts.blocks_for_peer()
+            },
         })
     }
 
@@ -136,11 +157,17 @@
         let above = self.version_number().unwrap_or_default();
         let own = self.endpoint_digests();
         let digest = endpoint_rows::combined_digest(&own);
-        let query = peer_wire::QueryBody::StoreView { above, digest };
+        let query = peer_wire::QueryBody::StoreView {
+            above,
+            digest,
+            blocked: self.prompts.digest(),
+        };
         let reply = self.link.ask(address, query, ANSWER_TIMEOUT).await;
-        let Ok(peer_wire::ReplyBody::StoreView(Some(state))) = reply else {
+        let Ok(peer_wire::ReplyBody::StoreView(Some(mut state))) = reply else {
             return;
         };
+        self.prompts
+            .merge_blocks(std::mem::take(&mut state.blocked), "peer");
         if let Some(age) = state.answer_age_micros {
             let answered_at = asked_at.before(time::Duration::from_micros(age));
             self.reader_watch.lock().record_answer(answered_at);
--- /dev/null
+++ b/src/process/gateway/prompt_guard.rs
@@ -0,0 +1,369 @@
+//! Blocks prompts that crash engines, together with the other routers.
+//!
+//! A router that sees a crash tells all others, and their replies hold what they know of the
+//! prompt's parts. So it decides with the evidence of all routers that it reaches, and with its own
+//! if it reaches none. A block is told to all routers, found by those that missed it in their next
+//! query to a peer, and written to the store for routers that start when no other one runs.
+
+use std::sync;
+use std::time;
+
+use async_std::task;
+use futures::FutureExt as _;
+use futures::future;
+use xxhash_rust::xxh3;
+
+use crate::connection::{peer, peer_wire};
+use crate::process::gateway::{block_list, boot_clock, crash_ledger, rows};
+use crate::process::members::gossip;
+use crate::process::telemetry::timeline;
+use crate::process::view;
+use crate::request::relay::{prompt_guard, prompt_part};
+
+/// Timeout for the replies of other routers; a few round trips within a region.
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+
+/// Attempts to tell another router of a block; it also finds the block in its next query to a peer.
+const MAX_TELLS: u32 = 3;
+
+/// Pause between two attempts to write a block to the store.
+const WRITE_RETRY: time::Duration = time::Duration::from_secs(1);
+
+/// Attempts to write a block to the store, for longer than its usual outages. Readers of the store
+/// add what it lacks when it answers again.
+const MAX_WRITES: u32 = 120;
+
+/// Crashes and blocks that this router knows.
+#[derive(Debug)]
+pub struct RouterPromptGuard {
+    gossip: sync::Arc<gossip::GossipNode>,
+    link: sync::Arc<dyn peer::PeerLink>,
+    store: sync::Arc<dyn rows::RowStore>,
+    codec: sync::Arc<dyn rows::RowCodec>,
+    counters: sync::Arc<dyn view::CounterSink>,
+    ledger: parking_lot::Mutex<crash_ledger::CrashLedger>,
+    blocks: parking_lot::Mutex<block_list::BlockList>,
+}
+
+impl RouterPromptGuard {
+    /// Creates a guard that knows no crash and no block.
+    #[must_use]
+    pub fn new(
+        gossip: sync::Arc<gossip::GossipNode>,
+        link: sync::Arc<dyn peer::PeerLink>,
+        store: sync::Arc<dyn rows::RowStore>,
+        codec: sync::Arc<dyn rows::RowCodec>,
+        counters: sync::Arc<dyn view::CounterSink>,
+    ) -> Self {
+        Self {
+            gossip,
+            link,
+            store,
+            codec,
+            counters,
+            ledger: parking_lot::Mutex::default(),
+            blocks: parking_lot::Mutex::default(),
+        }
+    }
+
+    /// Takes the crash that another router reports; returns what this one knows of the prompt's
+    /// parts.
+    #[must_use]
+    pub fn answer_crash(&self, wire: &peer_wire::PromptCrashWire) -> peer_wire::PromptEvidenceWire {
+        let now = boot_clock::BootInstant::now();
+        let crash = received_crash(wire, now);
+        let parts = crash.parts.clone();
+        let mut ledger = self.ledger.lock();
+        let crashes = ledger.crashes_of(&parts);
+        ledger.record_crash(crash, now);
+        let successes = ledger.successes_of(&parts).into_iter();
+        peer_wire::PromptEvidenceWire {
+            crashes: crashes.iter().map(|crash| sent_crash(crash, now)).collect(),
+            successes: successes
+                .map(|success| (success.part.0, micros(now.since(success.at))))
+                .collect(),
+        }
+    }
+
+    /// Takes blocks that another router told.
+    pub fn merge_blocks(&self, blocks: Vec<peer_wire::BlockedPromptWire>, source: &str) {
+        let entries = blocks.into_iter().map(block_list::BlockedPrompt::from);
+        self.merge_entries(entries, source);
+    }
+
+    /// Takes blocks that the store holds.
+    pub fn merge_rows<'a>(&self, values: impl Iterator<Item = &'a [u8]>) {
+        let entries = values.filter_map(|value| self.codec.blocked_prompt(value));
+        self.merge_entries(entries, "store");
+    }
+
+    /// Blocks that `stored`, all rows of the store, do not hold, as keys and values to be written.
+    #[must_use]
+    pub fn missing_rows(&self, stored: &[rows::RowChange]) -> Vec<(String, Vec<u8>)> {
+        let blocks = self.blocks.lock();
+        let blocks = blocks.entries().iter().map(|entry| {
+            let value = self.codec.encode_blocked_prompt(entry);
+            (entry.key(), value)
+        });
+        let is_missing = |(key, value): &(String, Vec<u8>)| {
+            let row = stored.iter().find(|row| row.key == *key);
+            row.and_then(|row| row.value.as_ref()) != Some(value)
+        };
+        blocks.filter(is_missing).collect()
+    }
+
+    /// Digest of all blocks.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.blocks.lock().digest()
+    }
+
+    /// All blocks, for a peer.
+    #[must_use]
+    pub fn blocks_for_peer(&self) -> Vec<peer_wire::BlockedPromptWire> {
+        let blocks = self.blocks.lock();
+        let entries = blocks.entries().iter().cloned();
+        entries.map(peer_wire::BlockedPromptWire::from).collect()
+    }
+
+    fn merge_entries(
+        &self,
+        entries: impl Iterator<Item = block_list::BlockedPrompt>,
+        source: &str,
+    ) {
+        let now_ms = wall_millis();
+        for entry in entries {
+            let parts = prompt_part::join(&entry.parts);
+            let until_ms = entry.until_ms;
+            if self.blocks.lock().merge(entry, now_ms) {
+                let left_ms = until_ms.saturating_sub(now_ms);
+                log::info!(parts = parts.as_str(), left_ms, source; "prompt blocked elsewhere");
+            }
+        }
+    }
+
+    /// Tells all other routers of a crash, and adds what they know to the ledger; returns how many
+    /// replied.
+    async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
+        let peers = self.peers();
+        let asked_at = boot_clock::BootInstant::now();
+        let wire = sent_crash(crash, asked_at);
+        let asks = peers.iter().map(|address| {
+            let query = peer_wire::QueryBody::PromptCrash(wire.clone());
+            self.link.ask(address, query, ASK_TIMEOUT)
+        });
+        let replies = future::join_all(asks).await;
+        let mut ledger = self.ledger.lock();
+        let mut count = 0;
+        for reply in replies {
+            let Ok(peer_wire::ReplyBody::PromptEvidence(evidence)) = reply else {
+                continue;
+            };
+            count += 1;
+            for crash in &evidence.crashes {
+                ledger.record_crash(received_crash(crash, asked_at), asked_at);
+            }
+            for (part, age_micros) in evidence.successes {
+                ledger.record_success(crash_ledger::PartSuccess {
+                    part: prompt_part::PromptPart(part),
+                    at: asked_at.before(time::Duration::from_micros(age_micros)),
+                });
+            }
+        }
+        count
+    }
+
+    /// Blocks what the evidence shows about the shared parts of a prompt that crashed an engine.
+    fn block_suspects(
+        &self,
+        request: &str,
+        parts: &[prompt_part::PromptPart],
+    ) -> Vec<block_list::BlockedPrompt> {
+        let now_ms = wall_millis();
+        let ledger = self.ledger.lock();
+        let mut suspects = ledger.suspects(parts);
+        let crashes = ledger.crashes_of(parts).len();
+        drop(ledger);
+        let mut blocks = self.blocks.lock();
+        suspects.extend(blocks.expired_matches(parts, now_ms));
+        let mut blocked = Vec::new();
+        for suspect in suspects {
+            if blocks.block_left(&suspect, now_ms).is_some() {
+                continue;
+            }
+            let entry = blocks.block(suspect, now_ms);
+            log::warn!(
+                request,
+                parts = prompt_part::join(&entry.parts).as_str(),
+                crashes,
+                count = entry.count,
+                left_ms = entry.until_ms.saturating_sub(now_ms);
+                "prompt blocked; engines crash on it"
+            );
+            self.counters.count("relay.prompt_blocked");
+            blocked.push(entry);
+        }
+        blocked
+    }
+
+    async fn announce(&self, blocked: &[block_list::BlockedPrompt]) {
+        let peers = self.peers();
+        let tells = peers.iter().map(|address| self.tell(address, blocked));
+        future::join_all(tells).await;
+    }
+
+    async fn tell(&self, address: &str, blocked: &[block_list::BlockedPrompt]) {
+        let wires: Vec<peer_wire::BlockedPromptWire> =
+            blocked.iter().cloned().map(Into::into).collect();
+        for _tell in 0..MAX_TELLS {
+            let query = peer_wire::QueryBody::BlockedPrompts(wires.clone());
+            if self.link.ask(address, query, ASK_TIMEOUT).await.is_ok() {
+                return;
+            }
+        }
+        log::info!(peer = address; "peer not told of a blocked prompt; it learns it in its next query");
+    }
+
+    /// Writes a block to the store; gives up when the store stays away for long.
+    async fn write(&self, entry: &block_list::BlockedPrompt) {
+        let (key, value) = (entry.key(), self.codec.encode_blocked_prompt(entry));
+        for _write in 0..MAX_WRITES {
+            let topic = rows::RowTopic::BlockedPrompts;
+            match self.store.put(topic, &key, &value).await {
+                Ok(()) => return,
+                Err(error) => {
+                    let cause = error.to_string();
+                    log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; retrying");
+                }
+            }
+            task::sleep(WRITE_RETRY.mul_f64(0.5 + fastrand::f64())).await;
+        }
+        log::error!(key = key.as_str(); "blocked prompt not written; a restart of all routers forgets it");
+    }
+
+    /// Peer addresses of the other routers that accept callers.
+    fn peers(&self) -> Vec<String> {
+        let own = view::MemberView::home(self.gossip.as_ref()).router;
+        let others = self
+            .gossip
+            .ready_members_matching(|member| member.router != own);
+        others
+            .into_iter()
+            .map(|member| member.peer_address)
+            .collect()
+    }
+}
+
+impl prompt_guard::PromptGuard for RouterPromptGuard {
+    fn block_left(&self, parts: &[prompt_part::PromptPart]) -> Option<time::Duration> {
+        self.blocks.lock().block_left(parts, wall_millis())
+    }
+
+    fn record_success(&self, parts: &[prompt_part::PromptPart]) {
+        let at = boot_clock::BootInstant::now();
+        let mut ledger = self.ledger.lock();
+        for part in parts {
+            ledger.record_success(crash_ledger::PartSuccess { part: *part, at });
+        }
+    }
+
+    fn report_crash(
+        self: sync::Arc<Self>,
+        crash: prompt_guard::PromptCrash<'_>,
+    ) -> future::BoxFuture<'_, ()> {
+        async move {
+            let guard = self;
+            let crashed_at = boot_clock::BootInstant::now();
+            let record = crash_ledger::CrashRecord {
+                request: xxh3::xxh3_64(crash.request.as_bytes()),
+                endpoint: xxh3::xxh3_64(crash.endpoint.as_bytes()),
+                parts: crash.parts.to_vec(),
+                sent_at: crashed_at.before(crash.running),
+                crashed_at,
+            };
+            guard.counters.count("relay.prompt_crash");
+            guard.ledger.lock().record_crash(record.clone(), crashed_at);
+            let replies = guard.gather_evidence(&record).await;
+            let elapsed = boot_clock::BootInstant::now().since(crashed_at);
+            log::info!(
+                request = crash.request,
+                endpoint = crash.endpoint,
+                parts = prompt_part::join(crash.parts).as_str(),
+                replies,
+                elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+                "engine crashed on a prompt"
+            );
+            let blocked = guard.block_suspects(crash.request, crash.parts);
+            if blocked.is_empty() {
+                return;
+            }
+            task::spawn(async move {
+                let writes = blocked.iter().map(|entry| guard.write(entry));
+                future::join(guard.announce(&blocked), future::join_all(writes)).await;
+            });
+        }
+        .boxed()
+    }
+}
+
+impl From<block_list::BlockedPrompt> for peer_wire::BlockedPromptWire {
+    fn from(entry: block_list::BlockedPrompt) -> Self {
+        Self {
+            parts: entry.parts.into_iter().map(|part| part.0).collect(),
+            until_ms: entry.until_ms,
+            count: entry.count,
+        }
+    }
+}
+
+impl From<peer_wire::BlockedPromptWire> for block_list::BlockedPrompt {
+    fn from(wire: peer_wire::BlockedPromptWire) -> Self {
+        let parts = wire.parts.into_iter().map(prompt_part::PromptPart);
+        Self {
+            parts: parts.collect(),
+            until_ms: wire.until_ms,
+            count: wire.count,
+        }
+    }
+}
+
+fn sent_crash(
+    crash: &crash_ledger::CrashRecord,
+    now: boot_clock::BootInstant,
+) -> peer_wire::PromptCrashWire {
+    peer_wire::PromptCrashWire {
+        request: crash.request,
+        endpoint: crash.endpoint,
+        parts: crash.parts.iter().map(|part| part.0).collect(),
+        age_micros: micros(now.since(crash.crashed_at)),
+        running_micros: micros(crash.crashed_at.since(crash.sent_at)),
+    }
+}
+
+/// Decodes a crash whose age was right at `now`.
+fn received_crash(
+    wire: &peer_wire::PromptCrashWire,
+    now: boot_clock::BootInstant,
+) -> crash_ledger::CrashRecord {
+    let crashed_at = now.before(time::Duration::from_micros(wire.age_micros));
+    crash_ledger::CrashRecord {
+        request: wire.request,
+        endpoint: wire.endpoint,
+        parts: wire
+            .parts
+            .iter()
+            .copied()
+            .map(prompt_part::PromptPart)
+            .collect(),
+        sent_at: crashed_at.before(time::Duration::from_micros(wire.running_micros)),
+        crashed_at,
+    }
+}
+
+fn micros(time: time::Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn wall_millis() -> u64 {
+    timeline::wall_micros() / 1_000
+}
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -5,7 +5,7 @@
 
 use futures::future;
 
-use crate::process::gateway::endpoint_registry;
+use crate::process::gateway::{block_list, endpoint_registry};
 use crate::version::traffic;
 
 /// Result of a call to the store.
@@ -42,6 +42,8 @@
     Endpoints,
     /// Peer addresses of the routers.
     Routers,
+    /// Prompts that are blocked because they crash engines.
+    BlockedPrompts,
 }
 
 /// A row that was added or changed, or the removal of a row.
@@ -75,11 +77,12 @@
         wait: time::Duration,
     ) -> future::BoxFuture<'_, Result<RowBatch>>;
 
-    /// Writes this router's peer address to the store, so that other routers can find it.
-    fn announce<'a>(
+    /// Writes a row, whatever it held before. Only the system's own topics can be written.
+    fn put<'a>(
         &'a self,
-        router: &'a str,
-        peer_address: &'a str,
+        topic: RowTopic,
+        key: &'a str,
+        value: &'a [u8],
     ) -> future::BoxFuture<'a, Result<()>>;
 }
 
@@ -93,4 +96,10 @@
 
     /// Decodes a router's peer address; `None` if the content is not valid.
     fn peer_address(&self, value: &[u8]) -> Option<String>;
+
+    /// Decodes a blocked prompt; `None` if the content is not valid.
+    fn blocked_prompt(&self, value: &[u8]) -> Option<block_list::BlockedPrompt>;
+
+    /// Encodes a blocked prompt.
+    fn encode_blocked_prompt(&self, entry: &block_list::BlockedPrompt) -> Vec<u8>;
 }
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -15,7 +15,7 @@
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, info_server, node, peers, permits,
-    readers, reload, rows, settings, store_watch,
+    prompt_guard, readers, reload, rows, settings, store_watch,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -198,6 +198,13 @@
         sync::Arc::clone(&link),
         sync::Arc::clone(&metrics) as _,
     ));
+    let prompts = sync::Arc::new(prompt_guard::RouterPromptGuard::new(
+        sync::Arc::clone(&gossip),
+        sync::Arc::clone(&link),
+        sync::Arc::clone(&adapters.store),
+        sync::Arc::clone(&adapters.codec),
+        sync::Arc::clone(&metrics) as _,
+    ));
     let relay = context::RelayContext {
         memory: sync::Arc::new(response_memory::ResponseMemory::new(
             memory / ANSWER_MEMORY_DIVISOR,
@@ -206,6 +213,7 @@
         dialect: sync::Arc::clone(&adapters.requests),
         budget: sync::Arc::new(budget),
         permits: sync::Arc::clone(&permits) as _,
+        prompts: sync::Arc::clone(&prompts) as _,
         counters: sync::Arc::clone(&metrics) as _,
     };
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
@@ -230,6 +238,7 @@
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
         permits,
+        prompts,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
@@ -285,6 +294,10 @@
         sync::Arc::clone(node),
         token(),
     ));
+    task::spawn(store_watch::watch_blocked_prompts(
+        sync::Arc::clone(node),
+        token(),
+    ));
     task::spawn(store_watch::watch_routers(sync::Arc::clone(node), token()));
     task::spawn(peers::poll_peers(sync::Arc::clone(node), token()));
     task::spawn(announce_ready(sync::Arc::clone(node)));
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -12,6 +12,9 @@
 /// below that age even if one call fails.
 const KEY_AGE_DIVISOR: u32 = 4;
 
+/// Long-poll timeout for blocked prompts. Changes are rare, and peers tell of them too.
+const BLOCKED_PROMPT_WAIT: time::Duration = time::Duration::from_secs(10);
+
 /// Pause after each answer, so that a burst of changes is read in batches. Changes have to take
 /// effect within seconds; the pause, a peer's query and the network delay fit into that time
 /// several times.
@@ -99,6 +102,38 @@
     node.publish_endpoints(is_changed);
 }
 
+/// Watches the blocked prompts until `token` is cancelled. Writes those that the store lacks when it
+/// was away.
+pub async fn watch_blocked_prompts(
+    node: sync::Arc<node::GatewayNode>,
+    token: stop_token::StopToken,
+) {
+    let watching = watch(
+        &node,
+        rows::RowTopic::BlockedPrompts,
+        BLOCKED_PROMPT_WAIT,
+        |batch, _asked_at, is_full| {
+            let values = batch.rows.iter().filter_map(|row| row.value.as_deref());
+            node.prompts.merge_rows(values);
+            let missing = node.prompts.missing_rows(&batch.rows);
+            if is_full && node.is_reader() && !missing.is_empty() {
+                task::spawn(write_blocked_prompts(sync::Arc::clone(&node), missing));
+            }
+        },
+    );
+    let _stopped = watching.timeout_at(token).await;
+}
+
+async fn write_blocked_prompts(node: sync::Arc<node::GatewayNode>, rows: Vec<(String, Vec<u8>)>) {
+    let topic = rows::RowTopic::BlockedPrompts;
+    for (key, value) in rows {
+        if let Err(error) = node.store.put(topic, &key, &value).await {
+            let cause = error.to_string();
+            log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; the next full read retries");
+        }
+    }
+}
+
 async fn watch(
     node: &node::GatewayNode,
     topic: rows::RowTopic,
@@ -126,8 +161,7 @@
                     log::info!(topic:? = topic; "store answers again");
                 }
                 backoff = readers::StoreBackoff::default();
-                let topic_index = usize::from(topic == rows::RowTopic::Endpoints);
-                node.store_answered_at.lock()[topic_index] = boot_clock::BootInstant::now();
+                node.record_store_answer(topic);
                 let is_full = after.is_none();
                 after = Some(batch.version);
                 apply(batch, asked_at, is_full);
@@ -165,11 +199,8 @@
         task::sleep(ANNOUNCE_DELAY).await;
         loop {
             if node.is_reader() {
-                match node
-                    .store
-                    .announce(&node.settings.router, &peer_address)
-                    .await
-                {
+                let (topic, router) = (rows::RowTopic::Routers, &node.settings.router);
+                match node.store.put(topic, router, peer_address.as_bytes()).await {
                     Ok(()) => return,
                     Err(error) => {
                         let cause = error.to_string();
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::process::view;
-use crate::request::relay::{dialect, fleet, permit, response_memory};
+use crate::request::relay::{dialect, fleet, permit, prompt_guard, response_memory};
 use crate::request::verdict;
 use crate::version::traffic;
 
@@ -37,6 +37,8 @@
     pub dialect: sync::Arc<dyn dialect::RequestDialect>,
     /// Permits for requests to endpoints that limit their rate.
     pub permits: sync::Arc<dyn permit::PermitSource>,
+    /// Keeps prompts from engines that would crash on them.
+    pub prompts: sync::Arc<dyn prompt_guard::PromptGuard>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Receives counts and durations.
@@ -151,6 +153,9 @@
 /// asks, as a caller notices longer delays.
 const MAX_ASKING_TIME: time::Duration = time::Duration::from_millis(20);
 
+const BLOCKED_MESSAGE: &str =
+    "engines crash on a part of this prompt; change the prompt, or ask the operators about it";
+
 /// Maximum random addition to a pause, as a fraction of it, so that callers do not all retry at
 /// once.
 const RETRY_JITTER: f64 = 0.25;
@@ -235,6 +240,26 @@
         refuse_unserved(verdict, delay.unwrap_or(NO_ENDPOINT_DELAY))
     }
 
+    /// Refusal for a request whose prompt is blocked; `None` if it may be sent.
+    #[must_use]
+    pub fn refuse_blocked(
+        &self,
+        request: &RelayRequest,
+        verdict: verdict::RunVerdict,
+    ) -> Option<verdict::RequestRefusal> {
+        let parts = &request.metadata.shared_parts;
+        let delay = self.prompts.block_left(parts)?;
+        let (code, message) = (verdict::RefusalCode::PromptBlocked, BLOCKED_MESSAGE);
+        Some(match verdict {
+            verdict::RunVerdict::NotRun => {
+                verdict::RequestRefusal::not_run(503, code, message).retry_after(delay)
+            }
+            verdict::RunVerdict::MayHaveRun => {
+                verdict::RequestRefusal::may_have_run(502, code, message)
+            }
+        })
+    }
+
     /// Refusal for a request to `service` whose deadline has passed.
     #[must_use]
     pub fn refuse_expired(
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod kv_copy;
 pub mod permit;
+pub mod prompt_guard;
 pub mod prompt_part;
 pub mod report;
 pub mod request_rate;
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -1,13 +1,14 @@
 //! Relays event streams and resumes them at another engine when one is lost.
 
+use std::sync;
 use std::time;
 
 use async_std::future;
 
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
-    attempt, buffered, context, dialect, events, fleet, kv_copy, prompt_part, retry, selection,
-    stall, stream_reader,
+    attempt, buffered, context, dialect, events, fleet, kv_copy, prompt_guard, prompt_part, retry,
+    selection, stall, stream_reader,
 };
 use crate::request::verdict;
 
@@ -106,13 +107,24 @@
 impl StreamRelay<'_> {
     async fn run(&mut self) -> context::RelayOutcome {
         loop {
+            if let Some(refusal) = self.refuse_blocked() {
+                return self.give_up(refusal);
+            }
             let Some((lease, source)) = self.next_endpoint().await else {
                 let verdict = self.verdict(false);
                 return self.give_up(self.refuse_unserved(verdict));
             };
+            // The prompt may have been blocked while it waited for an engine.
+            if let Some(refusal) = self.refuse_blocked() {
+                return self.give_up(refusal);
+            }
             self.attempts += 1;
             let end = self.attempt(&lease, source.as_ref()).await;
             self.is_sent = false;
+            if let StreamEnd::Lost(cause) = &end {
+                self.lost_at.get_or_insert_with(time::Instant::now);
+                self.report_crash(&lease, *cause).await;
+            }
             let step = match self.finish_attempt(&lease, end, source.is_some()) {
                 AttemptConclusion::Served => return context::RelayOutcome::Served(200),
                 AttemptConclusion::CallerGone => return context::RelayOutcome::CallerGone,
@@ -132,6 +144,41 @@
         }
     }
 
+    fn refuse_blocked(&self) -> Option<verdict::RequestRefusal> {
+        self.context
+            .refuse_blocked(self.request, self.verdict(false))
+    }
+
+    /// Reports an engine that crashed when it began to answer.
+    async fn report_crash(&self, lease: &context::EndpointLease, cause: stream_reader::LossCause) {
+        let parts = self.request.metadata.shared_parts.as_slice();
+        let progress = &self.progress;
+        if cause != stream_reader::LossCause::Closed
+            || !progress.has_head
+            || progress.events > prompt_guard::MAX_CRASH_EVENTS
+            || parts.is_empty()
+        {
+            return;
+        }
+        let crash = prompt_guard::PromptCrash {
+            request: &self.request.metadata.id,
+            endpoint: &lease.endpoint.name,
+            parts,
+            running: progress.sent_at.elapsed(),
+        };
+        sync::Arc::clone(&self.context.prompts)
+            .report_crash(crash)
+            .await;
+    }
+
+    /// Records that the prompt does not crash its engine, once for each attempt.
+    fn record_success(&self) {
+        let parts = &self.request.metadata.shared_parts;
+        if !parts.is_empty() {
+            self.context.prompts.record_success(parts);
+        }
+    }
+
     fn verdict(&self, is_sent: bool) -> verdict::RunVerdict {
         if self.possible_runs == 0 && !is_sent {
             return verdict::RunVerdict::NotRun;
@@ -265,6 +312,9 @@
             let mut accepted = Vec::new();
             while let Some(event) = splitter.next_event() {
                 self.progress.events += u64::from(!event.is_comment);
+                if !event.is_comment && self.progress.events == prompt_guard::MAX_CRASH_EVENTS + 1 {
+                    self.record_success();
+                }
                 if !event.is_comment && std::mem::take(&mut is_first) {
                     // The engine makes the copy only after prefill, which the first event marks.
                     self.copies = kv_copy::CopyManager::new(holder.take());
@@ -361,6 +411,7 @@
     ) -> AttemptConclusion {
         let outcome = match end {
             StreamEnd::Complete => {
+                self.record_success();
                 self.copies.release(&self.context.dialect);
                 lease.observe(fleet::EndpointObservation::Answered);
                 return AttemptConclusion::Served;
@@ -385,7 +436,6 @@
             StreamEnd::Lost(cause) => {
                 self.log_loss(lease, cause);
                 self.possible_runs += 1;
-                self.lost_at.get_or_insert_with(time::Instant::now);
                 self.excluded.push(lease.endpoint.key);
                 lease.observe(fleet::EndpointObservation::Failed);
                 self.context.counters.count("relay.stream_lost");
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -11,6 +11,9 @@
 use crate::connection::h1::{body, head};
 use crate::request::relay::{attempt, dialect, events, report, stall};
 
+/// Time in which the reset of a stream follows the refusal of a new connection.
+const RESET_TIME: time::Duration = time::Duration::from_millis(20);
+
 /// Result of reading a stream.
 pub(super) type Result<T> = std::result::Result<T, LossCause>;
 
@@ -132,7 +135,7 @@
         let probing = Box::pin(async { is_known_alive || probe.is_alive().await });
         let reading = match futures_future::select(reading, probing).await {
             Either::Left((read, _probing)) => return Ok(read?),
-            Either::Right((false, _reading)) => return Err(LossCause::Unresponsive),
+            Either::Right((false, reading)) => return Ok(last_read(reading).await??),
             Either::Right((true, reading)) => reading,
         };
         let remaining = limits.abandon_after.saturating_sub(last_event_at.elapsed());
@@ -141,6 +144,13 @@
     }
 }
 
+/// Awaits `reading` a little longer after a probe failed. An engine that crashed also resets the
+/// stream, which tells the crash from an engine that fell silent.
+async fn last_read<Reading: Future>(reading: Reading) -> Result<Reading::Output> {
+    let read = future::timeout(RESET_TIME, reading).await;
+    read.map_err(|_elapsed| LossCause::Unresponsive)
+}
+
 /// Probes whether an engine still holds a request.
 struct LivenessProbe<'a> {
     address: std::net::SocketAddr,
@@ -176,7 +186,7 @@
             reading = match futures_future::select(reading, probing).await {
                 Either::Left((read, _probing)) => return Ok(read),
                 Either::Right((true, reading)) => reading,
-                Either::Right((false, _reading)) => return Err(LossCause::Unresponsive),
+                Either::Right((false, reading)) => return last_read(reading).await,
             };
         }
     }
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -81,6 +81,8 @@
     NotReady,
     /// The same key was used for another request.
     KeyReused,
+    /// Engines crash on a part of the prompt.
+    PromptBlocked,
 }
 
 /// Error response to a request that was not served.
--- /dev/null
+++ b/tests/gateway/crash_evidence.rs
@@ -0,0 +1,275 @@
+//! Decides from reported crashes which prompts are blocked, and for how long.
+
+use std::collections;
+use std::time;
+
+use kumquatpulley::platform::store_wire;
+use kumquatpulley::process::gateway::rows::RowCodec as _;
+use kumquatpulley::process::gateway::{block_list, boot_clock, crash_ledger};
+use kumquatpulley::request::relay::prompt_part;
+use proptest::prelude::*;
+
+use crate::common;
+
+/// Time of a prefill, from the sending of a request to the beginning of its response.
+const PREFILL_MS: u64 = 1_200;
+
+const FIRST_BLOCK_MS: u64 = 10 * 60 * 1_000;
+
+fn at(millis: u64) -> boot_clock::BootInstant {
+    boot_clock::BootInstant(time::Duration::from_millis(millis))
+}
+
+fn parts(ids: &[u64]) -> Vec<prompt_part::PromptPart> {
+    ids.iter().copied().map(prompt_part::PromptPart).collect()
+}
+
+/// A crash at `millis` of a request that was sent one prefill earlier.
+fn crash(request: u64, endpoint: u64, ids: &[u64], millis: u64) -> crash_ledger::CrashRecord {
+    crash_ledger::CrashRecord {
+        request,
+        endpoint,
+        parts: parts(ids),
+        sent_at: at(millis - PREFILL_MS),
+        crashed_at: at(millis),
+    }
+}
+
+fn ledger(crashes: &[crash_ledger::CrashRecord]) -> crash_ledger::CrashLedger {
+    let mut ledger = crash_ledger::CrashLedger::default();
+    for crash in crashes {
+        ledger.record_crash(crash.clone(), crash.crashed_at);
+    }
+    ledger
+}
+
+fn succeed(ledger: &mut crash_ledger::CrashLedger, id: u64, millis: u64) {
+    let part = prompt_part::PromptPart(id);
+    ledger.record_success(crash_ledger::PartSuccess {
+        part,
+        at: at(millis),
+    });
+}
+
+fn suspects(ledger: &crash_ledger::CrashLedger, ids: &[u64]) -> Vec<Vec<u64>> {
+    let suspects = ledger.suspects(&parts(ids)).into_iter();
+    suspects
+        .map(|set| set.into_iter().map(|part| part.0).collect())
+        .collect()
+}
+
+fn three_crashes_of_two_requests_are_enough_for_a_part_that_never_worked() {
+    let crashes = [
+        crash(1, 10, &[5, 7], 8_000),
+        crash(2, 11, &[6, 7], 8_100),
+        crash(2, 12, &[6, 7], 8_200),
+    ];
+    assert_eq!(suspects(&ledger(&crashes[..2]), &[6, 7]), [[0; 0]; 0]);
+    assert_eq!(suspects(&ledger(&crashes), &[6, 7]), [[7]]);
+}
+
+fn one_request_is_enough_after_three_attempts() {
+    let crashes = [
+        crash(1, 10, &[7], 8_000),
+        crash(1, 11, &[7], 9_300),
+        crash(1, 12, &[7], 10_600),
+    ];
+    assert_eq!(suspects(&ledger(&crashes[..2]), &[7]), [[0; 0]; 0]);
+    assert_eq!(suspects(&ledger(&crashes), &[7]), [[7]]);
+}
+
+/// The endpoints of a small service keep their names when they restart.
+fn the_same_two_endpoints_can_show_it() {
+    let crashes = [
+        crash(1, 10, &[7], 8_000),
+        crash(1, 11, &[7], 9_300),
+        crash(1, 10, &[7], 10_600),
+    ];
+    assert_eq!(suspects(&ledger(&crashes), &[7]), [[7]]);
+}
+
+/// Routers report the same crash with slightly different times.
+fn a_crash_that_is_reported_twice_counts_once() {
+    let mut crashes = vec![crash(1, 10, &[7], 8_000); 2];
+    crashes[1].crashed_at = at(8_020);
+    crashes.extend([crash(2, 10, &[7], 8_010), crash(2, 11, &[7], 8_015)]);
+    assert_eq!(suspects(&ledger(&crashes), &[7]), [[0; 0]; 0]);
+}
+
+/// A zone of engines fails at once, among them some that had just begun to answer prompts with a
+/// part that all prompts share.
+fn engines_that_fail_together_do_not_show_a_shared_part() {
+    let crashes: Vec<crash_ledger::CrashRecord> = (0..40)
+        .map(|number| {
+            crash(
+                number,
+                100 + number,
+                &[3, 1_000 + number],
+                8_000 + number % 5,
+            )
+        })
+        .collect();
+    let mut ledger = ledger(&crashes);
+    succeed(&mut ledger, 3, 7_990);
+    assert_eq!(suspects(&ledger, &[3, 1_000]), [[0; 0]; 0]);
+}
+
+/// Engines fail for another reason while prompts with the part are answered elsewhere.
+fn a_part_that_works_meanwhile_is_not_suspected() {
+    let mut ledger = ledger(&[]);
+    for number in 0..20 {
+        let millis = 8_000 + number * 2_000;
+        ledger.record_crash(crash(number, number, &[3], millis), at(millis));
+        succeed(&mut ledger, 3, millis + 500);
+        assert_eq!(suspects(&ledger, &[3]), [[0; 0]; 0]);
+    }
+}
+
+fn a_part_that_worked_once_needs_consecutive_crashes() {
+    let crashes = [
+        crash(1, 10, &[7], 8_000),
+        crash(2, 11, &[7], 8_100),
+        crash(3, 12, &[7], 8_200),
+        crash(1, 13, &[7], 9_300),
+        crash(2, 14, &[7], 10_600),
+    ];
+    let mut ledger = ledger(&crashes[..4]);
+    succeed(&mut ledger, 7, 5_000);
+    assert_eq!(suspects(&ledger, &[7]), [[0; 0]; 0]);
+    ledger.record_crash(crashes[4].clone(), at(10_600));
+    assert_eq!(suspects(&ledger, &[7]), [[7]]);
+}
+
+/// Two parts that occurred only together are suspected together; a prompt with one of them shows
+/// which it is.
+fn parts_that_occur_together_are_told_apart_later() {
+    let crashes = [
+        crash(1, 10, &[5, 7], 8_000),
+        crash(2, 11, &[5, 7], 8_100),
+        crash(3, 12, &[5, 7], 8_200),
+    ];
+    let mut ledger = ledger(&crashes);
+    assert_eq!(suspects(&ledger, &[5, 7]), [[5, 7]]);
+    ledger.record_crash(crash(4, 13, &[6, 7], 9_600), at(9_600));
+    assert_eq!(suspects(&ledger, &[6, 7]), [[7]]);
+    succeed(&mut ledger, 5, 9_700);
+    assert_eq!(suspects(&ledger, &[5, 7]), [[7]]);
+}
+
+/// Fourteen routers send prompts with the part at random; each crash is told to all of them. After
+/// the fifth crash at most as many prompts are still sent as were on their way.
+fn replay_of_many_routers(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let (mut ledger, mut crashes, mut blocked_at) = (ledger(&[]), 0, None);
+    // Requests on their way: when their engine crashes, and the other part of the prompt.
+    let mut open: collections::BTreeMap<(u64, u64), u64> = collections::BTreeMap::new();
+    for millis in (10_000_u64..40_000).step_by(10) {
+        if blocked_at.is_none() && random.u32(..25) == 0 {
+            let request = random.u64(..);
+            open.insert((millis + random.u64(900..2_000), request), random.u64(1..4));
+        }
+        while let Some(((due, request), other)) = open.pop_first() {
+            if due > millis {
+                open.insert((due, request), other);
+                break;
+            }
+            crashes += 1;
+            let lost = crash(request, random.u64(..), &[other, 7], millis);
+            ledger.record_crash(lost, at(millis));
+            let shown = suspects(&ledger, &[other, 7]);
+            if shown.iter().any(|set| set.contains(&7)) {
+                blocked_at.get_or_insert(crashes);
+            } else {
+                open.insert((millis + random.u64(900..2_000), request), other);
+            }
+        }
+        // Other prompts with the same parts are answered all the time.
+        succeed(&mut ledger, 1 + millis / 10 % 3, millis);
+    }
+    let blocked_at = blocked_at.expect("blocked");
+    assert!(blocked_at <= 5, "blocked after {blocked_at} crashes");
+    assert_eq!(suspects(&ledger, &[1, 2, 3]), [[0; 0]; 0]);
+}
+
+fn a_block_ends_and_one_more_crash_doubles_it() {
+    let mut list = block_list::BlockList::default();
+    list.block(parts(&[5, 7]), 1_000);
+    let left = |list: &block_list::BlockList, ids: &[u64], now| {
+        list.block_left(&parts(ids), now)
+            .map(|left| left.as_millis())
+    };
+    assert_eq!(
+        left(&list, &[7, 6, 5], 2_000),
+        Some(u128::from(FIRST_BLOCK_MS - 1_000))
+    );
+    assert_eq!(left(&list, &[7], 2_000), None);
+    let expired = 1_000 + FIRST_BLOCK_MS;
+    assert_eq!(left(&list, &[5, 7], expired), None);
+    assert_eq!(list.expired_matches(&parts(&[5, 7]), expired - 1).len(), 0);
+    let again = list.expired_matches(&parts(&[7, 5, 1]), expired);
+    assert_eq!(again, [parts(&[5, 7])]);
+    let entry = list.block(parts(&[5, 7]), expired);
+    assert_eq!(entry.until_ms, expired + 2 * FIRST_BLOCK_MS);
+}
+
+/// A router whose clock is wrong, or a corrupt row, cannot block a prompt for more than a day.
+fn a_block_from_elsewhere_is_limited() {
+    let day_ms = 24 * 60 * 60 * 1_000;
+    let mut list = block_list::BlockList::default();
+    let entry = |ids, until_ms| block_list::BlockedPrompt {
+        parts: parts(ids),
+        until_ms,
+        count: 1,
+    };
+    assert!(list.merge(entry(&[7], u64::MAX), 1_000));
+    assert_eq!(list.entries()[0].until_ms, 1_000 + day_ms);
+    assert!(!list.merge(entry(&[], 5_000), 1_000));
+    assert!(!list.merge(entry(&[8], 1_000), 2_000 + day_ms));
+}
+
+fn a_stored_block_is_read_as_written() {
+    let entry = block_list::BlockedPrompt {
+        parts: parts(&[0x5c1e_07a2, u64::MAX]),
+        until_ms: 1_765_000_000_000,
+        count: 3,
+    };
+    let codec = store_wire::StoreCodec;
+    let value = codec.encode_blocked_prompt(&entry);
+    assert_eq!(codec.blocked_prompt(&value), Some(entry));
+    assert_eq!(codec.blocked_prompt(b"{\"parts\":7}"), None);
+}
+
+common::cases! {
+    never_worked: three_crashes_of_two_requests_are_enough_for_a_part_that_never_worked();
+    one_request: one_request_is_enough_after_three_attempts();
+    same_endpoints: the_same_two_endpoints_can_show_it();
+    reported_twice: a_crash_that_is_reported_twice_counts_once();
+    zone_failure: engines_that_fail_together_do_not_show_a_shared_part();
+    works_meanwhile: a_part_that_works_meanwhile_is_not_suspected();
+    worked_once: a_part_that_worked_once_needs_consecutive_crashes();
+    told_apart: parts_that_occur_together_are_told_apart_later();
+    replay_1: replay_of_many_routers(1);
+    replay_2: replay_of_many_routers(2);
+    replay_3: replay_of_many_routers(3);
+    block_ends: a_block_ends_and_one_more_crash_doubles_it();
+    limited_block: a_block_from_elsewhere_is_limited();
+    stored_block: a_stored_block_is_read_as_written();
+}
+
+proptest! {
+    /// Routers that get the same blocks in any order hold the same ones.
+    #[test]
+    fn blocks_converge(blocks in proptest::collection::vec((0_u64..4, 1_000_u64..9_000), 1..12), seed: u64) {
+        let merged = |order: &[(u64, u64)]| {
+            let mut list = block_list::BlockList::default();
+            for (part, until_ms) in order {
+                let entry = block_list::BlockedPrompt { parts: parts(&[*part]), until_ms: *until_ms, count: 1 };
+                list.merge(entry, 1_000);
+            }
+            list.digest()
+        };
+        let mut shuffled = blocks.clone();
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        prop_assert_eq!(merged(&blocks), merged(&shuffled));
+    }
+}
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -45,6 +45,16 @@
     assert_eq!(terms.last_event, None);
 }
 
+/// The last part belongs to one request or its session, so it is not shared.
+fn shared_parts_of_a_prompt_are_read(prompt: &str, expected: &[u64]) {
+    let mut head = request(&VALID_FIELDS);
+    head.headers.push("Kumquatpulley-Prompt-Prefix", prompt);
+    let terms = request_header::HeaderDialect.request_metadata(&head);
+    let parts = terms.expect("a valid request").shared_parts;
+    let parts: Vec<u64> = parts.into_iter().map(|part| part.0).collect();
+    assert_eq!(parts, expected);
+}
+
 fn invalid_terms_are_refused(name: &str, values: &[&str]) {
     let mut head = request(&VALID_FIELDS);
     head.headers.remove(name);
@@ -296,6 +306,9 @@
 }
 
 common::cases! {
+    three_parts: shared_parts_of_a_prompt_are_read("5C1e07a2:800, 91bd3f06:410,e4402b7d:250", &[0x5c1e_07a2, 0x91bd_3f06]);
+    one_part: shared_parts_of_a_prompt_are_read("5c1e07a2:800", &[]);
+    part_without_tokens: shared_parts_of_a_prompt_are_read("5c1e07a2,,e4402b7d:250", &[0x5c1e_07a2]);
     leaving_header: leaving_is("1", true);
     not_leaving_header: leaving_is("0", false);
     limit_fraction: limit_is(" 2.7 ", Some(2_700));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 
 mod burst;
 mod cached_state;
+mod crash_evidence;
 mod crashing_prompts;
 mod decisions;
 mod endless_responses;
