Collect the evidence of a crashing part at a few routers

Each crash was told to all routers. Now three routers a part collect its crashes, chosen by rendezvous hashing, and all others are asked only when a part is suspected, as one of them may have seen it work.

--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -1,10 +1,12 @@
 //! Blocks prompts that crash engines, together with the other routers.
 //!
-//! A router that sees a crash tells all others, and their replies hold what they know of the
-//! prompt's parts. So it decides with the evidence of all routers that it reaches, and with its own
-//! if it reaches none. A block is told to all routers, found by those that missed it in their next
+//! A router that sees a crash tells a few others, chosen by the prompt's parts, so that these hear of
+//! all crashes of a part. Their replies hold what they know. If the part is suspected then, all
+//! other routers are asked too, as one of them may have seen the part work. A router decides with
+//! the evidence of those that it reaches, and with its own if it reaches none. A block is told to all routers, found by those that missed it in their next
 //! query to a peer, and written to the store for routers that start when no other one runs.
 
+use std::collections;
 use std::sync;
 use std::time;
 
@@ -23,6 +25,9 @@
 /// Timeout for the replies of other routers; a few round trips within a region.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
+/// Routers that are told of all crashes of a part, so that one of them is there when others fail.
+const COLLECTORS_PER_PART: usize = 3;
+
 /// Attempts to tell another router of a block; it also finds the block in its next query to a peer.
 const MAX_TELLS: u32 = 3;
 
@@ -142,10 +147,20 @@
         }
     }
 
-    /// Tells all other routers of a crash, and adds what they know to the ledger; returns how many
-    /// replied.
+    /// Tells routers of a crash and adds what they know to the ledger; returns how many replied.
+    ///
+    /// Asks the collectors of the prompt's parts, and all others if a part is suspected then.
     async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
-        let peers = self.peers();
+        let (collectors, others) = split_collectors(self.peers(), &crash.parts);
+        let count = self.ask_peers(crash, &collectors).await;
+        if self.ledger.lock().suspects(&crash.parts).is_empty() {
+            return count;
+        }
+        count + self.ask_peers(crash, &others).await
+    }
+
+    /// Tells `peers` of a crash and adds what they know to the ledger; returns how many replied.
+    async fn ask_peers(&self, crash: &crash_ledger::CrashRecord, peers: &[String]) -> usize {
         let asked_at = boot_clock::BootInstant::now();
         let wire = sent_crash(crash, asked_at);
         let asks = peers.iter().map(|address| {
@@ -327,6 +342,25 @@
     }
 }
 
+/// Splits `peers` into the collectors of `parts` and the others. Collectors are chosen by rendezvous
+/// hashing, so they are the same at all routers with the same members.
+fn split_collectors(
+    peers: Vec<String>,
+    parts: &[prompt_part::PromptPart],
+) -> (Vec<String>, Vec<String>) {
+    let mut chosen = collections::HashSet::new();
+    for part in parts {
+        let mut order: Vec<(u64, &String)> = peers
+            .iter()
+            .map(|peer| (xxh3::xxh3_64_with_seed(peer.as_bytes(), part.0), peer))
+            .collect();
+        order.sort_unstable();
+        let first = order.into_iter().take(COLLECTORS_PER_PART);
+        chosen.extend(first.map(|(_weight, peer)| peer.clone()));
+    }
+    peers.into_iter().partition(|peer| chosen.contains(peer))
+}
+
 fn sent_crash(
     crash: &crash_ledger::CrashRecord,
     now: boot_clock::BootInstant,
