--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -149,11 +149,13 @@
 
     /// Tells routers of a crash and adds what they know to the ledger; returns how many replied.
     ///
-    /// Asks the collectors of the prompt's parts, and all others if a part is suspected then.
+    /// Asks the collectors of the prompt's parts, and all others if a part is suspected then and the
+    /// prompt is not blocked yet.
     async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
         let (collectors, others) = split_collectors(self.peers(), &crash.parts);
         let count = self.ask_peers(crash, &collectors).await;
-        if self.ledger.lock().suspects(&crash.parts).is_empty() {
+        let is_blocked = self.blocks.lock().block_left(&crash.parts, wall_millis());
+        if is_blocked.is_some() || self.ledger.lock().suspects(&crash.parts).is_empty() {
             return count;
         }
         count + self.ask_peers(crash, &others).await
