Let a part of prompts crash endpoints in the soak

Streams of the soak have prompts, of which one in six has a part that crashes endpoints; what reaches them late is counted as in crashing_prompts, and sound prompts with the same first part must be served in the calm time. Existing seeds keep their faults.

--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -7,7 +7,7 @@
 
 use crate::common;
 use crate::support::system::System;
-use crate::support::{crash_judge, load};
+use crate::support::{crash_judge, limit_judge, load};
 
 /// Parts of prompts: one that crashes engines, and one that sound prompts share with it.
 const DEADLY_PART: &str = "dead01";
@@ -77,7 +77,9 @@
             let mut restarts = self.restarts.iter().filter(|(known, _at)| *known == ip);
             restarts.any(|(_ip, start)| at < *start + RESTART_EXCUSE)
         };
-        let finding = crash_judge::find_late_sends(&endpoints, &deadly, is_excused);
+        let views: Vec<limit_judge::CallerView> =
+            deadly.iter().map(|request| request.view.clone()).collect();
+        let finding = crash_judge::find_late_sends(&endpoints, &views, is_excused);
         assert!(finding.is_none(), "{finding:?}; {}", self.system.logs());
         let calm = sound.iter().filter(|request| calm_since < request.sent);
         let (all, served) = calm.fold((0_u32, 0_u32), |(all, served), request| {
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -11,7 +11,7 @@
 use rustix::process as unix;
 
 use crate::soak::{clients, limit_days, relay};
-use crate::support::{fakes, limit_judge, router};
+use crate::support::{crash_judge, fakes, limit_judge, router};
 
 /// Gateways for each of which faults strike as often as in the smallest bed.
 const GATEWAYS_A_FAULT: u8 = 6;
@@ -82,12 +82,28 @@
     started: time::Instant,
 }
 
-/// Runs one seed with so many gateways, all in one availability zone; returns what broke a promise.
-/// With `has_limits`, endpoints limit their requests meanwhile.
-pub fn run(seed: u64, faults: time::Duration, gateways: u8, has_limits: bool) -> Vec<String> {
+/// What happens in a run beside the usual faults.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakPlan {
+    /// Number of gateways, all in one availability zone.
+    pub gateways: u8,
+    /// Whether endpoints limit their requests.
+    pub has_limits: bool,
+    /// Whether some prompts crash the endpoints.
+    pub has_crashes: bool,
+}
+
+/// Runs one seed; returns what broke a promise.
+pub fn run(seed: u64, faults: time::Duration, plan: SoakPlan) -> Vec<String> {
+    let gateways = plan.gateways;
     let mut bed = Bed::start(seed, gateways);
     // Drawn apart from the faults, so that a seed has the same faults with and without limits.
-    bed.limits = has_limits.then(|| limit_days::LimitDay::draw(seed, faults, ENDPOINTS));
+    bed.limits = plan
+        .has_limits
+        .then(|| limit_days::LimitDay::draw(seed, faults, ENDPOINTS));
+    if plan.has_crashes {
+        bed.let_prompts_crash();
+    }
     let callers: Vec<thread::JoinHandle<()>> = (0..CALLERS)
         .map(|number| {
             let ips = (1..=gateways).map(|gateway| bed.ip(gateway)).collect();
@@ -365,29 +381,51 @@
         self.limits = None;
     }
 
-    /// Limits that were exceeded, counted at the endpoints.
-    fn find_limit_excesses(&self, records: &[clients::CallRecord]) -> Vec<String> {
-        let views = records.iter().filter_map(|record| {
+    /// Lets a part of some prompts crash the endpoints from now on.
+    fn let_prompts_crash(&mut self) {
+        for endpoint in &self.endpoints {
+            endpoint.set_deadly_part(Some(clients::DEADLY_PART));
+        }
+        self.desk
+            .sends_prompts
+            .store(true, atomic::Ordering::SeqCst);
+        self.note("a part of some prompts crashes endpoints");
+    }
+
+    /// Whether a gateway was stopped at `at` or shortly before.
+    fn was_stopped(&self, ip: net::IpAddr, at: time::Instant) -> bool {
+        self.stopped.iter().any(|stop| {
+            let number = u8::try_from(stop.gateway + 1).expect("few gateways");
+            let is_over = stop
+                .until
+                .is_some_and(|until| until + limit_judge::CONTACT_TIME < at);
+            self.ip(number) == ip && stop.from <= at && !is_over
+        })
+    }
+
+    /// Limits that were exceeded, and prompts that crashed endpoints for too long, counted at the
+    /// endpoints.
+    fn find_excesses(&self, records: &[clients::CallRecord]) -> Vec<String> {
+        let view = |record: &clients::CallRecord| {
             Some(limit_judge::CallerView {
                 id: record.id.clone(),
                 gateway: record.gateway?.ip(),
                 answered: record.status.map(|_status| record.ended),
             })
-        });
-        let views: Vec<limit_judge::CallerView> = views.collect();
-        let is_excused = |ip: net::IpAddr, at: time::Instant| {
-            self.stopped.iter().any(|stop| {
-                let number = u8::try_from(stop.gateway + 1).expect("few gateways");
-                let is_over = stop
-                    .until
-                    .is_some_and(|until| until + limit_judge::CONTACT_TIME < at);
-                self.ip(number) == ip && stop.from <= at && !is_over
-            })
         };
+        let views: Vec<limit_judge::CallerView> = records.iter().filter_map(view).collect();
+        let is_excused = |ip, at| self.was_stopped(ip, at);
         let endpoints = self.endpoints.iter();
         let findings =
             endpoints.map(|endpoint| limit_judge::find_excesses(endpoint, &views, is_excused));
-        findings.flatten().collect()
+        let mut findings: Vec<String> = findings.flatten().collect();
+        let deadly = records.iter().filter(|record| record.is_deadly());
+        let deadly: Vec<limit_judge::CallerView> = deadly.filter_map(view).collect();
+        let endpoints: Vec<&fakes::FakeEndpoint> = self.endpoints.iter().collect();
+        findings.extend(crash_judge::find_late_sends(
+            &endpoints, &deadly, is_excused,
+        ));
+        findings
     }
 
     /// Lets one endpoint leave; returns it and when the bound begins to hold.
@@ -443,7 +481,7 @@
                 findings.push(format!("{what}: ran with a key that was taken away"));
             }
         }
-        findings.extend(self.find_limit_excesses(&records));
+        findings.extend(self.find_excesses(&records));
         let (endpoint, known) = left;
         let late = self.endpoints[endpoint]
             .received()
@@ -455,7 +493,8 @@
                 "{late} requests reached endpoint {endpoint} after it had left"
             ));
         }
-        let in_calm = records.iter().filter(|record| record.sent > calm);
+        let counts = |record: &&clients::CallRecord| record.sent > calm && !record.is_deadly();
+        let in_calm = records.iter().filter(counts);
         let (all, served) = in_calm.fold((0, 0), |(all, served), record| {
             (all + 1, served + usize::from(record.is_served))
         });
@@ -465,7 +504,7 @@
             ));
             let unserved = records
                 .iter()
-                .filter(|record| record.sent > calm && !record.is_served);
+                .filter(|record| counts(record) && !record.is_served);
             findings.extend(unserved.map(|record| {
                 let (at, status, gateway) = (self.at(record.sent), record.status, record.gateway);
                 format!(
--- a/tests/gateway/soak/clients.rs
+++ b/tests/gateway/soak/clients.rs
@@ -18,11 +18,21 @@
 /// Pause between two requests of a caller.
 const PAUSE: time::Duration = time::Duration::from_millis(30);
 
+/// A part of prompts that crashes endpoints, and the shared parts of prompts with and without it.
+pub const DEADLY_PART: &str = "dead01";
+const DEADLY_PROMPT: &str = "cafe01:200,dead01:50";
+const SOUND_PROMPT: &str = "cafe01:200";
+
+/// One in this many streams has the deadly part.
+const STREAMS_A_DEADLY_PROMPT: u32 = 6;
+
 /// What a caller was told about one request.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
     pub id: String,
     pub path: &'static str,
+    /// Shared parts of its prompt.
+    pub prompt: Option<&'static str>,
     pub key: String,
     pub sent: time::Instant,
     /// Gateway that it was sent to.
@@ -37,12 +47,21 @@
     pub is_served: bool,
 }
 
+impl CallRecord {
+    /// Whether its prompt crashes endpoints.
+    pub fn is_deadly(&self) -> bool {
+        self.prompt == Some(DEADLY_PROMPT)
+    }
+}
+
 /// What callers share.
 #[derive(Debug, Default)]
 pub struct CallerDesk {
     pub records: sync::Mutex<Vec<CallRecord>>,
     pub key: sync::Mutex<String>,
     pub is_over: atomic::AtomicBool,
+    /// Whether streams have prompts, some of which crash endpoints.
+    pub sends_prompts: atomic::AtomicBool,
 }
 
 /// Runs one caller until the desk says that it is over.
@@ -68,10 +87,21 @@
                 continue;
             };
             let path = ["/once/1", "/safe/1", "/stream/1"][random.usize(..3)];
+            let sends_prompt =
+                path == "/stream/1" && desk.sends_prompts.load(atomic::Ordering::SeqCst);
+            let prompt = sends_prompt.then(|| {
+                let is_deadly = random.u32(..STREAMS_A_DEADLY_PROMPT) == 0;
+                if is_deadly {
+                    DEADLY_PROMPT
+                } else {
+                    SOUND_PROMPT
+                }
+            });
             let key = desk.key.lock().expect("not poisoned").clone();
             let mut record = CallRecord {
                 id: format!("{name}-{number}"),
                 path,
+                prompt,
                 key,
                 sent: time::Instant::now(),
                 ended: time::Instant::now(),
@@ -121,7 +151,10 @@
 
 /// Sends one request; returns the connection when it can be used again.
 fn call(mut stream: net::TcpStream, record: &mut CallRecord) -> Option<net::TcpStream> {
-    let request = caller::request(record.path, &record.id, &record.key);
+    let prompt = record
+        .prompt
+        .map(|parts| format!("{parts},{:x}:9", fastrand::u64(..)));
+    let request = caller::prompt_request(record.path, &record.id, &record.key, prompt.as_deref());
     record.gateway = stream.peer_addr().ok();
     stream.write_all(request.as_bytes()).ok()?;
     let answer = caller::read_answer(&mut stream)?;
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -3,7 +3,8 @@
 //! One short run of a fixed seed and the seeds that ever failed are part of the usual tests. Many
 //! seeds by hand: `KUMQUATPULLEY_SOAK_SEEDS=50 cargo test --test gateway soak -- --ignored --nocapture`;
 //! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn; `KUMQUATPULLEY_SOAK_GATEWAYS` the
-//! number of gateways, 200 at most. Endpoints name request limits unless `KUMQUATPULLEY_SOAK_LIMITS` is 0.
+//! number of gateways, 200 at most. Endpoints name request limits unless `KUMQUATPULLEY_SOAK_LIMITS` is 0, and
+//! some prompts crash them unless `KUMQUATPULLEY_SOAK_CRASHES` is 0.
 
 mod bed;
 mod clients;
@@ -24,8 +25,14 @@
 /// Gateways of a zone in which some are two questions away from the one that reads the store.
 const DEEP_ZONE: u8 = 20;
 
-fn soak(seed: u64, gateways: u8, has_limits: bool) {
-    let findings = bed::run(seed, FAULT_TIME, gateways, has_limits);
+const CALM_ENDPOINTS: bed::SoakPlan = bed::SoakPlan {
+    gateways: GATEWAYS,
+    has_limits: false,
+    has_crashes: false,
+};
+
+fn soak(seed: u64, plan: bed::SoakPlan) {
+    let findings = bed::run(seed, FAULT_TIME, plan);
     assert!(findings.is_empty(), "seed {seed}:\n{}", findings.join("\n"));
 }
 
@@ -39,11 +46,15 @@
     let first = number("KUMQUATPULLEY_SOAK_FIRST").unwrap_or_else(|| fastrand::u64(..1 << 32));
     let count = number("KUMQUATPULLEY_SOAK_SEEDS").unwrap_or(5);
     let gateways = number("KUMQUATPULLEY_SOAK_GATEWAYS").unwrap_or(u64::from(GATEWAYS));
-    let has_limits = number("KUMQUATPULLEY_SOAK_LIMITS").unwrap_or(1) != 0;
-    let gateways = u8::try_from(gateways.clamp(1, 200)).expect("a small number");
+    let is_on = |variable| number(variable).unwrap_or(1) != 0;
+    let plan = bed::SoakPlan {
+        gateways: u8::try_from(gateways.clamp(1, 200)).expect("a small number"),
+        has_limits: is_on("KUMQUATPULLEY_SOAK_LIMITS"),
+        has_crashes: is_on("KUMQUATPULLEY_SOAK_CRASHES"),
+    };
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let findings = bed::run(seed, FAULT_TIME, gateways, has_limits);
+        let findings = bed::run(seed, FAULT_TIME, plan);
         println!("seed {seed}: {} findings", findings.len());
         if !findings.is_empty() {
             println!("{}", findings.join("\n"));
@@ -59,11 +70,13 @@
 
 common::cases! {
     // Keyed requests were refused at calm routers: calls waited half of the age at which keys end.
-    fixed_seed: soak(20_261_204, GATEWAYS, false);
+    fixed_seed: soak(20_261_204, CALM_ENDPOINTS);
     // Endpoints that once answered as another one were never used again.
-    endpoints_shut_out: soak(3_001, GATEWAYS, false);
+    endpoints_shut_out: soak(3_001, CALM_ENDPOINTS);
     // Routers that ask through one another, with faults at any of them.
-    deep_zone: soak(20_261_205, DEEP_ZONE, false);
+    deep_zone: soak(20_261_205, bed::SoakPlan { gateways: DEEP_ZONE, ..CALM_ENDPOINTS });
     // Endpoints got several times the limit that they had named to all gateways.
-    request_limits: soak(7_001, GATEWAYS, true);
+    request_limits: soak(7_001, bed::SoakPlan { has_limits: true, ..CALM_ENDPOINTS });
+    // A part of some prompts crashed one endpoint after the other.
+    crashing_prompt: soak(7_002, bed::SoakPlan { has_crashes: true, ..CALM_ENDPOINTS });
 }
--- a/tests/gateway/support/crash_judge.rs
+++ b/tests/gateway/support/crash_judge.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time;
 
-use crate::support::{fakes, limit_judge, load};
+use crate::support::{fakes, limit_judge};
 
 /// Crashes after which the part has to be known.
 const CRASHES_TO_LEARN: usize = 5;
@@ -16,7 +16,7 @@
 /// Those that `is_excused` accepts, given the gateway and the time of arrival, are not counted.
 pub fn find_late_sends(
     endpoints: &[&fakes::FakeEndpoint],
-    deadly: &[load::SentRequest],
+    deadly: &[limit_judge::CallerView],
     is_excused: impl Fn(net::IpAddr, time::Instant) -> bool,
 ) -> Option<String> {
     let crashes = crashes(endpoints);
@@ -24,10 +24,8 @@
     let received = endpoints.iter().flat_map(|endpoint| endpoint.received());
     let late = received.filter(|request| {
         let id = request.field("Kumquatpulley-Request-Id");
-        let sent = deadly
-            .iter()
-            .find(|sent| Some(&sent.view.id) == id.as_ref());
-        known < request.at && sent.is_some_and(|sent| !is_excused(sent.view.gateway, request.at))
+        let sent = deadly.iter().find(|sent| Some(&sent.id) == id.as_ref());
+        known < request.at && sent.is_some_and(|sent| !is_excused(sent.gateway, request.at))
     });
     let late = late.count();
     (late > ALLOWED_LATE).then(|| {
