Count an empty stream without framing as lost

Cause: the end of the connection counted as the end of the body whenever no event was open. The new test unframed_stream_empty fails without the change (the caller gets 200 and nothing) and passes with it; streams that end inside an event and whole ones were handled already (unframed_stream_cut, unframed_stream). A resumed stream that has nothing left to send without framing now counts as lost too, as it looks the same.

--- a/src/connection/h1/body.rs
+++ b/src/connection/h1/body.rs
@@ -51,6 +51,12 @@
         self.state == DecodeState::Complete
     }
 
+    /// Whether the body has no length and no chunks, so that nothing but the connection marks its end.
+    #[must_use]
+    pub fn ends_unmarked(&self) -> bool {
+        self.state == DecodeState::UntilClose
+    }
+
     /// Whether a clean close of the connection at this point completes the body.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -367,7 +367,10 @@
                 self.maintain_copy(lease);
             }
         }
-        if splitter.has_partial_event() {
+        // Only the connection marks the end of a body without framing, so an empty one may be that
+        // of an engine that crashed.
+        let is_empty = self.progress.events == 0 && decoder.ends_unmarked();
+        if splitter.has_partial_event() || is_empty {
             return StreamEnd::Lost(stream_reader::LossCause::Closed);
         }
         let Some(head) = self.head.as_ref() else {
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -302,6 +302,11 @@
     DiesAfter(u64),
     /// Waits [`SLOW_EVENT_PAUSE`] between events, and stops as `DiesAfter` after this one.
     SlowThenDiesAfter(u64),
+    /// Sends streams with neither a length nor chunks, which end with their connection.
+    Unframed,
+    /// As `Unframed`, and closes the connection after this event: inside the next one, or before
+    /// any byte of an event if this is 0.
+    UnframedEndsAfter(u64),
     /// Sends nothing after this event of a stream, not even reports.
     SilentAfter(u64),
     /// Sends a body that is shorter than its `Content-Length`.
@@ -355,6 +360,9 @@
 /// Time from the head of a response to the crash that its prompt causes.
 const CRASH_DELAY: time::Duration = time::Duration::from_millis(10);
 
+/// Time for which a stream that ends early stays open after its last byte.
+const CLOSE_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// Pause between events.
 const EVENT_PAUSE: time::Duration = time::Duration::from_millis(15);
 
@@ -709,9 +717,18 @@
         .field("Last-Event-Id")
         .and_then(|text| text.parse::<u64>().ok());
     let first = last.map_or(1, |last| last + 1);
+    let is_framed = !matches!(
+        mode,
+        EndpointMode::Unframed | EndpointMode::UnframedEndsAfter(_)
+    );
+    let framing = if is_framed {
+        "Transfer-Encoding: chunked\r\n"
+    } else {
+        ""
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-         {notices}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+         {notices}Content-Type: text/event-stream\r\n{framing}\r\n"
     );
     let is_deadly = state.is_deadly(request);
     let crashes_before = state.crash_count();
@@ -738,6 +755,14 @@
                 let _gone = stream.write_all(b"6\r\nid: 1\n\r\n");
                 return;
             }
+            EndpointMode::UnframedEndsAfter(last) if event > last => {
+                state.is_dead.store(true, atomic::Ordering::SeqCst);
+                if last > 0 {
+                    let _gone = stream.write_all(b"id: 9");
+                }
+                thread::sleep(CLOSE_DELAY);
+                return;
+            }
             EndpointMode::SilentAfter(last) if event > last => {
                 state.is_dead.store(true, atomic::Ordering::SeqCst);
                 thread::sleep(time::Duration::from_secs(3));
@@ -759,11 +784,13 @@
             }
             _ => {}
         }
+        let text = format!("id: {event}\ndata: piece {event}\n\n").into_bytes();
         let mut chunk = Vec::new();
-        head::write_chunk(
-            &mut chunk,
-            format!("id: {event}\ndata: piece {event}\n\n").as_bytes(),
-        );
+        if is_framed {
+            head::write_chunk(&mut chunk, &text);
+        } else {
+            chunk = text;
+        }
         if stream.write_all(&chunk).is_err() || is_closed(stream) {
             state.aborted_streams.fetch_add(1, atomic::Ordering::SeqCst);
             return;
@@ -773,8 +800,10 @@
             _ => EVENT_PAUSE,
         });
     }
-    // The router may have gone.
-    let _gone = stream.write_all(head::LAST_CHUNK);
+    if is_framed {
+        // The router may have gone.
+        let _gone = stream.write_all(head::LAST_CHUNK);
+    }
 }
 
 fn write_chunk(stream: &mut net::TcpStream, text: &str) -> bool {
--- a/tests/gateway/whole.rs
+++ b/tests/gateway/whole.rs
@@ -48,6 +48,37 @@
     assert!(arrivals[0].field("Kumquatpulley-Kv-Backup").is_some());
 }
 
+fn a_stream_that_ends_with_its_connection_is_whole() {
+    let system = System::start(1);
+    system.set_modes(fakes::EndpointMode::Unframed);
+    let answer = System::send(system.ip(), "/stream/1", "r1").expect("an answer");
+    assert!(answer.is_complete);
+    assert_eq!(answer.text(), caller::complete_stream());
+    assert_eq!(system.arrivals("r1").len(), 1);
+}
+
+/// An engine that crashes right after the response head closes the connection too.
+fn an_empty_stream_that_ends_with_its_connection_is_not_whole() {
+    let system = System::start(1);
+    system.set_modes(fakes::EndpointMode::UnframedEndsAfter(0));
+    let answer = System::send(system.ip(), "/stream/1", "r1").expect("an answer");
+    assert_eq!(answer.head.status, 502, "{}", system.logs());
+    for engine in [&system.first, &system.second] {
+        engine.set_mode(fakes::EndpointMode::Healthy);
+        engine.revive();
+    }
+    system
+        .first
+        .set_mode(fakes::EndpointMode::UnframedEndsAfter(0));
+    for number in 0..4 {
+        system.first.revive();
+        let answer = System::send(system.ip(), "/stream/1", &format!("s{number}"));
+        let answer = answer.expect("an answer");
+        assert!(answer.is_complete, "{}", system.logs());
+        assert_eq!(answer.text(), caller::complete_stream());
+    }
+}
+
 fn stream_survives_engine_failure(mode: fakes::EndpointMode) {
     let system = System::start(1);
     // Both engines get the mode; the one that is not chosen is healthy again once the stream has
@@ -633,6 +664,9 @@
 
 common::cases! {
     call_and_stream: a_call_and_a_stream_are_answered();
+    unframed_stream: a_stream_that_ends_with_its_connection_is_whole();
+    unframed_stream_cut: stream_survives_engine_failure(fakes::EndpointMode::UnframedEndsAfter(4));
+    unframed_stream_empty: an_empty_stream_that_ends_with_its_connection_is_not_whole();
     engine_dies: stream_survives_engine_failure(fakes::EndpointMode::DiesAfter(4));
     engine_goes_silent: stream_survives_engine_failure(fakes::EndpointMode::SilentAfter(4));
     backup_lost_before_engine: stream_survives_loss_of_backup_then_engine();
