--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -144,7 +144,9 @@
     let mut is_unreachable = false;
     let mut backoff = readers::StoreBackoff::default();
     loop {
-        if !node.is_watching_store() {
+        // Blocked prompts are rare, so routers other than readers learn of them from peers only.
+        let may_watch = topic != rows::RowTopic::BlockedPrompts || node.is_reader();
+        if !may_watch || !node.is_watching_store() {
             after = None;
             task::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
