Log the era of the store and what is read from it, and start the record of the restored store

Nothing told whether the store had been restored from a copy, and which version it then held. Each read of all rows, and each read in another era than the one before, now logs era and version; a version older than the one in force is logged when it is ignored.

--- a/src/connection/http.rs
+++ b/src/connection/http.rs
@@ -131,10 +131,19 @@
     }
 }
 
+/// A response whose body was read to its end.
+#[derive(Debug)]
+pub struct WholeResponse {
+    /// Status and headers; the body was taken out.
+    pub response: http_types::Response,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
 /// Sends a JSON body and returns status and the whole response body, at most `max_bytes`.
 ///
 /// # Errors
-/// As [`send`]; [`ExchangeStage::Exchange`] when the body is too large or cut short.
+/// As [`send_whole`].
 pub async fn send_json(
     method: http_types::Method,
     address: &str,
@@ -143,14 +152,30 @@
     limits: ExchangeLimits,
     max_bytes: usize,
 ) -> Result<(u16, Vec<u8>)> {
+    let whole = send_whole(method, address, path, body, limits, max_bytes).await?;
+    Ok((u16::from(whole.response.status()), whole.body))
+}
+
+/// Sends a JSON body and returns the response with its whole body, at most `max_bytes`.
+///
+/// # Errors
+/// As [`send`]; [`ExchangeStage::Exchange`] when the body is too large or cut short.
+pub async fn send_whole(
+    method: http_types::Method,
+    address: &str,
+    path: &str,
+    body: Option<&serde_json::Value>,
+    limits: ExchangeLimits,
+    max_bytes: usize,
+) -> Result<WholeResponse> {
     let mut message = request(method, address, path);
     if let Some(body) = body {
         message.set_body(body.to_string());
         message.insert_header(headers::CONTENT_TYPE, "application/json");
     }
     let mut response = send(address, message, limits).await?;
-    let bytes = read_body(&mut response.take_body(), limits.head, max_bytes).await?;
-    Ok((u16::from(response.status()), bytes))
+    let body = read_body(&mut response.take_body(), limits.head, max_bytes).await?;
+    Ok(WholeResponse { response, body })
 }
 
 /// Reads a whole body of at most `max_bytes` within `limit`.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -24,6 +24,9 @@
 /// Maximum response size; the store truncates lists at 1 MB.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Number of times that the store was restored from a copy, in each response.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Maximum number of pages in one read, in case the store keeps returning more.
 const MAX_PAGES: usize = 200;
 
@@ -40,10 +43,16 @@
         Self { address }
     }
 
-    async fn get(&self, path: &str, wait: time::Duration) -> rows::Result<store_wire::RowsWire> {
+    /// Reads rows, and the era of the store that they are of.
+    async fn get(
+        &self,
+        path: &str,
+        wait: time::Duration,
+    ) -> rows::Result<(store_wire::RowsWire, u64)> {
         let method = http_types::Method::Get;
-        let body = self.call(method, path, None, wait).await?;
-        serde_json::from_slice(&body).map_err(unavailable)
+        let whole = self.call(method, path, None, wait).await?;
+        let rows = serde_json::from_slice(&whole.body).map_err(unavailable)?;
+        Ok((rows, store_era(&whole.response)?))
     }
 
     async fn call(
@@ -52,12 +61,12 @@
         path: &str,
         body: Option<&serde_json::Value>,
         wait: time::Duration,
-    ) -> rows::Result<Vec<u8>> {
+    ) -> rows::Result<http::WholeResponse> {
         let limits = http::ExchangeLimits {
             connect: CONNECT_TIMEOUT,
             head: wait + RESPONSE_TIMEOUT,
         };
-        let call = http::send_json(
+        let call = http::send_whole(
             method,
             &self.address,
             path,
@@ -65,9 +74,9 @@
             limits,
             MAX_RESPONSE_BYTES,
         );
-        let (status, body) = call.await.map_err(unavailable)?;
-        match status {
-            200 => Ok(body),
+        let whole = call.await.map_err(unavailable)?;
+        match u16::from(whole.response.status()) {
+            200 => Ok(whole),
             410 => Err(rows::RowError::HistoryGone),
             status => Err(rows::RowError::Unavailable(format!("status {status}"))),
         }
@@ -78,13 +87,14 @@
         let mut all = rows::RowBatch::default();
         let mut path = format!("/rows-get?table={table}&part=");
         for _page in 0..MAX_PAGES {
-            let wire = self.get(&path, time::Duration::ZERO).await?;
+            let (wire, era) = self.get(&path, time::Duration::ZERO).await?;
             let next = wire.last_key().filter(|_key| wire.has_more).map(next_key);
             let batch = rows::RowBatch::try_from(wire).map_err(unavailable)?;
             // Keeps the version of the first page, so that the next read of changes also returns
             // what changed while the pages were read.
             if all.version == 0 {
                 all.version = batch.version;
+                all.era = era;
             }
             all.rows.extend(batch.rows);
             let Some(next) = next else {
@@ -96,6 +106,14 @@
     }
 }
 
+/// Number of times that the store was restored from a copy; 0 when the response does not say it.
+fn store_era(response: &http_types::Response) -> rows::Result<u64> {
+    let Some(value) = response.header(ERA_HEADER) else {
+        return Ok(0);
+    };
+    value.as_str().trim().parse().map_err(unavailable)
+}
+
 /// Returns the smallest key after `key`, percent-encoded for a query.
 fn next_key(key: &str) -> String {
     let mut escaped = String::new();
@@ -128,8 +146,9 @@
             let table = store_wire::table_name(topic);
             let wait_ms = wait.as_millis();
             let path = format!("/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
-            let wire = self.get(&path, wait).await?;
-            rows::RowBatch::try_from(wire).map_err(unavailable)
+            let (wire, era) = self.get(&path, wait).await?;
+            let batch = rows::RowBatch::try_from(wire).map_err(unavailable)?;
+            Ok(rows::RowBatch { era, ..batch })
         }
         .boxed()
     }
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -69,6 +69,7 @@
         Ok(Self {
             rows: rows?,
             version: wire.ver,
+            era: 0,
         })
     }
 }
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -182,8 +182,12 @@
         let Some(version) = self.codec.traffic(key, value) else {
             return current;
         };
-        if current.is_some_and(|current| current >= version.number()) {
-            return current;
+        if let Some(current) = current.filter(|current| *current >= version.number()) {
+            if current > version.number() {
+                let (found, version) = (version.number(), current);
+                log::info!(version, found, source; "older version ignored");
+            }
+            return Some(current);
         }
         let number = version.number();
         log::info!(version = number, routes = version.route_count(), source; "version in force");
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -62,6 +62,9 @@
     pub rows: Vec<RowChange>,
     /// Version of the store; later changes are read from here with [`RowStore::read_changes`].
     pub version: u64,
+    /// Number of times that the store was restored from a copy. Versions of different eras cannot be
+    /// compared, as a copy gives the same versions out again.
+    pub era: u64,
 }
 
 /// A client of the platform's store.
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -140,7 +140,7 @@
     wait: time::Duration,
     mut apply: impl FnMut(rows::RowBatch, boot_clock::BootInstant, bool),
 ) {
-    let mut after = None;
+    let (mut after, mut era) = (None, None);
     let mut is_unreachable = false;
     let mut backoff = readers::StoreBackoff::default();
     loop {
@@ -165,6 +165,15 @@
                 backoff = readers::StoreBackoff::default();
                 node.record_store_answer(topic);
                 let is_full = after.is_none();
+                if is_full || era != Some(batch.era) {
+                    let (version, rows) = (batch.version, batch.rows.len());
+                    log::info!(
+                        topic:? = topic, is_full, era = batch.era, known_era:? = era, version,
+                        known_version:? = after, rows;
+                        "store read"
+                    );
+                }
+                era = Some(batch.era);
                 after = Some(batch.version);
                 apply(batch, asked_at, is_full);
                 task::sleep(BATCH_PAUSE).await;
