Take an engine for crashed only if it no longer answers

Cause, from the kept logs: endpoint e3 cut off answers right after the head for 1.7 s and went on; each cut looked like a crash, and three of them, 50 ms apart, counted as consecutive crashes. Ruled out: a shared part without successes; there were some 1 s before. Change: after such a loss the engine is probed, and one that answers has not crashed.

--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -24,6 +24,9 @@
 /// Half of the maximum number of parts whose successes are kept.
 const SUCCESS_GENERATION: usize = 4_096;
 
+/// Engines that must have crashed before a part is suspected, as a single one may be broken.
+const MIN_ENDPOINTS: usize = 2;
+
 /// Crashes of engines after which a part is suspected if no prompt with it was ever
 /// answered. They must come from at least [`MIN_REQUESTS`] requests, as one request can meet several
 /// failing engines by chance.
@@ -129,11 +132,12 @@
         let mut crashes: Vec<&CrashRecord> = self.crashes.iter().filter(is_counted).collect();
         crashes.sort_unstable_by_key(|crash| crash.crashed_at);
         let is_new = success.is_none();
-        let is_suspected = consecutive(&crashes) >= MIN_CONSECUTIVE
+        let distinct = distinct_crashes(&crashes);
+        let has_enough = consecutive(&distinct) >= MIN_CONSECUTIVE
             || (is_new
-                && count_crashes(&crashes) >= MIN_CRASHES
-                && count_requests(&crashes) >= MIN_REQUESTS);
-        if !is_suspected {
+                && distinct.len() >= MIN_CRASHES
+                && count(&crashes, |crash| crash.request) >= MIN_REQUESTS);
+        if !has_enough || count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
             return None;
         }
         let mut common = crashes.first()?.parts.clone();
@@ -155,20 +159,20 @@
     one.endpoint == other.endpoint && later.since(earlier) < RESTART_TIME
 }
 
-/// Number of crashes, given the requests that were lost in them.
-fn count_crashes(lost: &[&CrashRecord]) -> usize {
+/// The first record of each crash, given the requests that were lost in them.
+fn distinct_crashes<'a>(lost: &[&'a CrashRecord]) -> Vec<&'a CrashRecord> {
     let mut crashes: Vec<&CrashRecord> = Vec::new();
     for crash in lost {
         if !crashes.iter().any(|known| is_same_crash(known, crash)) {
             crashes.push(crash);
         }
     }
-    crashes.len()
+    crashes
 }
 
-fn count_requests(crashes: &[&CrashRecord]) -> usize {
-    let requests: collections::HashSet<u64> = crashes.iter().map(|crash| crash.request).collect();
-    requests.len()
+fn count(crashes: &[&CrashRecord], field: impl Fn(&CrashRecord) -> u64) -> usize {
+    let values: collections::HashSet<u64> = crashes.iter().map(|crash| field(crash)).collect();
+    values.len()
 }
 
 /// Length of the chain of crashes, in order of time, in which each request was sent after the crash
--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -22,6 +22,9 @@
 /// Timeout for an engine's report, which occupies no slot there.
 pub const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
+/// Timeout for a probe of an engine that closed a connection; a few round trips within a region.
+const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -243,6 +246,12 @@
     dialect.report(&response)
 }
 
+/// Whether the engine at `address` answers a probe within [`LIVENESS_TIMEOUT`].
+pub async fn is_alive(address: std_net::SocketAddr, dialect: &dyn dialect::RequestDialect) -> bool {
+    let probe = future::timeout(LIVENESS_TIMEOUT, report(address, dialect));
+    probe.await.is_ok_and(|report| report.is_some())
+}
+
 /// Request head of a control call, which is one to an engine that serves no caller's request.
 #[must_use]
 pub fn control_head(method: &str, target: &str, address: std_net::SocketAddr) -> head::RequestHead {
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -149,7 +149,8 @@
             .refuse_blocked(self.request, self.verdict(false))
     }
 
-    /// Reports an engine that crashed when it began to answer.
+    /// Reports an engine that crashed when it began to answer. One that only closed the connection
+    /// still answers a probe.
     async fn report_crash(&self, lease: &context::EndpointLease, cause: stream_reader::LossCause) {
         let parts = self.request.metadata.shared_parts.as_slice();
         let progress = &self.progress;
@@ -160,11 +161,15 @@
         {
             return;
         }
+        let running = progress.sent_at.elapsed();
+        if attempt::is_alive(lease.endpoint.address, self.context.dialect.as_ref()).await {
+            return;
+        }
         let crash = prompt_guard::PromptCrash {
             request: &self.request.metadata.id,
             endpoint: &lease.endpoint.name,
             parts,
-            running: progress.sent_at.elapsed(),
+            running,
         };
         sync::Arc::clone(&self.context.prompts)
             .report_crash(crash)
--- a/tests/gateway/crash_evidence.rs
+++ b/tests/gateway/crash_evidence.rs
@@ -88,6 +88,21 @@
     assert_eq!(suspects(&ledger(&crashes), &[7]), [[7]]);
 }
 
+/// A broken endpoint cuts off answers that have just begun, one after the other, and goes on.
+fn one_endpoint_that_cuts_off_answers_does_not_show_a_part() {
+    let mut ledger = ledger(&[]);
+    succeed(&mut ledger, 7, 7_000);
+    for number in 0..40 {
+        let millis = 8_000 + number * 50;
+        let cut = crash_ledger::CrashRecord {
+            sent_at: at(millis - 2),
+            ..crash(number, 10, &[7], millis)
+        };
+        ledger.record_crash(cut, at(millis));
+        assert_eq!(suspects(&ledger, &[7]), [[0; 0]; 0]);
+    }
+}
+
 /// Routers report the same crash with slightly different times.
 fn a_crash_that_is_reported_twice_counts_once() {
     let mut crashes = vec![crash(1, 10, &[7], 8_000); 2];
@@ -243,6 +258,7 @@
     never_worked: three_crashes_of_two_requests_are_enough_for_a_part_that_never_worked();
     one_request: one_request_is_enough_after_three_attempts();
     same_endpoints: the_same_two_endpoints_can_show_it();
+    broken_endpoint: one_endpoint_that_cuts_off_answers_does_not_show_a_part();
     reported_twice: a_crash_that_is_reported_twice_counts_once();
     zone_failure: engines_that_fail_together_do_not_show_a_shared_part();
     works_meanwhile: a_part_that_works_meanwhile_is_not_suspected();
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -7,7 +7,7 @@
 
 use crate::common;
 use crate::support::system::System;
-use crate::support::{crash_judge, limit_judge, load};
+use crate::support::{crash_judge, fakes, limit_judge, load};
 
 /// Parts of prompts: one that crashes engines, and one that sound prompts share with it.
 const DEADLY_PART: &str = "dead01";
@@ -143,7 +143,40 @@
     load.finish(calm);
 }
 
+/// Both endpoints cut off answers that have just begun, and do not crash.
+fn prompts_are_not_blocked_while_endpoints_cut_off_answers() {
+    let system = System::start(2);
+    system.set_modes(fakes::EndpointMode::Truncates);
+    let ips: Vec<net::IpAddr> = system.gateways.iter().map(|gateway| gateway.ip).collect();
+    let plan = load::LoadPlan {
+        callers: 2,
+        pause: time::Duration::from_millis(30),
+        path: "/stream/1",
+        shared_parts: Some(SOUND_PROMPT),
+    };
+    let load = load::SteadyLoad::start(&ips, plan);
+    thread::sleep(time::Duration::from_secs(3));
+    system.set_modes(fakes::EndpointMode::Healthy);
+    thread::sleep(time::Duration::from_secs(2));
+    let calm = time::Instant::now();
+    thread::sleep(time::Duration::from_secs(2));
+    let requests = load.stop();
+    let calm = requests.iter().filter(|request| calm < request.sent);
+    let (all, served) = calm.fold((0, 0), |(all, served), request| {
+        (
+            all + 1,
+            served + u32::from(request.is_complete && request.status == Some(200)),
+        )
+    });
+    assert!(
+        all > 0 && served == all,
+        "{served} of {all}; {}",
+        system.logs()
+    );
+}
+
 common::cases! {
+    truncated_answers: prompts_are_not_blocked_while_endpoints_cut_off_answers();
     steady: a_part_that_crashes_engines_is_kept_from_them();
     restarts: a_crashing_part_is_known_after_restarts();
     store_away: a_crashing_part_is_learned_without_the_store();
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -79,4 +79,6 @@
     request_limits: soak(7_001, bed::SoakPlan { has_limits: true, ..CALM_ENDPOINTS });
     // A part of some prompts crashed one endpoint after the other.
     crashing_prompt: soak(7_002, bed::SoakPlan { has_crashes: true, ..CALM_ENDPOINTS });
+    // Sound prompts were blocked because an endpoint cut off answers and did not crash.
+    truncating_endpoint: soak(7_503, bed::SoakPlan { has_limits: true, has_crashes: true, ..CALM_ENDPOINTS });
 }
