Add failing tests for a store that comes back from a copy

The store of the tests copies its rows, comes back from a copy and gives versions out again, also at a moment when its readers pause.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod framing;
 mod permit_replays;
 mod permits;
+mod restored_store;
 mod soak;
 mod support;
 mod whole;
--- /dev/null
+++ b/tests/gateway/restored_store.rs
@@ -0,0 +1,177 @@
+//! The store is away for a moment and comes back from a copy that is some seconds old.
+
+use std::net;
+use std::thread;
+use std::time;
+
+use crate::common;
+use crate::support::system::System;
+use crate::support::{caller, fakes};
+
+/// Time in which a change must be in force at all gateways, as the platform's settings define it.
+const CHANGE_BOUND: time::Duration = time::Duration::from_secs(2);
+
+/// Time after which the readers of the store have seen all that was written.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Changes of endpoint entries after the copy, and again after the restore.
+const ENTRY_CHANGES: usize = 12;
+
+/// Time in which the gateways write again what a copy lacks.
+const REWRITE_BOUND: time::Duration = time::Duration::from_secs(5);
+
+fn status(ip: net::IpAddr, path: &str, id: &str, key: &str) -> u16 {
+    let request = caller::request(path, id, key);
+    let answer = caller::exchange((ip, 8227).into(), request.as_bytes());
+    answer.map_or(0, |answer| answer.head.status)
+}
+
+/// Changes both entries and back, so that the store's version rises.
+fn change_entries(system: &System) {
+    for _change in 0..ENTRY_CHANGES / 2 {
+        for (endpoint, zone) in [(&system.first, "z1"), (&system.second, "z2")] {
+            let entry = endpoint.entry("m", zone, "ready");
+            system.store.put("servers", &endpoint.name, &entry);
+        }
+    }
+}
+
+/// The store gives the versions that the readers have seen out again, the first of them for a new
+/// configuration.
+fn a_change_after_an_unnoticed_restore_is_in_force_in_time() {
+    let system = System::start(3);
+    let copy = system.store.copy();
+    change_entries(&system);
+    thread::sleep(SETTLE_TIME);
+    let config = System::config(2, r#""k2""#);
+    let entries = [
+        ("e1", system.first.entry("m", "z1", "ready")),
+        ("e2", system.second.entry("m", "z2", "ready")),
+    ];
+    let mut changes = vec![("op", "config", config.as_bytes())];
+    for (name, entry) in entries.iter().cycle().take(2 * ENTRY_CHANGES) {
+        changes.push(("servers", *name, entry));
+    }
+    system.store.restore_unnoticed("op", &copy, &changes);
+    thread::sleep(CHANGE_BOUND);
+    for gateway in &system.gateways {
+        let status = status(gateway.ip, "/once/1", "r1", "k2");
+        assert_eq!(status, 200, "{}", system.logs());
+    }
+}
+
+/// The copy holds an older configuration, with a key that was taken away. Gateways keep the newer one,
+/// and do not take the older one for a sign that theirs is still the newest.
+fn an_older_configuration_neither_returns_nor_confirms_the_newer_one() {
+    let system = System::start(3);
+    let copy = system.store.copy();
+    system.put_config(2, r#""k2""#);
+    thread::sleep(SETTLE_TIME);
+    system.store.restore(&copy, &[]);
+    let restored = time::Instant::now();
+    while restored.elapsed() < time::Duration::from_secs(6) {
+        for gateway in &system.gateways {
+            assert_ne!(
+                status(gateway.ip, "/once/1", "r1", "k"),
+                200,
+                "{}",
+                system.logs()
+            );
+            // Keys end after four seconds without news of the configuration.
+            if time::Duration::from_millis(4_250) < restored.elapsed() {
+                let status = status(gateway.ip, "/once/1", "r2", "k2");
+                assert_eq!(status, 503, "{}", system.logs());
+            }
+        }
+        thread::sleep(time::Duration::from_millis(100));
+    }
+    system.put_config(2, r#""k2""#);
+    thread::sleep(CHANGE_BOUND);
+    for gateway in &system.gateways {
+        assert_eq!(
+            status(gateway.ip, "/once/1", "r3", "k2"),
+            200,
+            "{}",
+            system.logs()
+        );
+        assert_eq!(
+            status(gateway.ip, "/once/1", "r4", "k"),
+            401,
+            "{}",
+            system.logs()
+        );
+    }
+}
+
+/// An endpoint registered after the copy. Its entry is back after a while, and until then it is the
+/// only one that takes requests.
+fn an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again() {
+    let system = System::start(2);
+    let mut entries = vec![system.store.copy()];
+    system.store.remove("servers", "e2");
+    entries.push(system.store.copy());
+    system
+        .store
+        .put("servers", "e2", &system.second.entry("m", "z2", "ready"));
+    change_entries(&system);
+    thread::sleep(SETTLE_TIME);
+    system.first.set_mode(fakes::EndpointMode::Full);
+    system.store.restore_unnoticed("servers", &entries[1], &[]);
+    let restored = time::Instant::now();
+    while restored.elapsed() < time::Duration::from_millis(1_700) {
+        for gateway in &system.gateways {
+            let status = status(gateway.ip, "/once/1", "r1", "k");
+            assert_eq!(status, 200, "{:?}; {}", restored.elapsed(), system.logs());
+        }
+        thread::sleep(time::Duration::from_millis(50));
+    }
+}
+
+/// An endpoint left after the copy was made, and its entry went. The copy has it as ready.
+fn an_endpoint_that_left_is_not_used_again() {
+    let system = System::start(2);
+    let copy = system.store.copy();
+    system
+        .store
+        .put("servers", "e2", &system.second.entry("m", "z2", "draining"));
+    thread::sleep(SETTLE_TIME);
+    system.store.remove("servers", "e2");
+    thread::sleep(SETTLE_TIME);
+    // Requests go to the one that left if it counts as ready.
+    system.first.set_mode(fakes::EndpointMode::Full);
+    system.store.restore(&copy, &[]);
+    let restored = time::Instant::now();
+    while restored.elapsed() < time::Duration::from_secs(3) {
+        for gateway in &system.gateways {
+            status(gateway.ip, "/once/1", "r1", "k");
+        }
+        thread::sleep(time::Duration::from_millis(30));
+    }
+    let late = system.second.received();
+    let late = late.iter().filter(|request| restored < request.at).count();
+    assert_eq!(late, 0, "{}", system.logs());
+}
+
+/// The copy was made before the routers wrote their addresses.
+fn router_addresses_are_written_again() {
+    let system = System::start(3);
+    let copy = system.store.copy();
+    system.wait_for("an address is written", || {
+        !system.store.keys("routers").is_empty()
+    });
+    let written = system.store.keys("routers");
+    system.store.restore(&copy, &[]);
+    let restored = time::Instant::now();
+    while system.store.keys("routers") != written {
+        assert!(restored.elapsed() < REWRITE_BOUND, "{}", system.logs());
+        thread::sleep(time::Duration::from_millis(50));
+    }
+}
+
+common::cases! {
+    reissued_versions: a_change_after_an_unnoticed_restore_is_in_force_in_time();
+    older_configuration: an_older_configuration_neither_returns_nor_confirms_the_newer_one();
+    endpoint_not_in_copy: an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again();
+    endpoint_that_left: an_endpoint_that_left_is_not_used_again();
+    router_addresses: router_addresses_are_written_again();
+}
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -93,11 +93,24 @@
 /// Content and version; the content is `None` for a removed row.
 type StoredRow = (Option<Vec<u8>>, u64);
 
+/// Rows by table and key.
+type StoredRows = collections::BTreeMap<(String, String), StoredRow>;
+
+/// A copy of the store at some time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    version: u64,
+    rows: StoredRows,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     version: u64,
-    /// Rows by table and key.
-    rows: collections::BTreeMap<(String, String), StoredRow>,
+    /// Number of times that the store was restored from a copy.
+    era: u64,
+    rows: StoredRows,
+    /// Calls for changes that are waiting, by table.
+    waiting: collections::HashMap<String, u32>,
     /// Oldest version after which changes can still be read.
     oldest: u64,
     /// Listeners that answer with 503.
@@ -139,6 +152,54 @@
         self.set(table, key, None);
     }
 
+    /// Copies all rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().expect("not poisoned");
+        StoreCopy {
+            version: state.version,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Replaces all rows by those of a copy, and writes `changes` (table, key and value) at the same
+    /// moment. Waiting calls are cut off.
+    pub fn restore(&self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
+        let mut state = self.state.lock().expect("not poisoned");
+        state.restore(copy, changes);
+    }
+
+    /// As [`FakeStore::restore`], at a moment when no call waits for changes of `table`, so that its
+    /// readers do not notice.
+    pub fn restore_unnoticed(
+        &self,
+        table: &str,
+        copy: &StoreCopy,
+        changes: &[(&str, &str, &[u8])],
+    ) {
+        let until = time::Instant::now() + QUIET_MOMENT_TIMEOUT;
+        loop {
+            let mut state = self.state.lock().expect("not poisoned");
+            if state.waiting.get(table).is_none_or(|count| *count == 0) {
+                return state.restore(copy, changes);
+            }
+            drop(state);
+            assert!(
+                time::Instant::now() < until,
+                "readers of {table} never pause"
+            );
+            thread::sleep(time::Duration::from_millis(1));
+        }
+    }
+
+    /// Keys of the rows of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let state = self.state.lock().expect("not poisoned");
+        let rows = state.rows.iter();
+        let rows =
+            rows.filter(|((known, _key), (value, _version))| known == table && value.is_some());
+        rows.map(|((_table, key), _row)| key.clone()).collect()
+    }
+
     /// Drops the history, so that earlier changes can no longer be read.
     pub fn drop_history(&self) {
         let mut state = self.state.lock().expect("not poisoned");
@@ -166,15 +227,33 @@
     }
 
     fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        let mut state = self.state.lock().expect("not poisoned");
-        state.version += 1;
-        let version = state.version;
-        state
-            .rows
-            .insert((table.to_owned(), key.to_owned()), (value, version));
+        self.state
+            .lock()
+            .expect("not poisoned")
+            .set(table, key, value);
+    }
+}
+
+impl StoreState {
+    fn set(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.version += 1;
+        self.rows
+            .insert((table.to_owned(), key.to_owned()), (value, self.version));
+    }
+
+    fn restore(&mut self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
+        self.era += 1;
+        self.version = copy.version;
+        self.rows.clone_from(&copy.rows);
+        for (table, key, value) in changes {
+            self.set(table, key, Some(value.to_vec()));
+        }
     }
 }
 
+/// Longest wait for a moment when no call waits for changes.
+const QUIET_MOMENT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
 /// How long a hung listener keeps a connection open: longer than any caller waits.
 const HANG_TIME: time::Duration = time::Duration::from_secs(20);
 
@@ -199,7 +278,8 @@
         return;
     }
     if is_unavailable() {
-        return write_json(stream, 503, &serde_json::json!({}));
+        let era = state.lock().expect("not poisoned").era;
+        return write_store_json(stream, era, 503, &serde_json::json!({}));
     }
     let path = request
         .head
@@ -210,8 +290,8 @@
         .to_owned();
     match path.as_str() {
         "/rows-get" => {
-            let answer = rows_after(&request, state, None);
-            write_json(stream, 200, &answer);
+            let (answer, era) = rows_after(&request, state, None);
+            write_store_json(stream, era, 200, &answer);
         }
         "/rows-feed" => {
             let number = |name| {
@@ -222,11 +302,22 @@
             };
             let wait = time::Duration::from_millis(number("wait_ms"));
             let until = time::Instant::now() + wait;
+            let _waiting = WaitingCall::begin(&request, state);
+            let era = state.lock().expect("not poisoned").era;
             loop {
-                if number("after") < state.lock().expect("not poisoned").oldest {
-                    return write_json(stream, 410, &serde_json::json!({}));
+                let held = state.lock().expect("not poisoned");
+                let (is_held, is_cut) = (
+                    (held.oldest..=held.version).contains(&number("after")),
+                    held.era != era,
+                );
+                drop(held);
+                if is_cut {
+                    return;
+                }
+                if !is_held {
+                    return write_store_json(stream, era, 410, &serde_json::json!({}));
                 }
-                let answer = rows_after(&request, state, Some(number("after")));
+                let (answer, era) = rows_after(&request, state, Some(number("after")));
                 let is_empty = answer["rows"].as_array().is_none_or(Vec::is_empty);
                 if is_unavailable() {
                     return;
@@ -236,40 +327,74 @@
                     return;
                 }
                 if !is_empty || time::Instant::now() >= until {
-                    return write_json(stream, 200, &answer);
+                    return write_store_json(stream, era, 200, &answer);
                 }
                 thread::sleep(time::Duration::from_millis(10));
             }
         }
         "/rows-tx" => {
             let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
-            let mut state = state.lock().expect("not poisoned");
-            state.version += 1;
-            let version = state.version;
+            let mut held = state.lock().expect("not poisoned");
+            held.version += 1;
+            let version = held.version;
             for put in value["puts"].as_array().expect("puts") {
                 let text = |name: &str| put[name].as_str().expect("text").to_owned();
                 let content = general_purpose::STANDARD
                     .decode(text("value"))
                     .expect("base64");
-                state
-                    .rows
+                held.rows
                     .insert((text("table"), text("key")), (Some(content), version));
             }
-            write_json(
-                stream,
-                200,
-                &serde_json::json!({"ver": version, "now_ms": 1}),
-            );
+            let era = held.era;
+            drop(held);
+            let answer = serde_json::json!({"ver": version, "now_ms": 1});
+            write_store_json(stream, era, 200, &answer);
         }
         _ => write_json(stream, 404, &serde_json::json!({})),
     }
 }
 
+/// Counts a call that waits for changes until it is dropped.
+struct WaitingCall<'a> {
+    table: String,
+    state: &'a sync::Mutex<StoreState>,
+}
+
+impl<'a> WaitingCall<'a> {
+    fn begin(request: &ReceivedRequest, state: &'a sync::Mutex<StoreState>) -> Self {
+        let table = request.query("table").unwrap_or_default().to_owned();
+        let mut held = state.lock().expect("not poisoned");
+        *held.waiting.entry(table.clone()).or_default() += 1;
+        drop(held);
+        Self { table, state }
+    }
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        let mut held = self.state.lock().expect("not poisoned");
+        if let Some(count) = held.waiting.get_mut(&self.table) {
+            *count -= 1;
+        }
+    }
+}
+
+/// Answers a call to the store; the head names the era.
+fn write_store_json(stream: &mut net::TcpStream, era: u64, status: u16, value: &serde_json::Value) {
+    let text = value.to_string();
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+        text.len()
+    );
+    // The caller may have gone.
+    let _gone = stream.write_all(format!("{head}{text}").as_bytes());
+}
+
 fn rows_after(
     request: &ReceivedRequest,
     state: &sync::Mutex<StoreState>,
     after: Option<u64>,
-) -> serde_json::Value {
+) -> (serde_json::Value, u64) {
     let wanted = request.query("table").unwrap_or_default();
     let state = state.lock().expect("not poisoned");
     let rows = state
@@ -285,7 +410,9 @@
             "ver": version}),
     });
     let rows: Vec<serde_json::Value> = rows.collect();
-    serde_json::json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": 1})
+    let answer =
+        serde_json::json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": 1});
+    (answer, state.era)
 }
 
 /// How an endpoint treats requests from now on.
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -83,12 +83,17 @@
     }
 
     pub fn put_config(&self, version: u64, keys: &str) {
-        let text = CONFIG
-            .replace("VERSION", &version.to_string())
-            .replace("KEYS", keys);
+        let text = Self::config(version, keys);
         self.store.put("op", "config", text.as_bytes());
     }
 
+    /// The text of a configuration with these keys, each in quotes.
+    pub fn config(version: u64, keys: &str) -> String {
+        CONFIG
+            .replace("VERSION", &version.to_string())
+            .replace("KEYS", keys)
+    }
+
     pub fn wait_for(&self, what: &str, is_true: impl Fn() -> bool) {
         let until = time::Instant::now() + WAIT_TIMEOUT;
         while !is_true() {
