Read everything again when the store has been restored

Callers got 401 for a key, or 404 for a route, of a configuration that the store had confirmed. Cause: a reader asks for changes after the version that it has seen. The store that comes back from a copy gives versions out again; what it writes at versions that the reader has seen in the era before is never read. Class of fault: a position in a sequence is kept beyond the life of the sequence. Change: the era of each answer is compared with that of the answer before; in another era everything is read again. A list whose pages are of two eras is refused.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -96,6 +96,11 @@
                 all.version = batch.version;
                 all.era = era;
             }
+            if all.era != era {
+                return Err(unavailable(
+                    "the store was restored while its rows were read",
+                ));
+            }
             all.rows.extend(batch.rows);
             let Some(next) = next else {
                 return Ok(all);
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -165,7 +165,8 @@
                 backoff = readers::StoreBackoff::default();
                 node.record_store_answer(topic);
                 let is_full = after.is_none();
-                if is_full || era != Some(batch.era) {
+                let is_restored = era.is_some_and(|era| era != batch.era);
+                if is_full || is_restored {
                     let (version, rows) = (batch.version, batch.rows.len());
                     log::info!(
                         topic:? = topic, is_full, era = batch.era, known_era:? = era, version,
@@ -174,6 +175,11 @@
                     );
                 }
                 era = Some(batch.era);
+                if is_restored && !is_full {
+                    // Versions of the era before say nothing about what has changed in this one.
+                    after = None;
+                    continue;
+                }
                 after = Some(batch.version);
                 apply(batch, asked_at, is_full);
                 task::sleep(BATCH_PAUSE).await;
