Take an older configuration in the store for no sign that the newer one is current

Callers' keys were accepted although nobody knew whether they still held. Cause: each answer of the store confirmed the configuration in force as the newest, also when the store had come back from a copy with an older one and so may have lost newer ones too. Change: an answer confirms it only if the store holds this configuration, or one that cannot be decoded, as before. Until the operators have written again, keys end at their usual age, as in an outage.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -176,34 +176,27 @@
                 .may_accept_key(self.settings.bounds.max_key_age, now)
     }
 
-    /// Puts the version of a row in force if it is newer; returns the number then in force.
+    /// Puts the version of a row in force if it is newer; returns the row's number, or `None` if the
+    /// row holds no valid configuration.
     pub fn apply_version(&self, key: &str, value: &[u8], source: &str) -> Option<u64> {
-        let current = self.version_number();
-        let Some(version) = self.codec.traffic(key, value) else {
-            return current;
-        };
-        if let Some(current) = current.filter(|current| *current >= version.number()) {
-            if current > version.number() {
-                let (found, version) = (version.number(), current);
-                log::info!(version, found, source; "older version ignored");
-            }
-            return Some(current);
-        }
+        let version = self.codec.traffic(key, value)?;
         let number = version.number();
-        log::info!(version = number, routes = version.route_count(), source; "version in force");
-        let kind = timeline::EventKind::VersionInForce { number };
-        self.ring.record(None, kind);
         let mut state = self.config_state.lock();
-        if state
-            .version
-            .as_ref()
-            .is_some_and(|current| current.number() >= number)
-        {
-            return state.version.as_ref().map(|current| current.number());
+        let current = state.version.as_ref().map(|version| version.number());
+        if let Some(current) = current.filter(|current| *current >= number) {
+            drop(state);
+            if current > number {
+                log::info!(version = current, found = number, source; "older version ignored");
+            }
+            return Some(number);
         }
+        let routes = version.route_count();
         state.version = Some(sync::Arc::new(version));
         state.row = Some((key.to_owned(), value.to_vec()));
         drop(state);
+        log::info!(version = number, routes, source; "version in force");
+        let kind = timeline::EventKind::VersionInForce { number };
+        self.ring.record(None, kind);
         self.gossip.set_config(number);
         Some(number)
     }
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -38,17 +38,25 @@
     let max_key_age = node.settings.bounds.max_key_age;
     let change_wait = node.pace.long_poll_wait;
     let wait = max_key_age.map_or(change_wait, |age| change_wait.min(age / KEY_AGE_DIVISOR));
+    // Number of the configuration in the store; `None` while it is not known.
+    let mut stored = None;
     let watching = watch(
         &node,
         rows::RowTopic::Config,
         wait,
-        |batch, asked_at, _is_full| {
+        |batch, asked_at, is_full| {
+            if is_full {
+                stored = batch.rows.is_empty().then_some(0);
+            }
             for row in &batch.rows {
                 if let Some(value) = &row.value {
-                    node.apply_version(&row.key, value, "store");
+                    stored = node.apply_version(&row.key, value, "store").or(stored);
                 }
             }
-            if node.version_number().is_some() {
+            // A store that was restored from a copy may hold an older configuration, which does not
+            // show that the one in force is the newest.
+            let in_force = node.version_number();
+            if in_force.is_some() && stored.is_none_or(|stored| Some(stored) == in_force) {
                 node.confirm_version(asked_at);
             }
         },
