Leave out what a restored store brings back, and keep the endpoints that it lacks

Callers got 503 although an endpoint was there, and endpoints that had left got requests again (157 in 3 s). Cause: a list of all entries replaces what is known. After a restore it lacks endpoints that registered after the copy, which were dropped at once if no call had failed, and holds entries of endpoints that had left since, of which nothing was remembered. Class of fault: a source that has gone back is believed like one that went on. Change: the list of endpoints carries the era of the store, also between routers. In a new era entries that are missing lapse as after an outage, and removed endpoints stay out for 5 s unless they write again; then readers read the list once more. A removed endpoint that was leaving still is when it comes back with the same start time.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -210,6 +210,8 @@
     pub answer_age_micros: Option<u64>,
     /// Time since the endpoint rows were known to be complete, in microseconds.
     pub endpoint_age_micros: u64,
+    /// Era of the store that the sender's endpoint rows are of.
+    pub endpoint_era: u64,
     /// Digests of the sender's endpoint rows by part; empty when both sides have the same rows.
     pub digests: Vec<u64>,
     /// All prompts blocked at the sender; empty when both sides have the same.
--- a/src/process/gateway/endpoint_registry.rs
+++ b/src/process/gateway/endpoint_registry.rs
@@ -2,8 +2,11 @@
 //!
 //! While the store is unreachable, and for a grace period after its return, an entry that the
 //! store removes is only marked as lapsed: its endpoint may still run, and the entry may come
-//! back. A lapsed entry stays in use until the grace period ends. The registry takes the time as
-//! an argument and does no I/O.
+//! back. A lapsed entry stays in use until the grace period ends.
+//!
+//! A store that was restored from a copy lacks entries of endpoints that still run, which lapse too,
+//! and holds some of endpoints that have gone, which are left out until the store has had the time to
+//! drop them. The registry takes the time as an argument and does no I/O.
 
 use std::collections;
 use std::net;
@@ -11,6 +14,13 @@
 
 use crate::process::gateway::boot_clock;
 
+/// Time after a restore of the store until it has dropped the entries of endpoints that no longer
+/// write to it; longer than three of their intervals.
+const STALE_ENTRY_TIME: time::Duration = time::Duration::from_secs(5);
+
+/// Time for which a removed endpoint is remembered; longer than the age of a copy of the store.
+const REMOVED_RETENTION: time::Duration = time::Duration::from_secs(60);
+
 /// An endpoint as its entry in the store describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
@@ -40,6 +50,14 @@
     Absent(String),
 }
 
+/// What is remembered of an endpoint that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedEndpoint {
+    incarnation: u64,
+    is_leaving: bool,
+    at: boot_clock::BootInstant,
+}
+
 /// The endpoints known to this router.
 #[derive(Debug)]
 pub struct EndpointRegistry {
@@ -50,6 +68,12 @@
     /// End of the grace period after the store's last return.
     settled_at: boot_clock::BootInstant,
     is_store_unreachable: bool,
+    /// Endpoints that were removed lately, by name.
+    removed: collections::HashMap<String, RemovedEndpoint>,
+    /// Until when a restored store may hold entries of removed endpoints.
+    stale_until: boot_clock::BootInstant,
+    /// When the store is to be read again because it was restored.
+    reread_at: Option<boot_clock::BootInstant>,
     /// Whether a full list was received, from the store or from a peer.
     is_initialized: bool,
     lapse_grace: time::Duration,
@@ -65,6 +89,9 @@
             lapsed: collections::HashMap::new(),
             settled_at: boot_clock::BootInstant::default(),
             is_store_unreachable: false,
+            removed: collections::HashMap::new(),
+            stale_until: boot_clock::BootInstant::default(),
+            reread_at: None,
             is_initialized: false,
             lapse_grace,
         }
@@ -83,6 +110,23 @@
         }
     }
 
+    /// Records that the store was restored from a copy. The grace period starts.
+    pub fn mark_restored(&mut self, now: boot_clock::BootInstant) {
+        self.settled_at = boot_clock::BootInstant(now.0 + self.lapse_grace);
+        self.stale_until = boot_clock::BootInstant(now.0 + STALE_ENTRY_TIME);
+        self.reread_at = Some(self.stale_until);
+    }
+
+    /// Whether the whole list has to be read once more, as stale entries were left out of the last
+    /// one; `true` once.
+    pub fn take_reread(&mut self, now: boot_clock::BootInstant) -> bool {
+        let is_due = self.reread_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.reread_at = None;
+        }
+        is_due
+    }
+
     /// Applies changes from the store; returns whether any record changed.
     pub fn apply(&mut self, changes: Vec<EntryChange>, now: boot_clock::BootInstant) -> bool {
         let mut is_changed = false;
@@ -97,8 +141,9 @@
 
     /// Applies a full list from the store, in which a missing entry counts as removed; returns
     /// whether any record changed.
-    pub fn replace(&mut self, list: Vec<EntryChange>, now: boot_clock::BootInstant) -> bool {
+    pub fn replace(&mut self, mut list: Vec<EntryChange>, now: boot_clock::BootInstant) -> bool {
         self.is_initialized = true;
+        list.retain(|change| !self.is_stale(change, now));
         let missing = self.missing(&list);
         let missing = missing.into_iter().map(EntryChange::Absent).collect();
         let is_changed = self.apply(missing, now);
@@ -120,6 +165,8 @@
         now: boot_clock::BootInstant,
     ) -> bool {
         let mut is_changed = false;
+        changes.retain(|change| !self.is_stale(change, now));
+        let mut gone = Vec::new();
         changes.retain(|change| match change {
             EntryChange::Present(record) => {
                 !self.is_initialized
@@ -127,11 +174,13 @@
                     || self.records.contains_key(&record.name)
             }
             EntryChange::Absent(name) => {
-                self.lapsed.remove(name);
-                is_changed |= self.records.remove(name).is_some();
+                gone.push(name.clone());
                 false
             }
         });
+        for name in gone {
+            is_changed |= self.drop_record(&name, now);
+        }
         is_changed |= self.apply(changes, now);
         self.lapsed
             .retain(|name, _until| !is_covered(name) || lapsed.contains(name));
@@ -185,8 +234,7 @@
             .filter(|(_name, until)| is_expired(until));
         let expired: Vec<String> = expired.map(|(name, _until)| name.clone()).collect();
         for name in &expired {
-            self.lapsed.remove(name);
-            self.records.remove(name);
+            self.drop_record(name, now);
         }
         !expired.is_empty()
     }
@@ -209,6 +257,9 @@
                 return false;
             }
         }
+        let removed = self.removed.remove(&record.name);
+        record.is_leaving |= removed
+            .is_some_and(|removed| removed.incarnation == record.incarnation && removed.is_leaving);
         self.records.insert(record.name.clone(), record);
         true
     }
@@ -221,7 +272,34 @@
             self.lapsed.insert(name.to_owned(), self.settled_at);
             return false;
         }
+        self.drop_record(name, now)
+    }
+
+    /// Removes a record and remembers it; returns whether there was one.
+    fn drop_record(&mut self, name: &str, now: boot_clock::BootInstant) -> bool {
         self.lapsed.remove(name);
-        self.records.remove(name).is_some()
+        let Some(record) = self.records.remove(name) else {
+            return false;
+        };
+        self.removed
+            .retain(|_name, removed| now.since(removed.at) < REMOVED_RETENTION);
+        let removed = RemovedEndpoint {
+            incarnation: record.incarnation,
+            is_leaving: record.is_leaving,
+            at: now,
+        };
+        self.removed.insert(record.name, removed);
+        true
+    }
+
+    /// Whether a restored store or a peer that read it brings a removed endpoint back.
+    fn is_stale(&self, change: &EntryChange, now: boot_clock::BootInstant) -> bool {
+        let EntryChange::Present(record) = change else {
+            return false;
+        };
+        let is_same = |removed: &RemovedEndpoint| removed.incarnation == record.incarnation;
+        now < self.stale_until
+            && !self.records.contains_key(&record.name)
+            && self.removed.get(&record.name).is_some_and(is_same)
     }
 }
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -51,6 +51,8 @@
     pub registry: parking_lot::Mutex<endpoint_registry::EndpointRegistry>,
     /// The store's rows with endpoint entries, to be passed on to peers.
     pub endpoint_rows: parking_lot::Mutex<endpoint_rows::EndpointRows>,
+    /// Era of the store that the list of endpoints is of; `None` until there is a list.
+    pub endpoint_era: parking_lot::Mutex<Option<u64>>,
     /// When the list of endpoints was last known to be complete.
     pub endpoint_clock: parking_lot::Mutex<freshness::FreshnessClock>,
     /// Waits and limits for reading the store.
@@ -143,6 +145,13 @@
         ages.max().unwrap_or_default()
     }
 
+    /// Records that the list of endpoints is of this era of the store; returns whether the list before
+    /// it was of another one, so that the store was restored meanwhile.
+    pub(super) fn enter_endpoint_era(&self, era: u64) -> bool {
+        let before = self.endpoint_era.lock().replace(era);
+        before.is_some_and(|before| before != era)
+    }
+
     /// Records that the store has just answered a call for `topic`.
     pub(super) fn record_store_answer(&self, topic: rows::RowTopic) {
         let index = match topic {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -33,6 +33,19 @@
     lapsed: collections::HashSet<String>,
 }
 
+/// What a peer said of its endpoint rows when it was first queried.
+#[derive(Clone, Copy, Debug)]
+struct PeerView<'a> {
+    /// Digests of their parts.
+    digests: &'a [u64],
+    /// Era of the store that they are of.
+    era: u64,
+    /// When the query was sent.
+    asked_at: boot_clock::BootInstant,
+    /// When they were last known to be complete.
+    confirmed_at: boot_clock::BootInstant,
+}
+
 impl From<endpoint_rows::PartDelta> for peer_wire::PartDeltaWire {
     fn from(delta: endpoint_rows::PartDelta) -> Self {
         Self {
@@ -118,6 +131,7 @@
             row,
             answer_age_micros: self.store_answer_age().map(micros),
             endpoint_age_micros: micros(endpoint_age),
+            endpoint_era: self.endpoint_era.lock().unwrap_or_default(),
             digests: if is_same { Vec::new() } else { own.to_vec() },
             blocked: if self.prompts.digest() == blocked {
                 Vec::new()
@@ -185,7 +199,13 @@
         };
         let parts = endpoint_rows::differing_parts(&own, &digests);
         if let Some(deltas) = self.query_parts(address, &parts).await {
-            self.apply_peer_endpoints(deltas, &digests, asked_at, confirmed_at);
+            let view = PeerView {
+                digests: &digests,
+                era: state.endpoint_era,
+                asked_at,
+                confirmed_at,
+            };
+            self.apply_peer_endpoints(deltas, &view);
         }
     }
 
@@ -232,19 +252,19 @@
         }
         let age = time::Duration::from_micros(state.endpoint_age_micros);
         let confirmed_at = asked_at.before(age);
-        let is_newer = self.endpoint_clock.lock().is_older_than(confirmed_at);
+        let is_newer = self.endpoint_clock.lock().is_older_than(confirmed_at)
+            && *self.endpoint_era.lock() <= Some(state.endpoint_era);
         (age < MAX_LIST_AGE && is_newer).then_some(confirmed_at)
     }
 
-    /// Applies the endpoint rows of a peer whose part digests were `digests` when it was first
-    /// queried.
-    fn apply_peer_endpoints(
-        &self,
-        deltas: PeerDeltas,
-        digests: &[u64],
-        asked_at: boot_clock::BootInstant,
-        confirmed_at: boot_clock::BootInstant,
-    ) {
+    /// Applies the endpoint rows of a peer.
+    fn apply_peer_endpoints(&self, deltas: PeerDeltas, view: &PeerView<'_>) {
+        let PeerView {
+            digests,
+            era,
+            asked_at,
+            confirmed_at,
+        } = *view;
         let parts: Vec<u8> = deltas.parts.iter().map(|delta| delta.part).collect();
         let is_covered = |name: &str| parts.iter().any(|part| is_in_part(*part, name));
         let rows = deltas.parts.iter().flat_map(|delta| &delta.rows);
@@ -258,6 +278,9 @@
             return;
         }
         let mut registry = self.registry.lock();
+        if self.enter_endpoint_era(era) {
+            registry.mark_restored(asked_at);
+        }
         let own = own_rows.digests(registry.lapsed());
         let differing = endpoint_rows::differing_parts(&own, digests);
         let is_complete = differing.iter().all(|part| parts.contains(part));
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -230,6 +230,7 @@
         pace,
         first_read_at,
         endpoint_rows: parking_lot::Mutex::default(),
+        endpoint_era: parking_lot::Mutex::default(),
         endpoint_clock: parking_lot::Mutex::default(),
         store_answered_at: parking_lot::Mutex::default(),
         reader_watch: parking_lot::Mutex::default(),
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -96,6 +96,9 @@
     }
     let mut registry = node.registry.lock();
     registry.mark_store_reachable(now);
+    if node.enter_endpoint_era(batch.era) {
+        registry.mark_restored(now);
+    }
     let mut is_changed = if is_full {
         registry.replace(changes, now)
     } else {
@@ -160,6 +163,9 @@
             continue;
         }
         let asked_at = boot_clock::BootInstant::now();
+        if topic == rows::RowTopic::Endpoints && node.registry.lock().take_reread(asked_at) {
+            after = None;
+        }
         node.metrics.count("store.called");
         let read = match after {
             None => node.store.read_all(topic).await,
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -115,6 +115,42 @@
     assert_eq!(names(&registry), ["a"]);
 }
 
+/// The store was restored from a copy that lacks an endpoint, and no call failed meanwhile.
+fn an_entry_that_a_restored_store_lacks_is_kept_for_the_grace_period() {
+    let mut registry = registry_with(vec![present("a", 1, false), present("b", 1, false)]);
+    registry.mark_restored(at(5_000));
+    assert!(!registry.replace(vec![present("a", 1, false)], at(5_000)));
+    assert_eq!(names(&registry), ["a", "b"]);
+    assert!(registry.expire(at(7_000)));
+    assert_eq!(names(&registry), ["a"]);
+}
+
+/// A restored store holds the entry of an endpoint that has gone, for as long as it takes to drop it.
+fn an_entry_that_a_restored_store_brings_back_is_left_out() {
+    let back = || vec![present("a", 1, false), present("b", 1, false)];
+    let restored = || {
+        let mut registry = registry_with(back());
+        registry.apply(vec![present("b", 1, true)], at(100));
+        registry.apply(vec![absent("b")], at(1_000));
+        registry.mark_restored(at(5_000));
+        registry.replace(back(), at(5_000));
+        registry
+    };
+    let mut registry = restored();
+    apply_peer_report(&mut registry, back(), &[], at(5_200));
+    assert_eq!(names(&registry), ["a"]);
+    assert!(!registry.take_reread(at(9_999)));
+    assert!(registry.take_reread(at(10_000)));
+    assert!(!registry.take_reread(at(10_001)));
+    // It still writes, so it runs; it said that it leaves, which holds for its life.
+    assert!(registry.replace(back(), at(10_002)));
+    let record = registry.records().find(|record| record.name == "b");
+    assert!(record.is_some_and(|record| record.is_leaving));
+    // An endpoint that writes again, or that has restarted, is back at once.
+    assert!(restored().apply(vec![present("b", 1, false)], at(5_500)));
+    assert!(restored().replace(vec![present("b", 2, false)], at(5_500)));
+}
+
 fn no_entry_expires_while_the_store_is_unreachable() {
     let mut registry = registry_with(vec![present("a", 1, false)]);
     registry.mark_store_unreachable();
@@ -776,6 +812,8 @@
     leaving_is_final: leaving_is_final_for_one_incarnation();
     removed_at_once: a_removed_entry_is_gone_at_once_while_the_store_answers();
     lapsed_entry: a_lapsed_entry_is_kept_for_the_grace_period();
+    entry_not_in_copy: an_entry_that_a_restored_store_lacks_is_kept_for_the_grace_period();
+    entry_only_in_copy: an_entry_that_a_restored_store_brings_back_is_left_out();
     store_unreachable: no_entry_expires_while_the_store_is_unreachable();
     peer_list: a_peer_list_removes_endpoints_while_the_store_is_unreachable();
     lapsed_at_a_peer: an_entry_lapsed_at_a_peer_does_not_restore_a_removed_one();
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -4,6 +4,12 @@
 use std::thread;
 use std::time;
 
+use kumquatpulley::platform::store_wire;
+use kumquatpulley::process::gateway::block_list;
+use kumquatpulley::process::gateway::rows::RowCodec as _;
+use kumquatpulley::process::telemetry::timeline;
+use kumquatpulley::request::relay::prompt_part;
+
 use crate::common;
 use crate::support::system::System;
 use crate::support::{caller, fakes};
@@ -168,7 +174,30 @@
     }
 }
 
+/// The copy was made before a prompt was blocked.
+fn blocked_prompts_are_written_again() {
+    let system = System::start(2);
+    let copy = system.store.copy();
+    let hour_ms = 3_600_000;
+    let until_ms = timeline::wall_micros() / 1_000 + hour_ms;
+    let entry = block_list::BlockedPrompt {
+        parts: vec![prompt_part::PromptPart(7)],
+        until_ms,
+        count: 1,
+    };
+    let value = store_wire::StoreCodec.encode_blocked_prompt(&entry);
+    system.store.put("blocked_prompts", &entry.key(), &value);
+    thread::sleep(SETTLE_TIME);
+    system.store.restore(&copy, &[]);
+    let restored = time::Instant::now();
+    while system.store.keys("blocked_prompts").is_empty() {
+        assert!(restored.elapsed() < REWRITE_BOUND, "{}", system.logs());
+        thread::sleep(time::Duration::from_millis(50));
+    }
+}
+
 common::cases! {
+    blocked_prompts: blocked_prompts_are_written_again();
     reissued_versions: a_change_after_an_unnoticed_restore_is_in_force_in_time();
     older_configuration: an_older_configuration_neither_returns_nor_confirms_the_newer_one();
     endpoint_not_in_copy: an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again();
