Write router addresses again when the store has been restored

Found with the tests of the restored store: a router wrote its peer address once. A copy made before lacks it, and then routers whose seeds are down cannot find the others. Change: the reader of each zone writes its address once in each era of the store. Evidence: router_addresses failed before (not within 5 s) and passes. Cost: one write a zone and restore.

--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -30,7 +30,7 @@
 /// a new system know one another, so that only few of them write.
 const ANNOUNCE_DELAY: time::Duration = time::Duration::from_secs(3);
 
-/// Interval between attempts to write this router's peer address.
+/// Interval at which it is checked whether this router's peer address has to be written.
 const ANNOUNCE_RETRY: time::Duration = time::Duration::from_secs(1);
 
 /// Watches the configuration until `token` is cancelled.
@@ -227,12 +227,15 @@
 pub async fn watch_routers(node: sync::Arc<node::GatewayNode>, token: stop_token::StopToken) {
     let announcing = async {
         let peer_address = node.settings.peer_listen.to_string();
+        let mut written_era = None;
         task::sleep(ANNOUNCE_DELAY).await;
         loop {
-            if node.is_reader() {
+            // A copy that the store is restored from may lack the address.
+            let era = *node.endpoint_era.lock();
+            if node.is_reader() && era.is_some() && era != written_era {
                 let (topic, router) = (rows::RowTopic::Routers, &node.settings.router);
                 match node.store.put(topic, router, peer_address.as_bytes()).await {
-                    Ok(()) => return,
+                    Ok(()) => written_era = era,
                     Err(error) => {
                         let cause = error.to_string();
                         log::warn!(cause = cause.as_str(); "cannot write peer address; retrying");
