--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -58,7 +58,7 @@
     for (name, entry) in entries.iter().cycle().take(2 * ENTRY_CHANGES) {
         changes.push(("servers", *name, entry));
     }
-    system.store.restore_unnoticed("op", &copy, &changes);
+    assert!(system.store.restore_unnoticed("op", &copy, &changes));
     thread::sleep(CHANGE_BOUND);
     for gateway in &system.gateways {
         let status = status(gateway.ip, "/once/1", "r1", "k2");
@@ -122,7 +122,7 @@
     change_entries(&system);
     thread::sleep(SETTLE_TIME);
     system.first.set_mode(fakes::EndpointMode::Full);
-    system.store.restore_unnoticed("servers", &entries[1], &[]);
+    assert!(system.store.restore_unnoticed("servers", &entries[1], &[]));
     let restored = time::Instant::now();
     while restored.elapsed() < time::Duration::from_millis(1_700) {
         for gateway in &system.gateways {
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -10,7 +10,7 @@
 
 use rustix::process as unix;
 
-use crate::soak::{clients, limit_days, relay};
+use crate::soak::{clients, limit_days, relay, restore_days};
 use crate::support::{crash_judge, fakes, limit_judge, router};
 
 /// Gateways for each of which faults strike as often as in the smallest bed.
@@ -76,6 +76,7 @@
     revoked: Vec<(String, time::Instant)>,
     open: Vec<(time::Instant, OpenFault)>,
     limits: Option<limit_days::LimitDay>,
+    restores: Option<restore_days::RestoreDay>,
     /// Gateways that were stopped, and when they were.
     stopped: Vec<StoppedTime>,
     log: Vec<String>,
@@ -91,6 +92,8 @@
     pub has_limits: bool,
     /// Whether some prompts crash the endpoints.
     pub has_crashes: bool,
+    /// Whether the store comes back from copies.
+    pub has_restores: bool,
 }
 
 /// Runs one seed; returns what broke a promise.
@@ -104,6 +107,9 @@
     if plan.has_crashes {
         bed.let_prompts_crash();
     }
+    bed.restores = plan
+        .has_restores
+        .then(|| restore_days::RestoreDay::draw(seed, faults));
     let callers: Vec<thread::JoinHandle<()>> = (0..CALLERS)
         .map(|number| {
             let ips = (1..=gateways).map(|gateway| bed.ip(gateway)).collect();
@@ -118,6 +124,7 @@
         }
         bed.end_faults(false);
         bed.set_limits();
+        bed.restore_store();
         thread::sleep(time::Duration::from_millis(
             bed.random.u64(50..LONGEST_PAUSE),
         ));
@@ -171,6 +178,7 @@
             revoked: Vec::new(),
             open: Vec::new(),
             limits: None,
+            restores: None,
             stopped: Vec::new(),
             log: Vec::new(),
             started: time::Instant::now(),
@@ -197,17 +205,36 @@
     }
 
     fn put_entry(&self, index: usize, state: &str) {
-        let endpoint = &self.endpoints[index];
+        let entry = self.entry(index, state);
+        self.store
+            .put("servers", &self.endpoints[index].name, &entry);
+    }
+
+    fn entry(&self, index: usize, state: &str) -> Vec<u8> {
         let zone = if index.is_multiple_of(2) { "z1" } else { "z2" };
         let address = self.endpoint_links[index].address;
-        let entry = fakes::FakeEndpoint::entry_at(address, "m", zone, state);
-        self.store.put("servers", &endpoint.name, &entry);
+        fakes::FakeEndpoint::entry_at(address, "m", zone, state)
     }
 
     /// Writes a new version; the key of the version before ends with it.
     fn put_config(&mut self) {
         self.version += 1;
-        let key = format!("k{}", self.version);
+        let config = self.config();
+        self.store.put("op", "config", config.as_bytes());
+        let mut held = self.desk.key.lock().expect("not poisoned");
+        let old = std::mem::replace(&mut *held, self.key());
+        drop(held);
+        self.revoked.push((old, time::Instant::now()));
+    }
+
+    /// Key of the newest version.
+    fn key(&self) -> String {
+        format!("k{}", self.version)
+    }
+
+    /// The newest version.
+    fn config(&self) -> String {
+        let key = self.key();
         let route = |path: &str, kind: &str, attempts: u32| {
             serde_json::json!({"name": path, "host": "h", "prefix": path, "kind": kind,
                 "timeout_ms": 3_500, "goal_ms": 1_000, "service": "m", "attempts": attempts,
@@ -220,12 +247,7 @@
             "services": [{"name": "m", "health_path": "/health", "engine": {"backups": true, "moves": true}}],
             "tenants": [{"name": "w", "api_keys": [key]}],
         });
-        self.store
-            .put("op", "config", config.to_string().as_bytes());
-        let mut held = self.desk.key.lock().expect("not poisoned");
-        let old = std::mem::replace(&mut *held, key);
-        drop(held);
-        self.revoked.push((old, time::Instant::now()));
+        config.to_string()
     }
 
     /// Begins one fault or change.
@@ -370,6 +392,41 @@
         }
     }
 
+    /// Copies the store, or brings it back from its copy, when that is due. What operators and
+    /// endpoints wrote since the copy is written again in the same moment.
+    fn restore_store(&mut self) {
+        let elapsed = self.started.elapsed();
+        let Some(step) = self.restores.as_mut().and_then(|day| day.take_due(elapsed)) else {
+            return;
+        };
+        let restore_days::RestoreStep::Restore { copy, is_unnoticed } = step else {
+            let copy = self.store.copy();
+            if let Some(day) = &mut self.restores {
+                day.keep(copy);
+            }
+            return;
+        };
+        let config = self.config();
+        let mut changes = vec![("op", "config".to_owned(), config.into_bytes())];
+        for index in 0..self.endpoints.len() {
+            let name = self.endpoints[index].name.clone();
+            changes.push(("servers", name, self.entry(index, "ready")));
+        }
+        let changes: Vec<(&str, &str, &[u8])> = changes
+            .iter()
+            .map(|(table, key, value)| (*table, key.as_str(), value.as_slice()))
+            .collect();
+        let is_unnoticed = if is_unnoticed {
+            self.store.restore_unnoticed("op", &copy, &changes)
+        } else {
+            self.store.restore(&copy, &changes);
+            false
+        };
+        self.note(&format!(
+            "the store comes back from a copy, unnoticed {is_unnoticed}"
+        ));
+    }
+
     fn end_limits(&mut self) {
         for endpoint in self
             .endpoints
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -4,12 +4,14 @@
 //! seeds by hand: `KUMQUATPULLEY_SOAK_SEEDS=50 cargo test --test gateway soak -- --ignored --nocapture`;
 //! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn; `KUMQUATPULLEY_SOAK_GATEWAYS` the
 //! number of gateways, 200 at most. Endpoints name request limits unless `KUMQUATPULLEY_SOAK_LIMITS` is 0, and
-//! some prompts crash them unless `KUMQUATPULLEY_SOAK_CRASHES` is 0.
+//! some prompts crash them unless `KUMQUATPULLEY_SOAK_CRASHES` is 0; the store comes back from copies unless
+//! `KUMQUATPULLEY_SOAK_RESTORES` is 0.
 
 mod bed;
 mod clients;
 mod limit_days;
 mod relay;
+mod restore_days;
 
 use std::env;
 use std::time;
@@ -29,6 +31,7 @@
     gateways: GATEWAYS,
     has_limits: false,
     has_crashes: false,
+    has_restores: false,
 };
 
 fn soak(seed: u64, plan: bed::SoakPlan) {
@@ -51,6 +54,7 @@
         gateways: u8::try_from(gateways.clamp(1, 200)).expect("a small number"),
         has_limits: is_on("KUMQUATPULLEY_SOAK_LIMITS"),
         has_crashes: is_on("KUMQUATPULLEY_SOAK_CRASHES"),
+        has_restores: is_on("KUMQUATPULLEY_SOAK_RESTORES"),
     };
     let mut failed = Vec::new();
     for seed in first..first + count {
@@ -79,6 +83,8 @@
     request_limits: soak(7_001, bed::SoakPlan { has_limits: true, ..CALM_ENDPOINTS });
     // A part of some prompts crashed one endpoint after the other.
     crashing_prompt: soak(7_002, bed::SoakPlan { has_crashes: true, ..CALM_ENDPOINTS });
+    // Readers went on from a version of the store that had been given out again.
+    restored_store: soak(7_003, bed::SoakPlan { has_restores: true, ..CALM_ENDPOINTS });
     // Sound prompts were blocked because an endpoint cut off answers and did not crash.
     truncating_endpoint: soak(7_503, bed::SoakPlan { has_limits: true, has_crashes: true, ..CALM_ENDPOINTS });
 }
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -169,24 +169,22 @@
     }
 
     /// As [`FakeStore::restore`], at a moment when no call waits for changes of `table`, so that its
-    /// readers do not notice.
+    /// readers do not notice. Returns whether there was such a moment.
     pub fn restore_unnoticed(
         &self,
         table: &str,
         copy: &StoreCopy,
         changes: &[(&str, &str, &[u8])],
-    ) {
+    ) -> bool {
         let until = time::Instant::now() + QUIET_MOMENT_TIMEOUT;
         loop {
             let mut state = self.state.lock().expect("not poisoned");
-            if state.waiting.get(table).is_none_or(|count| *count == 0) {
-                return state.restore(copy, changes);
+            let is_quiet = state.waiting.get(table).is_none_or(|count| *count == 0);
+            if is_quiet || until < time::Instant::now() {
+                state.restore(copy, changes);
+                return is_quiet;
             }
             drop(state);
-            assert!(
-                time::Instant::now() < until,
-                "readers of {table} never pause"
-            );
             thread::sleep(time::Duration::from_millis(1));
         }
     }
@@ -252,7 +250,7 @@
 }
 
 /// Longest wait for a moment when no call waits for changes.
-const QUIET_MOMENT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+const QUIET_MOMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// How long a hung listener keeps a connection open: longer than any caller waits.
 const HANG_TIME: time::Duration = time::Duration::from_secs(20);
