Count an attempt as a possible run until its crash has been reported

Found while reading the diff: a caller whose deadline passed while its router waited for the others' evidence got 503, which promises that the request has not run, although it had crashed an engine. Cause: the attempt was marked as over before the wait that added, and counted as a possible run after it. The mark is now taken back last.

--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -120,12 +120,14 @@
             }
             self.attempts += 1;
             let end = self.attempt(&lease, source.as_ref()).await;
-            self.is_sent = false;
             if let StreamEnd::Lost(cause) = &end {
                 self.lost_at.get_or_insert_with(time::Instant::now);
                 self.report_crash(&lease, *cause).await;
             }
-            let step = match self.finish_attempt(&lease, end, source.is_some()) {
+            let conclusion = self.finish_attempt(&lease, end, source.is_some());
+            // Until here a timeout has to count this attempt as a possible run.
+            self.is_sent = false;
+            let step = match conclusion {
                 AttemptConclusion::Served => return context::RelayOutcome::Served(200),
                 AttemptConclusion::CallerGone => return context::RelayOutcome::CallerGone,
                 AttemptConclusion::Response(response) => return self.deliver(response).await,
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -7,7 +7,7 @@
 
 use crate::common;
 use crate::support::system::System;
-use crate::support::{crash_judge, fakes, limit_judge, load};
+use crate::support::{caller, crash_judge, fakes, limit_judge, load, router};
 
 /// Parts of prompts: one that crashes engines, and one that sound prompts share with it.
 const DEADLY_PART: &str = "dead01";
@@ -175,7 +175,28 @@
     );
 }
 
+/// The deadline passes while the gateway waits for others, which are paused, to tell what they know.
+fn a_crash_just_before_the_deadline_is_not_reported_as_not_run() {
+    let system = System::start(3);
+    for endpoint in [&system.first, &system.second] {
+        endpoint.set_deadly_part(Some(DEADLY_PART));
+    }
+    // The first gateway has to know the others as ready.
+    thread::sleep(time::Duration::from_secs(2));
+    for gateway in &system.gateways[1..] {
+        router::signal(gateway, rustix::process::Signal::STOP);
+    }
+    let prompt = format!("{DEADLY_PROMPT},1:9");
+    let request = caller::prompt_request("/stream/1", "r1", "k", Some(&prompt));
+    let request = request.replace("Deadline-Ms: 8000", "Deadline-Ms: 120");
+    let answer = caller::exchange((system.ip(), 8227).into(), request.as_bytes());
+    let status = answer.map(|answer| answer.head.status);
+    assert_eq!(system.arrivals("r1").len(), 1, "{}", system.logs());
+    assert_eq!(status, Some(504), "{}", system.logs());
+}
+
 common::cases! {
+    deadline: a_crash_just_before_the_deadline_is_not_reported_as_not_run();
     truncated_answers: prompts_are_not_blocked_while_endpoints_cut_off_answers();
     steady: a_part_that_crashes_engines_is_kept_from_them();
     restarts: a_crashing_part_is_known_after_restarts();
