--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -26,6 +26,8 @@
 pub mod platform;
 pub mod platform_client;
 pub mod platform_wire;
+pub mod prompt_wire;
 pub mod refusal;
 pub mod service;
 pub mod sse;
+pub mod store_view_wire;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -1,5 +1,6 @@
 //! Bincode messages between routers; each h2 stream carries one query and its reply.
 
+use crate::connection::{prompt_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
 /// A query to a peer.
@@ -65,47 +66,9 @@
     /// Tells the owner of an endpoint that its request limit changed.
     EndpointLimit(EndpointLimitWire),
     /// Tells that a prompt crashed its engine, and asks what the peer knows of its parts.
-    PromptCrash(PromptCrashWire),
+    PromptCrash(prompt_wire::PromptCrashWire),
     /// Tells that prompts are blocked.
-    BlockedPrompts(Vec<BlockedPromptWire>),
-}
-
-/// An engine that crashed when it began to answer a prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct PromptCrashWire {
-    /// Hash of the request identifier.
-    pub request: u64,
-    /// Hash of the engine's name.
-    pub endpoint: u64,
-    /// Shared parts of the prompt.
-    pub parts: Vec<u64>,
-    /// Time since the crash, in microseconds.
-    pub age_micros: u64,
-    /// Time from the sending of the request to the crash, in microseconds.
-    pub running_micros: u64,
-}
-
-/// What a router knows of some parts of prompts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct PromptEvidenceWire {
-    /// Crashes of prompts that have one of the parts.
-    pub crashes: Vec<PromptCrashWire>,
-    /// Parts with the time since a prompt with it was last answered, in microseconds.
-    pub successes: Vec<(u64, u64)>,
-}
-
-/// Prompts with certain parts that are blocked for a time.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct BlockedPromptWire {
-    /// Parts that a prompt must have to be blocked.
-    pub parts: Vec<u64>,
-    /// End of the block, in milliseconds since the Unix epoch.
-    pub until_ms: u64,
-    /// Number of times that the prompt was blocked.
-    pub count: u32,
+    BlockedPrompts(Vec<prompt_wire::BlockedPromptWire>),
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -182,67 +145,19 @@
     /// The query cannot be answered; holds the reason.
     Refused(String),
     /// The peer's view of the store; `None` when it has none.
-    StoreView(Option<Box<StoreViewWire>>),
+    StoreView(Option<Box<store_view_wire::StoreViewWire>>),
     /// Endpoint rows that the querying router lacks.
-    EndpointRows(EndpointDeltaWire),
+    EndpointRows(store_view_wire::EndpointDeltaWire),
     /// Decision about a permit.
     SendPermit(PermitReplyWire),
     /// Newest limit that the owner knows; `None` from a router that is not the owner.
     EndpointLimit(Option<LimitWire>),
     /// What the peer knows of the parts of a prompt.
-    PromptEvidence(PromptEvidenceWire),
+    PromptEvidence(prompt_wire::PromptEvidenceWire),
     /// The blocked prompts were taken.
     BlockedPrompts,
 }
 
-/// A router's view of the platform's store.
-#[derive(Clone, Debug)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct StoreViewWire {
-    /// Number of the configuration version in force.
-    pub number: u64,
-    /// Time since `number` was confirmed to be the newest version, in microseconds.
-    pub age_micros: u64,
-    /// Key and content of the version's row, if it is newer than the number in the query.
-    pub row: Option<(String, Vec<u8>)>,
-    /// Time since the store last answered the sender, or the routers that read on its behalf, in
-    /// microseconds; `None` when no answer is known.
-    pub answer_age_micros: Option<u64>,
-    /// Time since the endpoint rows were known to be complete, in microseconds.
-    pub endpoint_age_micros: u64,
-    /// Era of the store that the sender's endpoint rows are of.
-    pub endpoint_era: u64,
-    /// Digests of the sender's endpoint rows by part; empty when both sides have the same rows.
-    pub digests: Vec<u64>,
-    /// All prompts blocked at the sender; empty when both sides have the same.
-    pub blocked: Vec<BlockedPromptWire>,
-}
-
-/// Changes that bring some parts of the receiver's endpoint rows up to date.
-#[derive(Clone, Debug, Default)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct EndpointDeltaWire {
-    /// Changes by part.
-    pub parts: Vec<PartDeltaWire>,
-    /// Keys of rows in these parts that the store removed while its answers were disrupted; the
-    /// endpoint may come back.
-    pub lapsed: Vec<String>,
-}
-
-/// Changes that bring one part of the receiver's endpoint rows up to date.
-#[derive(Clone, Debug, Default)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct PartDeltaWire {
-    /// Number of the part.
-    pub part: u8,
-    /// Keys and contents of rows that the receiver lacks.
-    pub rows: Vec<(String, Vec<u8>)>,
-    /// Digests of rows that the receiver has and the sender does not.
-    pub gone: Vec<u64>,
-    /// Digest of the part's rows at the sender.
-    pub digest: u64,
-}
-
 /// A gossip message; the reply has the same type.
 ///
 /// Each side numbers its own changes. `have` requests the changes after that number; after applying
--- /dev/null
+++ b/src/process/gateway/crash_exchange.rs
@@ -0,0 +1,91 @@
+//! Chooses whom to tell of a crash, and converts crashes and blocks to and from the messages between
+//! routers.
+
+use std::collections;
+use std::time;
+
+use xxhash_rust::xxh3;
+
+use crate::connection::prompt_wire;
+use crate::process::gateway::{block_list, boot_clock, crash_ledger};
+use crate::request::relay::prompt_part;
+
+/// Routers that are told of all crashes of a part, so that one of them is there when others fail.
+const COLLECTORS_PER_PART: usize = 3;
+
+impl From<block_list::BlockedPrompt> for prompt_wire::BlockedPromptWire {
+    fn from(entry: block_list::BlockedPrompt) -> Self {
+        Self {
+            parts: entry.parts.into_iter().map(|part| part.0).collect(),
+            until_ms: entry.until_ms,
+            count: entry.count,
+        }
+    }
+}
+
+impl From<prompt_wire::BlockedPromptWire> for block_list::BlockedPrompt {
+    fn from(wire: prompt_wire::BlockedPromptWire) -> Self {
+        let parts = wire.parts.into_iter().map(prompt_part::PromptPart);
+        Self {
+            parts: parts.collect(),
+            until_ms: wire.until_ms,
+            count: wire.count,
+        }
+    }
+}
+
+/// Splits `peers` into the collectors of `parts` and the others. Collectors are chosen by rendezvous
+/// hashing, so they are the same at all routers with the same members.
+pub(super) fn split_collectors(
+    peers: Vec<String>,
+    parts: &[prompt_part::PromptPart],
+) -> (Vec<String>, Vec<String>) {
+    let mut chosen = collections::HashSet::new();
+    for part in parts {
+        let mut order: Vec<(u64, &String)> = peers
+            .iter()
+            .map(|peer| (xxh3::xxh3_64_with_seed(peer.as_bytes(), part.0), peer))
+            .collect();
+        order.sort_unstable();
+        let first = order.into_iter().take(COLLECTORS_PER_PART);
+        chosen.extend(first.map(|(_weight, peer)| peer.clone()));
+    }
+    peers.into_iter().partition(|peer| chosen.contains(peer))
+}
+
+pub(super) fn sent_crash(
+    crash: &crash_ledger::CrashRecord,
+    now: boot_clock::BootInstant,
+) -> prompt_wire::PromptCrashWire {
+    prompt_wire::PromptCrashWire {
+        request: crash.request,
+        endpoint: crash.endpoint,
+        parts: crash.parts.iter().map(|part| part.0).collect(),
+        age_micros: micros(now.since(crash.crashed_at)),
+        running_micros: micros(crash.crashed_at.since(crash.sent_at)),
+    }
+}
+
+/// Decodes a crash whose age was right at `now`.
+pub(super) fn received_crash(
+    wire: &prompt_wire::PromptCrashWire,
+    now: boot_clock::BootInstant,
+) -> crash_ledger::CrashRecord {
+    let crashed_at = now.before(time::Duration::from_micros(wire.age_micros));
+    crash_ledger::CrashRecord {
+        request: wire.request,
+        endpoint: wire.endpoint,
+        parts: wire
+            .parts
+            .iter()
+            .copied()
+            .map(prompt_part::PromptPart)
+            .collect(),
+        sent_at: crashed_at.before(time::Duration::from_micros(wire.running_micros)),
+        crashed_at,
+    }
+}
+
+pub(super) fn micros(time: time::Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod budgets;
 pub mod caller_server;
 pub mod counter_names;
+mod crash_exchange;
 pub mod crash_ledger;
 pub mod endpoint_fleet;
 pub mod endpoint_limit;
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -10,7 +10,7 @@
 use futures::future;
 use stop_token::future::FutureExt as _;
 
-use crate::connection::{peer, peer_wire};
+use crate::connection::{peer, peer_wire, store_view_wire};
 use crate::process::gateway::{boot_clock, endpoint_registry, endpoint_rows, node, readers};
 
 /// Timeout of one query to a peer.
@@ -46,7 +46,7 @@
     confirmed_at: boot_clock::BootInstant,
 }
 
-impl From<endpoint_rows::PartDelta> for peer_wire::PartDeltaWire {
+impl From<endpoint_rows::PartDelta> for store_view_wire::PartDeltaWire {
     fn from(delta: endpoint_rows::PartDelta) -> Self {
         Self {
             part: delta.part,
@@ -57,8 +57,8 @@
     }
 }
 
-impl From<peer_wire::PartDeltaWire> for endpoint_rows::PartDelta {
-    fn from(wire: peer_wire::PartDeltaWire) -> Self {
+impl From<store_view_wire::PartDeltaWire> for endpoint_rows::PartDelta {
+    fn from(wire: store_view_wire::PartDeltaWire) -> Self {
         Self {
             part: wire.part,
             rows: wire.rows,
@@ -115,7 +115,7 @@
         above: u64,
         digest: u64,
         blocked: u64,
-    ) -> Option<peer_wire::StoreViewWire> {
+    ) -> Option<store_view_wire::StoreViewWire> {
         let now = boot_clock::BootInstant::now();
         let config_state = self.config_state.lock();
         let number = config_state.version.as_ref()?.number();
@@ -125,7 +125,7 @@
         let endpoint_age = self.endpoint_clock.lock().age(now)?;
         let own = self.endpoint_digests();
         let is_same = endpoint_rows::combined_digest(&own) == digest;
-        Some(peer_wire::StoreViewWire {
+        Some(store_view_wire::StoreViewWire {
             number,
             age_micros: micros(age),
             row,
@@ -142,17 +142,17 @@
     }
 
     /// Deltas of some parts for a peer that sent the digests of its rows in each.
-    fn endpoint_deltas(&self, parts: &[(u8, Vec<u64>)]) -> peer_wire::EndpointDeltaWire {
+    fn endpoint_deltas(&self, parts: &[(u8, Vec<u64>)]) -> store_view_wire::EndpointDeltaWire {
         let parts = &parts[..parts.len().min(MAX_PARTS_PER_QUERY)];
         let rows = self.endpoint_rows.lock();
         let deltas = parts
             .iter()
             .filter_map(|(part, held)| rows.delta(*part, held));
-        let deltas = deltas.map(peer_wire::PartDeltaWire::from).collect();
+        let deltas = deltas.map(store_view_wire::PartDeltaWire::from).collect();
         let registry = self.registry.lock();
         let is_queried = |key: &&str| parts.iter().any(|(part, _held)| is_in_part(*part, key));
         let lapsed = registry.lapsed().filter(is_queried);
-        peer_wire::EndpointDeltaWire {
+        store_view_wire::EndpointDeltaWire {
             parts: deltas,
             lapsed: lapsed.map(str::to_owned).collect(),
         }
@@ -239,7 +239,7 @@
     /// confirmed, if that is recent and later than for this router's rows.
     fn apply_peer_state(
         &self,
-        state: &peer_wire::StoreViewWire,
+        state: &store_view_wire::StoreViewWire,
         asked_at: boot_clock::BootInstant,
     ) -> Option<boot_clock::BootInstant> {
         if let Some((key, value)) = &state.row {
--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -3,10 +3,11 @@
 //! A router that sees a crash tells a few others, chosen by the prompt's parts, so that these hear of
 //! all crashes of a part. Their replies hold what they know. If the part is suspected then, all
 //! other routers are asked too, as one of them may have seen the part work. A router decides with
-//! the evidence of those that it reaches, and with its own if it reaches none. A block is told to all routers, found by those that missed it in their next
-//! query to a peer, and written to the store for routers that start when no other one runs.
+//! the evidence of those that it reaches, and with its own if it reaches none.
+//!
+//! A block is told to all routers. Those that miss it find it in their next query to a peer, and
+//! routers that start when no other one runs find it in the store.
 
-use std::collections;
 use std::sync;
 use std::time;
 
@@ -15,8 +16,8 @@
 use futures::future;
 use xxhash_rust::xxh3;
 
-use crate::connection::{peer, peer_wire};
-use crate::process::gateway::{block_list, boot_clock, crash_ledger, rows};
+use crate::connection::{peer, peer_wire, prompt_wire};
+use crate::process::gateway::{block_list, boot_clock, crash_exchange, crash_ledger, rows};
 use crate::process::members::gossip;
 use crate::process::telemetry::timeline;
 use crate::process::view;
@@ -25,9 +26,6 @@
 /// Timeout for the replies of other routers; a few round trips within a region.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
-/// Routers that are told of all crashes of a part, so that one of them is there when others fail.
-const COLLECTORS_PER_PART: usize = 3;
-
 /// Attempts to tell another router of a block; it also finds the block in its next query to a peer.
 const MAX_TELLS: u32 = 3;
 
@@ -74,24 +72,35 @@
     /// Takes the crash that another router reports; returns what this one knows of the prompt's
     /// parts.
     #[must_use]
-    pub fn answer_crash(&self, wire: &peer_wire::PromptCrashWire) -> peer_wire::PromptEvidenceWire {
+    pub fn answer_crash(
+        &self,
+        wire: &prompt_wire::PromptCrashWire,
+    ) -> prompt_wire::PromptEvidenceWire {
         let now = boot_clock::BootInstant::now();
-        let crash = received_crash(wire, now);
+        let crash = crash_exchange::received_crash(wire, now);
         let parts = crash.parts.clone();
         let mut ledger = self.ledger.lock();
         let crashes = ledger.crashes_of(&parts);
         ledger.record_crash(crash, now);
         let successes = ledger.successes_of(&parts).into_iter();
-        peer_wire::PromptEvidenceWire {
-            crashes: crashes.iter().map(|crash| sent_crash(crash, now)).collect(),
+        prompt_wire::PromptEvidenceWire {
+            crashes: crashes
+                .iter()
+                .map(|crash| crash_exchange::sent_crash(crash, now))
+                .collect(),
             successes: successes
-                .map(|success| (success.part.0, micros(now.since(success.at))))
+                .map(|success| {
+                    (
+                        success.part.0,
+                        crash_exchange::micros(now.since(success.at)),
+                    )
+                })
                 .collect(),
         }
     }
 
     /// Takes blocks that another router told.
-    pub fn merge_blocks(&self, blocks: Vec<peer_wire::BlockedPromptWire>, source: &str) {
+    pub fn merge_blocks(&self, blocks: Vec<prompt_wire::BlockedPromptWire>, source: &str) {
         let entries = blocks.into_iter().map(block_list::BlockedPrompt::from);
         self.merge_entries(entries, source);
     }
@@ -125,10 +134,10 @@
 
     /// All blocks, for a peer.
     #[must_use]
-    pub fn blocks_for_peer(&self) -> Vec<peer_wire::BlockedPromptWire> {
+    pub fn blocks_for_peer(&self) -> Vec<prompt_wire::BlockedPromptWire> {
         let blocks = self.blocks.lock();
         let entries = blocks.entries().iter().cloned();
-        entries.map(peer_wire::BlockedPromptWire::from).collect()
+        entries.map(prompt_wire::BlockedPromptWire::from).collect()
     }
 
     fn merge_entries(
@@ -152,7 +161,7 @@
     /// Asks the collectors of the prompt's parts, and all others if a part is suspected then and the
     /// prompt is not blocked yet.
     async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
-        let (collectors, others) = split_collectors(self.peers(), &crash.parts);
+        let (collectors, others) = crash_exchange::split_collectors(self.peers(), &crash.parts);
         let count = self.ask_peers(crash, &collectors).await;
         let is_blocked = self.blocks.lock().block_left(&crash.parts, wall_millis());
         if is_blocked.is_some() || self.ledger.lock().suspects(&crash.parts).is_empty() {
@@ -164,7 +173,7 @@
     /// Tells `peers` of a crash and adds what they know to the ledger; returns how many replied.
     async fn ask_peers(&self, crash: &crash_ledger::CrashRecord, peers: &[String]) -> usize {
         let asked_at = boot_clock::BootInstant::now();
-        let wire = sent_crash(crash, asked_at);
+        let wire = crash_exchange::sent_crash(crash, asked_at);
         let asks = peers.iter().map(|address| {
             let query = peer_wire::QueryBody::PromptCrash(wire.clone());
             self.link.ask(address, query, ASK_TIMEOUT)
@@ -178,7 +187,7 @@
             };
             count += 1;
             for crash in &evidence.crashes {
-                ledger.record_crash(received_crash(crash, asked_at), asked_at);
+                ledger.record_crash(crash_exchange::received_crash(crash, asked_at), asked_at);
             }
             for (part, age_micros) in evidence.successes {
                 ledger.record_success(crash_ledger::PartSuccess {
@@ -230,7 +239,7 @@
     }
 
     async fn tell(&self, address: &str, blocked: &[block_list::BlockedPrompt]) {
-        let wires: Vec<peer_wire::BlockedPromptWire> =
+        let wires: Vec<prompt_wire::BlockedPromptWire> =
             blocked.iter().cloned().map(Into::into).collect();
         for _tell in 0..MAX_TELLS {
             let query = peer_wire::QueryBody::BlockedPrompts(wires.clone());
@@ -323,83 +332,6 @@
     }
 }
 
-impl From<block_list::BlockedPrompt> for peer_wire::BlockedPromptWire {
-    fn from(entry: block_list::BlockedPrompt) -> Self {
-        Self {
-            parts: entry.parts.into_iter().map(|part| part.0).collect(),
-            until_ms: entry.until_ms,
-            count: entry.count,
-        }
-    }
-}
-
-impl From<peer_wire::BlockedPromptWire> for block_list::BlockedPrompt {
-    fn from(wire: peer_wire::BlockedPromptWire) -> Self {
-        let parts = wire.parts.into_iter().map(prompt_part::PromptPart);
-        Self {
-            parts: parts.collect(),
-            until_ms: wire.until_ms,
-            count: wire.count,
-        }
-    }
-}
-
-/// Splits `peers` into the collectors of `parts` and the others. Collectors are chosen by rendezvous
-/// hashing, so they are the same at all routers with the same members.
-fn split_collectors(
-    peers: Vec<String>,
-    parts: &[prompt_part::PromptPart],
-) -> (Vec<String>, Vec<String>) {
-    let mut chosen = collections::HashSet::new();
-    for part in parts {
-        let mut order: Vec<(u64, &String)> = peers
-            .iter()
-            .map(|peer| (xxh3::xxh3_64_with_seed(peer.as_bytes(), part.0), peer))
-            .collect();
-        order.sort_unstable();
-        let first = order.into_iter().take(COLLECTORS_PER_PART);
-        chosen.extend(first.map(|(_weight, peer)| peer.clone()));
-    }
-    peers.into_iter().partition(|peer| chosen.contains(peer))
-}
-
-fn sent_crash(
-    crash: &crash_ledger::CrashRecord,
-    now: boot_clock::BootInstant,
-) -> peer_wire::PromptCrashWire {
-    peer_wire::PromptCrashWire {
-        request: crash.request,
-        endpoint: crash.endpoint,
-        parts: crash.parts.iter().map(|part| part.0).collect(),
-        age_micros: micros(now.since(crash.crashed_at)),
-        running_micros: micros(crash.crashed_at.since(crash.sent_at)),
-    }
-}
-
-/// Decodes a crash whose age was right at `now`.
-fn received_crash(
-    wire: &peer_wire::PromptCrashWire,
-    now: boot_clock::BootInstant,
-) -> crash_ledger::CrashRecord {
-    let crashed_at = now.before(time::Duration::from_micros(wire.age_micros));
-    crash_ledger::CrashRecord {
-        request: wire.request,
-        endpoint: wire.endpoint,
-        parts: wire
-            .parts
-            .iter()
-            .copied()
-            .map(prompt_part::PromptPart)
-            .collect(),
-        sent_at: crashed_at.before(time::Duration::from_micros(wire.running_micros)),
-        crashed_at,
-    }
-}
-
-fn micros(time: time::Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn wall_millis() -> u64 {
     timeline::wall_micros() / 1_000
 }
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -21,5 +21,7 @@
 pub mod selection;
 pub mod stall;
 pub mod stream;
+mod stream_end;
+mod stream_loss;
 mod stream_placement;
 mod stream_reader;
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -1,6 +1,5 @@
 //! Relays event streams and resumes them at another engine when one is lost.
 
-use std::sync;
 use std::time;
 
 use async_std::future;
@@ -8,7 +7,7 @@
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
     attempt, buffered, context, dialect, events, fleet, kv_copy, prompt_guard, prompt_part, retry,
-    selection, stall, stream_reader,
+    selection, stall, stream_end, stream_loss, stream_reader,
 };
 use crate::request::verdict;
 
@@ -18,59 +17,23 @@
 /// Lowest priority that engines accept.
 const LOWEST_RANK: u8 = 9;
 
-/// How one attempt at an engine ended.
-#[derive(Debug)]
-enum StreamEnd {
-    Complete,
-    /// The endpoint sent a complete response that is not a stream.
-    Response(attempt::FullResponse),
-    /// The endpoint states that the request did not run there; holds what this reveals about it.
-    NotRun(fleet::EndpointObservation),
-    /// No connection; nothing was sent.
-    Unsent,
-    Lost(stream_reader::LossCause),
-    CallerGone,
-}
-
-/// What the current attempt has received from its engine.
-#[derive(Clone, Copy, Debug)]
-struct AttemptProgress {
-    sent_at: time::Instant,
-    has_head: bool,
-    /// Complete events, also repeated ones; without comments.
-    events: u64,
-    /// Bytes of an incomplete event.
-    partial_bytes: usize,
-}
-
-impl AttemptProgress {
-    fn new() -> Self {
-        Self {
-            sent_at: time::Instant::now(),
-            has_head: false,
-            events: 0,
-            partial_bytes: 0,
-        }
-    }
-}
-
 /// State of one relayed stream.
 pub(super) struct StreamRelay<'a> {
     pub(super) context: &'a context::RelayContext,
     pub(super) request: &'a context::RelayRequest,
     pub(super) sink: &'a mut sink::AnswerSink,
-    cursor: events::EventCursor,
+    pub(super) cursor: events::EventCursor,
     /// Response head for the caller, from the first engine whose events were relayed.
     head: Option<head::ResponseHead>,
     pub(super) excluded: Vec<fleet::EndpointKey>,
     pub(super) copies: kv_copy::CopyManager,
     /// Engines that responded to the last probe round, least loaded first.
     pub(super) responding: Vec<(fleet::ChosenEndpoint, selection::EngineCandidate)>,
-    possible_runs: u32,
+    pub(super) possible_runs: u32,
     pub(super) attempts: u32,
     lost_at: Option<time::Instant>,
     is_sent: bool,
-    progress: AttemptProgress,
+    pub(super) progress: stream_loss::AttemptProgress,
 }
 
 /// Relays `request` and writes its events; nothing is written when the outcome is a refusal.
@@ -93,7 +56,7 @@
         attempts: 0,
         lost_at: None,
         is_sent: false,
-        progress: AttemptProgress::new(),
+        progress: stream_loss::AttemptProgress::new(),
     };
     match future::timeout(time_left, relay.run()).await {
         Ok(end) => end,
@@ -120,7 +83,7 @@
             }
             self.attempts += 1;
             let end = self.attempt(&lease, source.as_ref()).await;
-            if let StreamEnd::Lost(cause) = &end {
+            if let stream_end::StreamEnd::Lost(cause) = &end {
                 self.lost_at.get_or_insert_with(time::Instant::now);
                 self.report_crash(&lease, *cause).await;
             }
@@ -128,10 +91,14 @@
             // Until here a timeout has to count this attempt as a possible run.
             self.is_sent = false;
             let step = match conclusion {
-                AttemptConclusion::Served => return context::RelayOutcome::Served(200),
-                AttemptConclusion::CallerGone => return context::RelayOutcome::CallerGone,
-                AttemptConclusion::Response(response) => return self.deliver(response).await,
-                AttemptConclusion::Step(step) => step,
+                stream_end::AttemptConclusion::Served => return context::RelayOutcome::Served(200),
+                stream_end::AttemptConclusion::CallerGone => {
+                    return context::RelayOutcome::CallerGone;
+                }
+                stream_end::AttemptConclusion::Response(response) => {
+                    return self.deliver(response).await;
+                }
+                stream_end::AttemptConclusion::Step(step) => step,
             };
             match step {
                 retry::NextStep::Repeat => {}
@@ -146,47 +113,7 @@
         }
     }
 
-    fn refuse_blocked(&self) -> Option<verdict::RequestRefusal> {
-        self.context
-            .refuse_blocked(self.request, self.verdict(false))
-    }
-
-    /// Reports an engine that crashed when it began to answer. One that only closed the connection
-    /// still answers a probe.
-    async fn report_crash(&self, lease: &context::EndpointLease, cause: stream_reader::LossCause) {
-        let parts = self.request.metadata.shared_parts.as_slice();
-        let progress = &self.progress;
-        if cause != stream_reader::LossCause::Closed
-            || !progress.has_head
-            || progress.events > prompt_guard::MAX_CRASH_EVENTS
-            || parts.is_empty()
-        {
-            return;
-        }
-        let running = progress.sent_at.elapsed();
-        if attempt::is_alive(lease.endpoint.address, self.context.dialect.as_ref()).await {
-            return;
-        }
-        let crash = prompt_guard::PromptCrash {
-            request: &self.request.metadata.id,
-            endpoint: &lease.endpoint.name,
-            parts,
-            running,
-        };
-        sync::Arc::clone(&self.context.prompts)
-            .report_crash(crash)
-            .await;
-    }
-
-    /// Records that the prompt does not crash its engine, once for each attempt.
-    fn record_success(&self) {
-        let parts = &self.request.metadata.shared_parts;
-        if !parts.is_empty() {
-            self.context.prompts.record_success(parts);
-        }
-    }
-
-    fn verdict(&self, is_sent: bool) -> verdict::RunVerdict {
+    pub(super) fn verdict(&self, is_sent: bool) -> verdict::RunVerdict {
         if self.possible_runs == 0 && !is_sent {
             return verdict::RunVerdict::NotRun;
         }
@@ -215,7 +142,7 @@
         &mut self,
         lease: &context::EndpointLease,
         source: Option<&dialect::CopySource>,
-    ) -> StreamEnd {
+    ) -> stream_end::StreamEnd {
         let holder = self.copy_holder(lease);
         let is_retry = self.attempts > 1 || self.cursor.last().is_some();
         let rank = if is_retry {
@@ -243,11 +170,11 @@
             "stream attempt"
         );
         self.is_sent = true;
-        self.progress = AttemptProgress::new();
+        self.progress = stream_loss::AttemptProgress::new();
         self.context.counters.count("relay.attempt");
         let sent = attempt::send(lease.endpoint.address, &bytes).await;
         let Ok(open) = sent else {
-            return StreamEnd::Unsent;
+            return stream_end::StreamEnd::Unsent;
         };
         let mut reader = stream_reader::StreamReader::new(
             open,
@@ -255,7 +182,8 @@
             &self.context.dialect,
             &self.request.metadata.id,
         );
-        self.read_response(&mut reader, lease, holder).await
+        let reading = self.read_response(&mut reader, lease, holder).await;
+        reading.unwrap_or_else(stream_end::StreamEnd::Lost)
     }
 
     async fn read_response(
@@ -263,15 +191,13 @@
         reader: &mut stream_reader::StreamReader<'_>,
         lease: &context::EndpointLease,
         holder: Option<fleet::ChosenEndpoint>,
-    ) -> StreamEnd {
-        let head = match reader.first_head().await {
-            Ok(head) => head,
-            Err(cause) => return StreamEnd::Lost(cause),
-        };
+    ) -> stream_loss::Result<stream_end::StreamEnd> {
+        let head = reader.first_head().await?;
         self.progress.has_head = true;
         let metadata = self.context.observe_head(self.request, lease, &head);
         if metadata.is_not_run || head.status == 421 {
-            return StreamEnd::NotRun(buffered::refusal_observation(head.status));
+            let observation = buffered::refusal_observation(head.status);
+            return Ok(stream_end::StreamEnd::NotRun(observation));
         }
         let is_own = metadata.request.as_deref() == Some(self.request.metadata.id.as_str());
         if head.status != 200 {
@@ -279,16 +205,12 @@
                 .open
                 .read_whole(&self.request.head.method, head, &self.context.memory)
                 .await;
-            return match response {
-                Ok(response) => StreamEnd::Response(response),
-                Err(error) => StreamEnd::Lost(error.into()),
-            };
+            return Ok(stream_end::StreamEnd::Response(response?));
         }
-        let Ok(framing) = head.framing(&self.request.head.method) else {
-            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
-        };
+        let framing = head.framing(&self.request.head.method);
+        let framing = framing.map_err(|_ambiguous| stream_loss::LossCause::Invalid)?;
         if !is_own || !metadata.is_sealed || metadata.is_altered {
-            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
+            return Err(stream_loss::LossCause::Invalid);
         }
         let mut relayed = head;
         relayed.headers.remove_hop_fields();
@@ -305,17 +227,14 @@
         lease: &context::EndpointLease,
         mut holder: Option<fleet::ChosenEndpoint>,
         mut decoder: body::BodyDecoder,
-    ) -> StreamEnd {
+    ) -> stream_loss::Result<stream_end::StreamEnd> {
         let mut splitter = events::EventSplitter::default();
         let mut is_first = true;
         let mut idle_bytes = 0;
         loop {
             let limits = self.stall_limits();
             let reading = reader.read_events(&mut decoder, &mut splitter, limits, is_first);
-            let is_open = match reading.await {
-                Ok(is_open) => is_open,
-                Err(cause) => return StreamEnd::Lost(cause),
-            };
+            let is_open = reading.await?;
             let mut accepted = Vec::new();
             while let Some(event) = splitter.next_event() {
                 self.progress.events += u64::from(!event.is_comment);
@@ -347,22 +266,22 @@
                     }
                     events::EventStatus::Repeated => idle_bytes += event.bytes.len(),
                     events::EventStatus::Malformed => {
-                        return StreamEnd::Lost(stream_reader::LossCause::Invalid);
+                        return Err(stream_loss::LossCause::Invalid);
                     }
                 }
             }
             self.progress.partial_bytes = splitter.partial_bytes();
             let is_stalled = !is_first && reader.idle_time() >= limits.abandon_after;
             if splitter.is_oversized() || idle_bytes > events::MAX_EVENT_BYTES {
-                return StreamEnd::Lost(stream_reader::LossCause::Invalid);
+                return Err(stream_loss::LossCause::Invalid);
             }
             if is_stalled {
-                return StreamEnd::Lost(stream_reader::LossCause::Unresponsive);
+                return Err(stream_loss::LossCause::Unresponsive);
             }
             if !accepted.is_empty() {
                 let began = time::Instant::now();
                 if self.write_events(&accepted).await.is_err() {
-                    return StreamEnd::CallerGone;
+                    return Ok(stream_end::StreamEnd::CallerGone);
                 }
                 // Time spent waiting for a slow caller does not count as a stall.
                 reader.exclude_time(began.elapsed());
@@ -378,15 +297,14 @@
         // of an engine that crashed.
         let is_empty = self.progress.events == 0 && decoder.ends_unmarked();
         if splitter.has_partial_event() || is_empty {
-            return StreamEnd::Lost(stream_reader::LossCause::Closed);
-        }
-        let Some(head) = self.head.as_ref() else {
-            return StreamEnd::Lost(stream_reader::LossCause::Invalid);
-        };
-        match self.sink.finish(head).await {
-            Ok(()) => StreamEnd::Complete,
-            Err(_gone) => StreamEnd::CallerGone,
+            return Err(stream_loss::LossCause::Closed);
         }
+        let head = self.head.as_ref();
+        let head = head.ok_or(stream_loss::LossCause::Invalid)?;
+        Ok(match self.sink.finish(head).await {
+            Ok(()) => stream_end::StreamEnd::Complete,
+            Err(_gone) => stream_end::StreamEnd::CallerGone,
+        })
     }
 
     /// Limits are longer for a stream that cannot resume, as abandoning the engine ends it.
@@ -412,101 +330,4 @@
         };
         self.sink.push(head, events).await
     }
-
-    fn finish_attempt(
-        &mut self,
-        lease: &context::EndpointLease,
-        end: StreamEnd,
-        is_from_copy: bool,
-    ) -> AttemptConclusion {
-        let outcome = match end {
-            StreamEnd::Complete => {
-                self.record_success();
-                self.copies.release(&self.context.dialect);
-                lease.observe(fleet::EndpointObservation::Answered);
-                return AttemptConclusion::Served;
-            }
-            StreamEnd::CallerGone => {
-                self.copies.release(&self.context.dialect);
-                return AttemptConclusion::CallerGone;
-            }
-            StreamEnd::NotRun(observation) => {
-                // A holder that has lost the copy can still run the whole prompt.
-                if !is_from_copy || observation == fleet::EndpointObservation::Replaced {
-                    self.excluded.push(lease.endpoint.key);
-                    lease.observe(observation);
-                }
-                retry::AttemptOutcome::NotRun
-            }
-            StreamEnd::Unsent => {
-                self.excluded.push(lease.endpoint.key);
-                lease.observe(fleet::EndpointObservation::Failed);
-                retry::AttemptOutcome::NotRun
-            }
-            StreamEnd::Lost(cause) => {
-                self.log_loss(lease, cause);
-                self.possible_runs += 1;
-                self.excluded.push(lease.endpoint.key);
-                lease.observe(fleet::EndpointObservation::Failed);
-                self.context.counters.count("relay.stream_lost");
-                retry::AttemptOutcome::Lost
-            }
-            StreamEnd::Response(response) => {
-                self.possible_runs += 1;
-                self.excluded.push(lease.endpoint.key);
-                let outcome = buffered::classify_response(self.context, self.request, &response);
-                let state = self.retry_state();
-                if retry::next_step(outcome, &state) == retry::NextStep::Deliver {
-                    return AttemptConclusion::Response(response);
-                }
-                outcome
-            }
-        };
-        let step = retry::next_step(outcome, &self.retry_state());
-        log::info!(
-            request = self.request.metadata.id.as_str(),
-            endpoint = lease.endpoint.name.as_str(),
-            end:? = outcome,
-            step:? = step,
-            last_event:? = self.cursor.last();
-            "stream attempt ended"
-        );
-        AttemptConclusion::Step(step)
-    }
-
-    fn log_loss(&self, lease: &context::EndpointLease, cause: stream_reader::LossCause) {
-        let elapsed = self.progress.sent_at.elapsed();
-        log::info!(
-            request = self.request.metadata.id.as_str(),
-            endpoint = lease.endpoint.name.as_str(),
-            cause:? = cause,
-            has_head = self.progress.has_head,
-            events = self.progress.events,
-            partial_bytes = self.progress.partial_bytes,
-            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-            "stream lost"
-        );
-    }
-
-    fn retry_state(&self) -> retry::RetryState {
-        let mut kind = self.request.route.kind;
-        if !self.cursor.can_resume() {
-            kind = crate::version::traffic::RepeatKind::Once;
-        }
-        retry::RetryState {
-            kind,
-            possible_runs: self.possible_runs,
-            attempts: self.attempts,
-            max_runs: self.request.route.attempts,
-            has_time: !self.request.time_left().is_zero(),
-        }
-    }
-}
-
-/// What follows the end of an attempt.
-enum AttemptConclusion {
-    Served,
-    CallerGone,
-    Response(attempt::FullResponse),
-    Step(retry::NextStep),
 }
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -9,34 +9,11 @@
 use futures::future::Either;
 
 use crate::connection::h1::{body, head};
-use crate::request::relay::{attempt, dialect, events, report, stall};
+use crate::request::relay::{attempt, dialect, events, report, stall, stream_loss};
 
 /// Time in which the reset of a stream follows the refusal of a new connection.
 const RESET_TIME: time::Duration = time::Duration::from_millis(20);
 
-/// Result of reading a stream.
-pub(super) type Result<T> = std::result::Result<T, LossCause>;
-
-/// Why a stream counts as lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LossCause {
-    /// The engine closed or reset the connection.
-    Closed,
-    /// The engine sent no event in time, or does not report the request as held.
-    Unresponsive,
-    /// The response is malformed or not the engine's own.
-    Invalid,
-}
-
-impl From<attempt::AttemptError> for LossCause {
-    fn from(error: attempt::AttemptError) -> Self {
-        match error {
-            attempt::AttemptError::Unsent | attempt::AttemptError::Closed => Self::Closed,
-            attempt::AttemptError::Broken => Self::Invalid,
-        }
-    }
-}
-
 /// Reads one engine's stream and detects stalls.
 pub(super) struct StreamReader<'a> {
     pub(super) open: attempt::OpenAttempt,
@@ -91,7 +68,7 @@
     ///
     /// # Errors
     /// Why the stream counts as lost.
-    pub(super) async fn first_head(&mut self) -> Result<head::ResponseHead> {
+    pub(super) async fn first_head(&mut self) -> stream_loss::Result<head::ResponseHead> {
         let reading = Box::pin(self.open.head());
         let probe = LivenessProbe {
             address: self.address,
@@ -113,7 +90,7 @@
         splitter: &mut events::EventSplitter,
         limits: stall::StallLimits,
         is_first: bool,
-    ) -> Result<bool> {
+    ) -> stream_loss::Result<bool> {
         let (idle_time, last_event_at) = (self.idle_time(), self.last_event_at);
         let reading = Box::pin(self.open.read_body(decoder, splitter.buffer()));
         let mut probe = LivenessProbe {
@@ -140,15 +117,15 @@
         };
         let remaining = limits.abandon_after.saturating_sub(last_event_at.elapsed());
         let read = future::timeout(remaining, reading).await;
-        Ok(read.map_err(|_elapsed| LossCause::Unresponsive)??)
+        Ok(read.map_err(|_elapsed| stream_loss::LossCause::Unresponsive)??)
     }
 }
 
 /// Awaits `reading` a little longer after a probe failed. An engine that crashed also resets the
 /// stream, which tells the crash from an engine that fell silent.
-async fn last_read<Reading: Future>(reading: Reading) -> Result<Reading::Output> {
+async fn last_read<Reading: Future>(reading: Reading) -> stream_loss::Result<Reading::Output> {
     let read = future::timeout(RESET_TIME, reading).await;
-    read.map_err(|_elapsed| LossCause::Unresponsive)
+    read.map_err(|_elapsed| stream_loss::LossCause::Unresponsive)
 }
 
 /// Probes whether an engine still holds a request.
@@ -171,7 +148,10 @@
     }
 
     /// Awaits `reading`, probing the engine meanwhile; an error as soon as a probe fails.
-    async fn while_alive<Reading>(mut self, mut reading: Reading) -> Result<Reading::Output>
+    async fn while_alive<Reading>(
+        mut self,
+        mut reading: Reading,
+    ) -> stream_loss::Result<Reading::Output>
     where
         Reading: Future + Unpin,
     {
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -11,7 +11,7 @@
 use rustix::process as unix;
 
 use crate::soak::{clients, limit_days, relay, restore_days};
-use crate::support::{crash_judge, fakes, limit_judge, router};
+use crate::support::{crash_judge, fake_store, fakes, limit_judge, router};
 
 /// Gateways for each of which faults strike as often as in the smallest bed.
 const GATEWAYS_A_FAULT: u8 = 6;
@@ -64,7 +64,7 @@
     random: fastrand::Rng,
     folder: tempfile::TempDir,
     net: [u8; 3],
-    store: fakes::FakeStore,
+    store: fake_store::FakeStore,
     store_links: Vec<relay::Relay>,
     store_doors: Vec<net::SocketAddr>,
     endpoints: Vec<fakes::FakeEndpoint>,
@@ -151,7 +151,7 @@
     fn start(seed: u64, gateways: u8) -> Self {
         let net = router::loopback_net();
         let ip = |last: u8| net::IpAddr::from([net[0], net[1], net[2], last]);
-        let store = fakes::FakeStore::new(ip(250));
+        let store = fake_store::FakeStore::new(ip(250));
         let endpoints: Vec<fakes::FakeEndpoint> = (0..ENDPOINTS)
             .map(|number| fakes::FakeEndpoint::start(ip(240 + number), &format!("e{number}")))
             .collect();
--- a/tests/gateway/soak/restore_days.rs
+++ b/tests/gateway/soak/restore_days.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::support::fakes;
+use crate::support::fake_store;
 
 /// Restores of one run, at most.
 const MOST_RESTORES: u32 = 3;
@@ -17,7 +17,7 @@
     Copy,
     /// Bring the store back from the copy.
     Restore {
-        copy: fakes::StoreCopy,
+        copy: fake_store::StoreCopy,
         /// Whether it happens while no call for the configuration waits.
         is_unnoticed: bool,
     },
@@ -28,7 +28,7 @@
 pub struct RestoreDay {
     /// When to copy and when to restore.
     due: Vec<(time::Duration, time::Duration)>,
-    copy: Option<fakes::StoreCopy>,
+    copy: Option<fake_store::StoreCopy>,
     random: fastrand::Rng,
 }
 
@@ -56,7 +56,7 @@
     }
 
     /// Keeps a copy of the store for the next restore.
-    pub fn keep(&mut self, copy: fakes::StoreCopy) {
+    pub fn keep(&mut self, copy: fake_store::StoreCopy) {
         self.copy = Some(copy);
     }
 
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -1,6 +1,5 @@
-//! Fakes of the platform's store and of endpoints that speak the published protocol.
+//! Fakes of endpoints that speak the published protocol, and what all fakes share.
 
-use std::collections;
 use std::io::{Read as _, Write as _};
 use std::net;
 use std::sync;
@@ -8,8 +7,6 @@
 use std::thread;
 use std::time;
 
-use base64::Engine as _;
-use base64::engine::general_purpose;
 use kumquatpulley::connection::h1::{body, head};
 
 /// A request that a fake has read.
@@ -27,7 +24,7 @@
         self.head.headers.get(name).map(str::to_owned)
     }
 
-    fn query(&self, name: &str) -> Option<&str> {
+    pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.head.target.split_once('?')?.1;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         pairs
@@ -69,7 +66,10 @@
 }
 
 /// Serves each connection in a separate thread for as long as the test runs.
-fn serve(listener: net::TcpListener, handle: impl Fn(&mut net::TcpStream) + Send + Sync + 'static) {
+pub fn serve(
+    listener: net::TcpListener,
+    handle: impl Fn(&mut net::TcpStream) + Send + Sync + 'static,
+) {
     let handle = sync::Arc::new(handle);
     thread::spawn(move || {
         for stream in listener.incoming() {
@@ -80,7 +80,7 @@
     });
 }
 
-fn write_json(stream: &mut net::TcpStream, status: u16, value: &serde_json::Value) {
+pub fn write_json(stream: &mut net::TcpStream, status: u16, value: &serde_json::Value) {
     let text = value.to_string();
     let head = format!(
         "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
@@ -90,329 +90,6 @@
     let _gone = stream.write_all(format!("{head}{text}").as_bytes());
 }
 
-/// Content and version; the content is `None` for a removed row.
-type StoredRow = (Option<Vec<u8>>, u64);
-
-/// Rows by table and key.
-type StoredRows = collections::BTreeMap<(String, String), StoredRow>;
-
-/// A copy of the store at some time.
-#[derive(Clone, Debug)]
-pub struct StoreCopy {
-    version: u64,
-    rows: StoredRows,
-}
-
-#[derive(Debug, Default)]
-struct StoreState {
-    version: u64,
-    /// Number of times that the store was restored from a copy.
-    era: u64,
-    rows: StoredRows,
-    /// Calls for changes that are waiting, by table.
-    waiting: collections::HashMap<String, u32>,
-    /// Oldest version after which changes can still be read.
-    oldest: u64,
-    /// Listeners that answer with 503.
-    unavailable: collections::HashSet<net::SocketAddr>,
-    /// Listeners that leave requests unanswered and connections open.
-    hung: collections::HashSet<net::SocketAddr>,
-}
-
-/// Fake of the platform's store.
-#[derive(Clone, Debug)]
-pub struct FakeStore {
-    ip: net::IpAddr,
-    state: sync::Arc<sync::Mutex<StoreState>>,
-}
-
-impl FakeStore {
-    pub fn new(ip: net::IpAddr) -> Self {
-        let state = sync::Arc::default();
-        Self { ip, state }
-    }
-
-    /// Opens a listener for one VM and returns its address. The fake tells VMs apart by listener,
-    /// since all processes of a test share their source address.
-    pub fn open_listener(&self) -> net::SocketAddr {
-        let listener = net::TcpListener::bind((self.ip, 0)).expect("a free port");
-        let address = listener.local_addr().expect("bound");
-        let served = sync::Arc::clone(&self.state);
-        serve(listener, move |stream| {
-            answer_store(stream, address, &served);
-        });
-        address
-    }
-
-    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
-        self.set(table, key, Some(value.to_vec()));
-    }
-
-    pub fn remove(&self, table: &str, key: &str) {
-        self.set(table, key, None);
-    }
-
-    /// Copies all rows.
-    pub fn copy(&self) -> StoreCopy {
-        let state = self.state.lock().expect("not poisoned");
-        StoreCopy {
-            version: state.version,
-            rows: state.rows.clone(),
-        }
-    }
-
-    /// Replaces all rows by those of a copy, and writes `changes` (table, key and value) at the same
-    /// moment. Waiting calls are cut off.
-    pub fn restore(&self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
-        let mut state = self.state.lock().expect("not poisoned");
-        state.restore(copy, changes);
-    }
-
-    /// As [`FakeStore::restore`], at a moment when no call waits for changes of `table`, so that its
-    /// readers do not notice. Returns whether there was such a moment.
-    pub fn restore_unnoticed(
-        &self,
-        table: &str,
-        copy: &StoreCopy,
-        changes: &[(&str, &str, &[u8])],
-    ) -> bool {
-        let until = time::Instant::now() + QUIET_MOMENT_TIMEOUT;
-        loop {
-            let mut state = self.state.lock().expect("not poisoned");
-            let is_quiet = state.waiting.get(table).is_none_or(|count| *count == 0);
-            if is_quiet || until < time::Instant::now() {
-                state.restore(copy, changes);
-                return is_quiet;
-            }
-            drop(state);
-            thread::sleep(time::Duration::from_millis(1));
-        }
-    }
-
-    /// Keys of the rows of a table.
-    pub fn keys(&self, table: &str) -> Vec<String> {
-        let state = self.state.lock().expect("not poisoned");
-        let rows = state.rows.iter();
-        let rows =
-            rows.filter(|((known, _key), (value, _version))| known == table && value.is_some());
-        rows.map(|((_table, key), _row)| key.clone()).collect()
-    }
-
-    /// Drops the history, so that earlier changes can no longer be read.
-    pub fn drop_history(&self) {
-        let mut state = self.state.lock().expect("not poisoned");
-        state.version += 1;
-        state.oldest = state.version;
-    }
-
-    /// Makes the listener at `address` answer with 503, or serve requests again.
-    pub fn set_unavailable(&self, address: net::SocketAddr, is_unavailable: bool) {
-        let mut state = self.state.lock().expect("not poisoned");
-        if is_unavailable {
-            state.unavailable.insert(address);
-        } else {
-            state.unavailable.remove(&address);
-        }
-    }
-
-    /// Makes the listener at `address` leave all requests unanswered from now on.
-    pub fn hang(&self, address: net::SocketAddr) {
-        self.state
-            .lock()
-            .expect("not poisoned")
-            .hung
-            .insert(address);
-    }
-
-    fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        self.state
-            .lock()
-            .expect("not poisoned")
-            .set(table, key, value);
-    }
-}
-
-impl StoreState {
-    fn set(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        self.version += 1;
-        self.rows
-            .insert((table.to_owned(), key.to_owned()), (value, self.version));
-    }
-
-    fn restore(&mut self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
-        self.era += 1;
-        self.version = copy.version;
-        self.rows.clone_from(&copy.rows);
-        for (table, key, value) in changes {
-            self.set(table, key, Some(value.to_vec()));
-        }
-    }
-}
-
-/// Longest wait for a moment when no call waits for changes.
-const QUIET_MOMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-
-/// How long a hung listener keeps a connection open: longer than any caller waits.
-const HANG_TIME: time::Duration = time::Duration::from_secs(20);
-
-fn answer_store(
-    stream: &mut net::TcpStream,
-    address: net::SocketAddr,
-    state: &sync::Mutex<StoreState>,
-) {
-    let Some(request) = read_request(stream) else {
-        return;
-    };
-    let is_unavailable = || {
-        state
-            .lock()
-            .expect("not poisoned")
-            .unavailable
-            .contains(&address)
-    };
-    let is_hung = || state.lock().expect("not poisoned").hung.contains(&address);
-    if is_hung() {
-        thread::sleep(HANG_TIME);
-        return;
-    }
-    if is_unavailable() {
-        let era = state.lock().expect("not poisoned").era;
-        return write_store_json(stream, era, 503, &serde_json::json!({}));
-    }
-    let path = request
-        .head
-        .target
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    match path.as_str() {
-        "/rows-get" => {
-            let (answer, era) = rows_after(&request, state, None);
-            write_store_json(stream, era, 200, &answer);
-        }
-        "/rows-feed" => {
-            let number = |name| {
-                request
-                    .query(name)
-                    .and_then(|text| text.parse().ok())
-                    .unwrap_or(0)
-            };
-            let wait = time::Duration::from_millis(number("wait_ms"));
-            let until = time::Instant::now() + wait;
-            let _waiting = WaitingCall::begin(&request, state);
-            let era = state.lock().expect("not poisoned").era;
-            loop {
-                let held = state.lock().expect("not poisoned");
-                let (is_held, is_cut) = (
-                    (held.oldest..=held.version).contains(&number("after")),
-                    held.era != era,
-                );
-                drop(held);
-                if is_cut {
-                    return;
-                }
-                if !is_held {
-                    return write_store_json(stream, era, 410, &serde_json::json!({}));
-                }
-                let (answer, era) = rows_after(&request, state, Some(number("after")));
-                let is_empty = answer["rows"].as_array().is_none_or(Vec::is_empty);
-                if is_unavailable() {
-                    return;
-                }
-                if is_hung() {
-                    thread::sleep(HANG_TIME);
-                    return;
-                }
-                if !is_empty || time::Instant::now() >= until {
-                    return write_store_json(stream, era, 200, &answer);
-                }
-                thread::sleep(time::Duration::from_millis(10));
-            }
-        }
-        "/rows-tx" => {
-            let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
-            let mut held = state.lock().expect("not poisoned");
-            held.version += 1;
-            let version = held.version;
-            for put in value["puts"].as_array().expect("puts") {
-                let text = |name: &str| put[name].as_str().expect("text").to_owned();
-                let content = general_purpose::STANDARD
-                    .decode(text("value"))
-                    .expect("base64");
-                held.rows
-                    .insert((text("table"), text("key")), (Some(content), version));
-            }
-            let era = held.era;
-            drop(held);
-            let answer = serde_json::json!({"ver": version, "now_ms": 1});
-            write_store_json(stream, era, 200, &answer);
-        }
-        _ => write_json(stream, 404, &serde_json::json!({})),
-    }
-}
-
-/// Counts a call that waits for changes until it is dropped.
-struct WaitingCall<'a> {
-    table: String,
-    state: &'a sync::Mutex<StoreState>,
-}
-
-impl<'a> WaitingCall<'a> {
-    fn begin(request: &ReceivedRequest, state: &'a sync::Mutex<StoreState>) -> Self {
-        let table = request.query("table").unwrap_or_default().to_owned();
-        let mut held = state.lock().expect("not poisoned");
-        *held.waiting.entry(table.clone()).or_default() += 1;
-        drop(held);
-        Self { table, state }
-    }
-}
-
-impl Drop for WaitingCall<'_> {
-    fn drop(&mut self) {
-        let mut held = self.state.lock().expect("not poisoned");
-        if let Some(count) = held.waiting.get_mut(&self.table) {
-            *count -= 1;
-        }
-    }
-}
-
-/// Answers a call to the store; the head names the era.
-fn write_store_json(stream: &mut net::TcpStream, era: u64, status: u16, value: &serde_json::Value) {
-    let text = value.to_string();
-    let head = format!(
-        "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
-        text.len()
-    );
-    // The caller may have gone.
-    let _gone = stream.write_all(format!("{head}{text}").as_bytes());
-}
-
-fn rows_after(
-    request: &ReceivedRequest,
-    state: &sync::Mutex<StoreState>,
-    after: Option<u64>,
-) -> (serde_json::Value, u64) {
-    let wanted = request.query("table").unwrap_or_default();
-    let state = state.lock().expect("not poisoned");
-    let rows = state
-        .rows
-        .iter()
-        .filter(|((table, _key), (value, version))| {
-            table == wanted && after.map_or(value.is_some(), |after| *version > after)
-        });
-    let rows = rows.map(|((table, key), (value, version))| match value {
-        Some(value) => serde_json::json!({"table": table, "part": "", "key": key,
-            "value": general_purpose::STANDARD.encode(value), "ver": version}),
-        None => serde_json::json!({"table": table, "part": "", "key": key, "removed": true,
-            "ver": version}),
-    });
-    let rows: Vec<serde_json::Value> = rows.collect();
-    let answer =
-        serde_json::json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": 1});
-    (answer, state.era)
-}
-
 /// How an endpoint treats requests from now on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointMode {
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod crash_judge;
+pub mod fake_store;
 pub mod fakes;
 pub mod limit_judge;
 pub mod load;
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time;
 
-use crate::support::{caller, fakes, router};
+use crate::support::{caller, fake_store, fakes, router};
 
 /// Longest wait for a condition in [`System::wait_for`].
 const WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(15);
@@ -15,7 +15,7 @@
 pub struct System {
     pub net: [u8; 3],
     pub folder: tempfile::TempDir,
-    pub store: fakes::FakeStore,
+    pub store: fake_store::FakeStore,
     pub first: fakes::FakeEndpoint,
     pub second: fakes::FakeEndpoint,
     pub gateways: Vec<router::GatewayProcess>,
@@ -36,7 +36,7 @@
     pub fn start(gateways: u8) -> Self {
         let net = router::loopback_net();
         let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
-        let store = fakes::FakeStore::new(ip(250));
+        let store = fake_store::FakeStore::new(ip(250));
         let mut system = Self {
             net,
             folder: tempfile::tempdir().expect("a folder"),
