Encode durations of peer messages in one function

Ruled out: no other encoding in use, all three saturate at u64::MAX, so the messages stay the same. Change: peer_wire::micros serves all; collectors are chosen with member_ring::owner_score, which hashes the same bytes with the same seed. No behaviour changes. Conclusion: one copy of each.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -1,8 +1,16 @@
 //! Bincode messages between routers; each h2 stream carries one query and its reply.
 
+use std::time;
+
 use crate::connection::{prompt_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
+/// Encodes a duration for a message, in microseconds.
+#[must_use]
+pub fn micros(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// A query to a peer.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -4,10 +4,9 @@
 use std::collections;
 use std::time;
 
-use xxhash_rust::xxh3;
-
-use crate::connection::prompt_wire;
+use crate::connection::{peer_wire, prompt_wire};
 use crate::process::gateway::{block_list, boot_clock, crash_ledger};
+use crate::process::members::member_ring;
 use crate::request::relay::prompt_part;
 
 /// Routers that are told of all crashes of a part, so that one of them is there when others fail.
@@ -44,7 +43,7 @@
     for part in parts {
         let mut order: Vec<(u64, &String)> = peers
             .iter()
-            .map(|peer| (xxh3::xxh3_64_with_seed(peer.as_bytes(), part.0), peer))
+            .map(|peer| (member_ring::owner_score(peer, part.0), peer))
             .collect();
         order.sort_unstable();
         let first = order.into_iter().take(COLLECTORS_PER_PART);
@@ -53,6 +52,7 @@
     peers.into_iter().partition(|peer| chosen.contains(peer))
 }
 
+/// Encodes a crash for a message that is sent at `now`.
 pub(super) fn sent_crash(
     crash: &crash_ledger::CrashRecord,
     now: boot_clock::BootInstant,
@@ -61,8 +61,8 @@
         request: crash.request,
         endpoint: crash.endpoint,
         parts: crash.parts.iter().map(|part| part.0).collect(),
-        age_micros: micros(now.since(crash.crashed_at)),
-        running_micros: micros(crash.crashed_at.since(crash.sent_at)),
+        age_micros: peer_wire::micros(now.since(crash.crashed_at)),
+        running_micros: peer_wire::micros(crash.crashed_at.since(crash.sent_at)),
     }
 }
 
@@ -85,7 +85,3 @@
         crashed_at,
     }
 }
-
-pub(super) fn micros(time: time::Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
-}
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -127,10 +127,10 @@
         let is_same = endpoint_rows::combined_digest(&own) == digest;
         Some(store_view_wire::StoreViewWire {
             number,
-            age_micros: micros(age),
+            age_micros: peer_wire::micros(age),
             row,
-            answer_age_micros: self.store_answer_age().map(micros),
-            endpoint_age_micros: micros(endpoint_age),
+            answer_age_micros: self.store_answer_age().map(peer_wire::micros),
+            endpoint_age_micros: peer_wire::micros(endpoint_age),
             endpoint_era: self.endpoint_era.lock().unwrap_or_default(),
             digests: if is_same { Vec::new() } else { own.to_vec() },
             blocked: if self.prompts.digest() == blocked {
@@ -302,7 +302,7 @@
         drop(registry);
         drop(own_rows);
         if self.publish_endpoints(is_changed) {
-            let age_ms = micros(asked_at.since(confirmed_at)) / 1_000;
+            let age_ms = peer_wire::micros(asked_at.since(confirmed_at)) / 1_000;
             log::info!(age_ms, parts = parts.len(); "endpoints taken from a peer");
         }
     }
@@ -312,10 +312,6 @@
     endpoint_rows::part_of(name) == usize::from(part)
 }
 
-fn micros(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// Queries other routers for their state of the store, until `token` is cancelled.
 pub async fn poll_peers(node: sync::Arc<node::GatewayNode>, token: stop_token::StopToken) {
     let (router, zone) = (&node.settings.router, &node.settings.zone);
--- a/src/process/gateway/permits.rs
+++ b/src/process/gateway/permits.rs
@@ -279,10 +279,10 @@
 }
 
 fn limit_wire(limit: endpoint_limit::LimitObservation) -> peer_wire::LimitWire {
-    let age = boot_clock::BootInstant::now().since(limit.at).as_micros();
+    let age = boot_clock::BootInstant::now().since(limit.at);
     peer_wire::LimitWire {
         millirequests: limit.rate.map(|rate| rate.0),
-        age_micros: u64::try_from(age).unwrap_or(u64::MAX),
+        age_micros: peer_wire::micros(age),
     }
 }
 
@@ -325,7 +325,7 @@
                 permit_ledger::PermitDecision::Unlimited => peer_wire::PermitWire::Unlimited,
                 permit_ledger::PermitDecision::Granted => peer_wire::PermitWire::Granted,
                 permit_ledger::PermitDecision::Denied { wait } => peer_wire::PermitWire::Denied {
-                    wait_micros: u64::try_from(wait.as_micros()).unwrap_or(u64::MAX),
+                    wait_micros: peer_wire::micros(wait),
                 },
             },
             limit: answer.limit.map(limit_wire),
--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -89,12 +89,7 @@
                 .map(|crash| crash_exchange::sent_crash(crash, now))
                 .collect(),
             successes: successes
-                .map(|success| {
-                    (
-                        success.part.0,
-                        crash_exchange::micros(now.since(success.at)),
-                    )
-                })
+                .map(|success| (success.part.0, peer_wire::micros(now.since(success.at))))
                 .collect(),
         }
     }
