Let the prompt guard write the blocked prompts that the store lacks

Cause: the watch of the store had its own loop that wrote blocks, beside the one of the guard that owns them. Ruled out: the guard already has the store and the codec, so nothing new is passed to it. Change: RouterPromptGuard::add_missing_rows compares and writes; both ways of writing use one put. The log lines and the order of writes stay the same. Conclusion: what is written about blocks stands in one file.

--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -106,19 +106,29 @@
         self.merge_entries(entries, "store");
     }
 
-    /// Blocks that `stored`, all rows of the store, do not hold, as keys and values to be written.
-    #[must_use]
-    pub fn missing_rows(&self, stored: &[rows::RowChange]) -> Vec<(String, Vec<u8>)> {
+    /// Writes the blocks that `stored`, all rows of the store, do not hold.
+    pub async fn add_missing_rows(&self, stored: &[rows::RowChange]) {
+        for entry in self.missing_from(stored) {
+            if let Err(error) = self.put(&entry).await {
+                let cause = error.to_string();
+                log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; the next full read retries");
+            }
+        }
+    }
+
+    fn missing_from(&self, stored: &[rows::RowChange]) -> Vec<block_list::BlockedPrompt> {
         let blocks = self.blocks.lock();
-        let blocks = blocks.entries().iter().map(|entry| {
-            let value = self.codec.encode_blocked_prompt(entry);
-            (entry.key(), value)
-        });
-        let is_missing = |(key, value): &(String, Vec<u8>)| {
-            let row = stored.iter().find(|row| row.key == *key);
-            row.and_then(|row| row.value.as_ref()) != Some(value)
+        let is_missing = |entry: &&block_list::BlockedPrompt| {
+            let row = stored.iter().find(|row| row.key == entry.key());
+            let value = row.and_then(|row| row.value.as_deref());
+            value != Some(self.codec.encode_blocked_prompt(entry).as_slice())
         };
-        blocks.filter(is_missing).collect()
+        blocks
+            .entries()
+            .iter()
+            .filter(is_missing)
+            .cloned()
+            .collect()
     }
 
     /// Digest of all blocks.
@@ -247,10 +257,8 @@
 
     /// Writes a block to the store; gives up when the store stays away for long.
     async fn write(&self, entry: &block_list::BlockedPrompt) {
-        let (key, value) = (entry.key(), self.codec.encode_blocked_prompt(entry));
         for _write in 0..MAX_WRITES {
-            let topic = rows::RowTopic::BlockedPrompts;
-            match self.store.put(topic, &key, &value).await {
+            match self.put(entry).await {
                 Ok(()) => return,
                 Err(error) => {
                     let cause = error.to_string();
@@ -259,9 +267,16 @@
             }
             task::sleep(WRITE_RETRY.mul_f64(0.5 + fastrand::f64())).await;
         }
+        let key = entry.key();
         log::error!(key = key.as_str(); "blocked prompt not written; a restart of all routers forgets it");
     }
 
+    async fn put(&self, entry: &block_list::BlockedPrompt) -> rows::Result<()> {
+        let (key, value) = (entry.key(), self.codec.encode_blocked_prompt(entry));
+        let topic = rows::RowTopic::BlockedPrompts;
+        self.store.put(topic, &key, &value).await
+    }
+
     /// Peer addresses of the other routers that accept callers.
     fn peers(&self) -> Vec<String> {
         let own = view::MemberView::home(self.gossip.as_ref()).router;
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -126,25 +126,15 @@
         |batch, _asked_at, is_full| {
             let values = batch.rows.iter().filter_map(|row| row.value.as_deref());
             node.prompts.merge_rows(values);
-            let missing = node.prompts.missing_rows(&batch.rows);
-            if is_full && node.is_reader() && !missing.is_empty() {
-                task::spawn(write_blocked_prompts(sync::Arc::clone(&node), missing));
+            if is_full && node.is_reader() {
+                let prompts = sync::Arc::clone(&node.prompts);
+                task::spawn(async move { prompts.add_missing_rows(&batch.rows).await });
             }
         },
     );
     let _stopped = watching.timeout_at(token).await;
 }
 
-async fn write_blocked_prompts(node: sync::Arc<node::GatewayNode>, rows: Vec<(String, Vec<u8>)>) {
-    let topic = rows::RowTopic::BlockedPrompts;
-    for (key, value) in rows {
-        if let Err(error) = node.store.put(topic, &key, &value).await {
-            let cause = error.to_string();
-            log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; the next full read retries");
-        }
-    }
-}
-
 async fn watch(
     node: &node::GatewayNode,
     topic: rows::RowTopic,
