Pass the timeout of an engine's report as an argument

Cause: two callers wrapped attempt::report, which has a timeout of its own, in a second one and flattened the result. Ruled out: the inner timeout is longer than both outer ones, so the shorter one decided before too. Change: report takes the timeout; the wrappers are gone. LIVENESS_TIMEOUT, PROBE_TIMEOUT and REPORT_TIMEOUT keep their values. Conclusion: one timeout for each report.

--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -235,21 +235,20 @@
     AttemptError::Broken
 }
 
-/// Fetches the report of the engine at `address`; `None` when it fails or exceeds
-/// [`REPORT_TIMEOUT`].
+/// Fetches the report of the engine at `address`; `None` when it fails or exceeds `timeout`.
 pub async fn report(
     address: std_net::SocketAddr,
     dialect: &dyn dialect::RequestDialect,
+    timeout: time::Duration,
 ) -> Option<report::EngineReport> {
     let head = control_head("GET", dialect.report_path(), address);
-    let response = control_call(address, &head, &[], REPORT_TIMEOUT).await?;
+    let response = control_call(address, &head, &[], timeout).await?;
     dialect.report(&response)
 }
 
 /// Whether the engine at `address` answers a probe within [`LIVENESS_TIMEOUT`].
 pub async fn is_alive(address: std_net::SocketAddr, dialect: &dyn dialect::RequestDialect) -> bool {
-    let probe = future::timeout(LIVENESS_TIMEOUT, report(address, dialect));
-    probe.await.is_ok_and(|report| report.is_some())
+    report(address, dialect, LIVENESS_TIMEOUT).await.is_some()
 }
 
 /// Request head of a control call, which is one to an engine that serves no caller's request.
--- a/src/request/relay/kv_copy.rs
+++ b/src/request/relay/kv_copy.rs
@@ -233,7 +233,7 @@
 ) -> Option<HeldCopy> {
     let probes = holders
         .iter()
-        .map(|holder| attempt::report(holder.address, dialect.as_ref()));
+        .map(|holder| attempt::report(holder.address, dialect.as_ref(), attempt::REPORT_TIMEOUT));
     let reports = future::join_all(probes).await;
     let mut candidates = holders.into_iter().zip(reports);
     let has_room = |report: &Option<report::EngineReport>| {
--- a/src/request/relay/stream_loss.rs
+++ b/src/request/relay/stream_loss.rs
@@ -84,7 +84,8 @@
             .await;
     }
 
-    /// Records that the prompt does not crash its engine, once for each attempt.
+    /// Records that the prompt has not crashed its engine: once the stream has got beyond its first
+    /// events, and at its end.
     pub(super) fn record_success(&self) {
         let parts = &self.request.metadata.shared_parts;
         if !parts.is_empty() {
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use async_std::future;
 use async_std::task;
 use futures::future as futures_future;
 
@@ -190,10 +189,9 @@
         let fleet = &self.context.fleet;
         let endpoints = fleet.sample(&query, selection::PROBED_ENGINES);
         let dialect = self.context.dialect.as_ref();
-        let pending = endpoints.iter().map(|endpoint| async {
-            let report = attempt::report(endpoint.address, dialect);
-            future::timeout(PROBE_TIMEOUT, report).await.ok().flatten()
-        });
+        let pending = endpoints
+            .iter()
+            .map(|endpoint| attempt::report(endpoint.address, dialect, PROBE_TIMEOUT));
         let reports = futures_future::join_all(pending).await;
         let now = time::Instant::now();
         let candidates = endpoints.iter().zip(reports);
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -139,7 +139,7 @@
 
 impl LivenessProbe<'_> {
     async fn is_alive(&mut self) -> bool {
-        let report = attempt::report(self.address, self.dialect).await;
+        let report = attempt::report(self.address, self.dialect, attempt::REPORT_TIMEOUT).await;
         let is_held = report.is_some_and(|report| self.tracker.is_held(&report, self.request));
         if is_held {
             *self.last_alive_at = time::Instant::now();
