Share the crashing prompts and the excuse of restarts between tests

Cause: crashing_prompts and the soak each named the crashing part, and crashing_prompts and endpoint_limits each had the rule that excuses a gateway after a restart. Ruled out: no check is weaker. limit_judge::was_restarted excuses the same three seconds after a restart, and, unlike the one that crashing_prompts had, nothing before it. Change: the prompts stand in crash_judge, the excuse in limit_judge. Conclusion: one copy of each.

--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -2,6 +2,7 @@
 //! to learn which part it is, and to serve all other prompts.
 
 use std::net;
+use std::ops;
 use std::thread;
 use std::time;
 
@@ -9,20 +10,12 @@
 use crate::support::system::System;
 use crate::support::{caller, crash_judge, fakes, limit_judge, load, router};
 
-/// Parts of prompts: one that crashes engines, and one that sound prompts share with it.
-const DEADLY_PART: &str = "dead01";
-const DEADLY_PROMPT: &str = "cafe01:200,dead01:50";
-const SOUND_PROMPT: &str = "cafe01:200";
-
 /// Time of load in which the part is learned; three seconds more than the crashes need.
 const LEARNING_TIME: time::Duration = time::Duration::from_secs(8);
 
 /// Time of load after the fault that a test adds.
 const FAULT_TIME: time::Duration = time::Duration::from_secs(6);
 
-/// Time after its start for which a gateway is excused.
-const RESTART_EXCUSE: time::Duration = time::Duration::from_secs(3);
-
 /// Time in which a caller learns that it is refused.
 const REFUSAL_BOUND: time::Duration = time::Duration::from_millis(200);
 
@@ -42,7 +35,7 @@
     fn start() -> Self {
         let system = System::start(3);
         for endpoint in [&system.first, &system.second] {
-            endpoint.set_deadly_part(Some(DEADLY_PART));
+            endpoint.set_deadly_part(Some(crash_judge::DEADLY_PART));
         }
         let ips: Vec<net::IpAddr> = system.gateways.iter().map(|gateway| gateway.ip).collect();
         let plan = |callers, pause_ms, shared_parts| load::LoadPlan {
@@ -52,16 +45,21 @@
             shared_parts: Some(shared_parts),
         };
         Self {
-            sound: load::SteadyLoad::start(&ips, plan(2, 80, SOUND_PROMPT)),
-            deadly: load::SteadyLoad::start(&ips, plan(1, 150, DEADLY_PROMPT)),
+            sound: load::SteadyLoad::start(&ips, plan(2, 80, crash_judge::SOUND_PROMPT)),
+            deadly: load::SteadyLoad::start(&ips, plan(1, 150, crash_judge::DEADLY_PROMPT)),
             system,
             restarts: Vec::new(),
         }
     }
 
-    fn restart(&mut self, indices: &[usize]) {
-        let killed: Vec<_> = indices.iter().map(|_index| self.system.kill(0)).collect();
-        for (index, killed) in killed.into_iter().enumerate() {
+    /// Kills the gateways with these indices, then starts them again.
+    fn restart(&mut self, indices: ops::Range<usize>) {
+        let first = indices.start;
+        let killed: Vec<_> = indices
+            .clone()
+            .map(|_index| self.system.kill(first))
+            .collect();
+        for (index, killed) in indices.zip(killed) {
             self.system.start_again(index, killed);
             let (ip, _store_address) = killed;
             self.restarts.push((ip, time::Instant::now()));
@@ -73,10 +71,7 @@
     fn finish(self, calm_since: time::Instant) {
         let (sound, deadly) = (self.sound.stop(), self.deadly.stop());
         let endpoints = [&self.system.first, &self.system.second];
-        let is_excused = |ip: net::IpAddr, at: time::Instant| {
-            let mut restarts = self.restarts.iter().filter(|(known, _at)| *known == ip);
-            restarts.any(|(_ip, start)| at < *start + RESTART_EXCUSE)
-        };
+        let is_excused = |ip, at| limit_judge::was_restarted(&self.restarts, ip, at);
         let views: Vec<limit_judge::CallerView> =
             deadly.iter().map(|request| request.view.clone()).collect();
         let finding = crash_judge::find_late_sends(&endpoints, &views, is_excused);
@@ -113,10 +108,10 @@
     let mut load = CrashLoad::start();
     thread::sleep(LEARNING_TIME);
     for index in 0..3 {
-        load.restart(&[index]);
+        load.restart(index..index + 1);
         thread::sleep(time::Duration::from_secs(2));
     }
-    load.restart(&[0, 1, 2]);
+    load.restart(0..3);
     thread::sleep(FAULT_TIME);
     let calm = time::Instant::now();
     thread::sleep(FAULT_TIME);
@@ -152,7 +147,7 @@
         callers: 2,
         pause: time::Duration::from_millis(30),
         path: "/stream/1",
-        shared_parts: Some(SOUND_PROMPT),
+        shared_parts: Some(crash_judge::SOUND_PROMPT),
     };
     let load = load::SteadyLoad::start(&ips, plan);
     thread::sleep(time::Duration::from_secs(3));
@@ -179,14 +174,14 @@
 fn a_crash_just_before_the_deadline_is_not_reported_as_not_run() {
     let system = System::start(3);
     for endpoint in [&system.first, &system.second] {
-        endpoint.set_deadly_part(Some(DEADLY_PART));
+        endpoint.set_deadly_part(Some(crash_judge::DEADLY_PART));
     }
     // The first gateway has to know the others as ready.
     thread::sleep(time::Duration::from_secs(2));
     for gateway in &system.gateways[1..] {
         router::signal(gateway, rustix::process::Signal::STOP);
     }
-    let prompt = format!("{DEADLY_PROMPT},1:9");
+    let prompt = format!("{},1:9", crash_judge::DEADLY_PROMPT);
     let request = caller::prompt_request("/stream/1", "r1", "k", Some(&prompt));
     let request = request.replace("Deadline-Ms: 8000", "Deadline-Ms: 120");
     let answer = caller::exchange((system.ip(), 8227).into(), request.as_bytes());
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -17,9 +17,6 @@
 /// Time of load under a limit: three seconds until it binds, and more than a window after it.
 const LIMITED_TIME: time::Duration = time::Duration::from_secs(9);
 
-/// Time after a gateway was killed for which it is excused.
-const RESTART_EXCUSE: time::Duration = time::Duration::from_secs(3);
-
 /// Requests a second that an endpoint takes in these tests.
 const RATE: f64 = 2.5;
 
@@ -88,10 +85,7 @@
             .iter()
             .map(|request| request.view.clone())
             .collect();
-        let is_excused = |ip: net::IpAddr, at: time::Instant| {
-            let mut kills = self.killed.iter().filter(|(killed, _at)| *killed == ip);
-            kills.any(|(_ip, kill)| *kill <= at && at < *kill + RESTART_EXCUSE)
-        };
+        let is_excused = |ip, at| limit_judge::was_restarted(&self.killed, ip, at);
         for endpoint in [&self.system.first, &self.system.second] {
             let findings = limit_judge::find_excesses(endpoint, &views, is_excused);
             assert!(findings.is_empty(), "{findings:?}");
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -441,7 +441,7 @@
     /// Lets a part of some prompts crash the endpoints from now on.
     fn let_prompts_crash(&mut self) {
         for endpoint in &self.endpoints {
-            endpoint.set_deadly_part(Some(clients::DEADLY_PART));
+            endpoint.set_deadly_part(Some(crash_judge::DEADLY_PART));
         }
         self.desk
             .sends_prompts
--- a/tests/gateway/soak/clients.rs
+++ b/tests/gateway/soak/clients.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time;
 
-use crate::support::{caller, fakes};
+use crate::support::{caller, crash_judge, fakes};
 
 /// Longest wait of a caller for bytes of an answer.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
@@ -18,11 +18,6 @@
 /// Pause between two requests of a caller.
 const PAUSE: time::Duration = time::Duration::from_millis(30);
 
-/// A part of prompts that crashes endpoints, and the shared parts of prompts with and without it.
-pub const DEADLY_PART: &str = "dead01";
-const DEADLY_PROMPT: &str = "cafe01:200,dead01:50";
-const SOUND_PROMPT: &str = "cafe01:200";
-
 /// One in this many streams has the deadly part.
 const STREAMS_A_DEADLY_PROMPT: u32 = 6;
 
@@ -50,7 +45,7 @@
 impl CallRecord {
     /// Whether its prompt crashes endpoints.
     pub fn is_deadly(&self) -> bool {
-        self.prompt == Some(DEADLY_PROMPT)
+        self.prompt == Some(crash_judge::DEADLY_PROMPT)
     }
 }
 
@@ -92,9 +87,9 @@
             let prompt = sends_prompt.then(|| {
                 let is_deadly = random.u32(..STREAMS_A_DEADLY_PROMPT) == 0;
                 if is_deadly {
-                    DEADLY_PROMPT
+                    crash_judge::DEADLY_PROMPT
                 } else {
-                    SOUND_PROMPT
+                    crash_judge::SOUND_PROMPT
                 }
             });
             let key = desk.key.lock().expect("not poisoned").clone();
--- a/tests/gateway/support/crash_judge.rs
+++ b/tests/gateway/support/crash_judge.rs
@@ -6,6 +6,11 @@
 
 use crate::support::{fakes, limit_judge};
 
+/// A part of prompts that crashes endpoints, and the shared parts of prompts with and without it.
+pub const DEADLY_PART: &str = "dead01";
+pub const DEADLY_PROMPT: &str = "cafe01:200,dead01:50";
+pub const SOUND_PROMPT: &str = "cafe01:200";
+
 /// Crashes after which the part has to be known.
 const CRASHES_TO_LEARN: usize = 5;
 
--- a/tests/gateway/support/limit_judge.rs
+++ b/tests/gateway/support/limit_judge.rs
@@ -29,6 +29,16 @@
     pub answered: Option<time::Instant>,
 }
 
+/// Whether a gateway was killed or started again at `at` or shortly before, given all such times.
+pub fn was_restarted(
+    restarts: &[(net::IpAddr, time::Instant)],
+    gateway: net::IpAddr,
+    at: time::Instant,
+) -> bool {
+    let mut restarts = restarts.iter().filter(|(known, _at)| *known == gateway);
+    restarts.any(|(_ip, restart)| *restart <= at && at < *restart + CONTACT_TIME)
+}
+
 /// Returns a line for each limit that was exceeded at `endpoint`. Requests that `is_excused`
 /// accepts, given the gateway and the time of arrival, are not counted.
 pub fn find_excesses(
