Do not block a part that only came with crashing ones

What callers would see: sound requests refused with 503 for ten minutes or more, as they share the first part of their prompt with parts that crash engines (LOST).

Cause: each part of a lost prompt was judged alone. Three crashes in a row since a part last worked were enough, also when other parts that had never worked were in these prompts. So two or three crashing parts with a common first part, or one crashing part that had worked before, got the common part blocked together with them. Class of fault: a cause is inferred from what it occurs with, without weighing the other causes at hand.

Change: crashes that a likelier part explains, one that worked less recently, count once for each such part, and then four separate ones are needed instead of three. A prompt lost in the same crash explains it too. Routers now reply with the successes of all parts of the crashes they report, as a part looks unworked to a router that lacks its success.

Evidence: crash_evidence::shared_part_1, shared_part_2, shared_part_3 and worked_less_recently failed before (the shared part was blocked after the third crash) and pass; any_other_parts, which keeps the opposite case at five crashes, passed before and passes.

--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -66,6 +66,21 @@
     }
 }
 
+/// Encodes evidence for a message that is sent at `now`.
+pub(super) fn sent_evidence(
+    evidence: &crash_ledger::CrashEvidence,
+    now: boot_clock::BootInstant,
+) -> prompt_wire::PromptEvidenceWire {
+    let crashes = evidence.crashes.iter();
+    let successes = evidence.successes.iter();
+    prompt_wire::PromptEvidenceWire {
+        crashes: crashes.map(|crash| sent_crash(crash, now)).collect(),
+        successes: successes
+            .map(|success| (success.part.0, peer_wire::micros(now.since(success.at))))
+            .collect(),
+    }
+}
+
 /// Decodes a crash whose age was right at `now`.
 pub(super) fn received_crash(
     wire: &prompt_wire::PromptCrashWire,
--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -37,6 +37,10 @@
 /// case. Many engines that crash at once for another reason count as one.
 const MIN_CONSECUTIVE: usize = 3;
 
+/// Crashes after which a part is suspected although likelier parts explain some of them. Crashes
+/// with the same likelier part count as one.
+const MIN_SEPARATE: usize = 4;
+
 /// An engine that crashed when it began to answer a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRecord {
@@ -61,6 +65,15 @@
     pub at: boot_clock::BootInstant,
 }
 
+/// What a router knows about some parts of prompts.
+#[derive(Clone, Debug)]
+pub struct CrashEvidence {
+    /// Crashes of prompts that have one of the parts.
+    pub crashes: Vec<CrashRecord>,
+    /// Last successes of the parts of these prompts.
+    pub successes: Vec<PartSuccess>,
+}
+
 /// Parts that crash engines when a prompt has all of them, in ascending order.
 ///
 /// Parts that always occur together cannot be told apart, so they are suspected together. Prompts
@@ -100,15 +113,20 @@
         self.crashes.iter().filter(has_one).cloned().collect()
     }
 
-    /// Successes of `parts`.
+    /// Crashes of prompts that have one of `parts`, and the successes of all parts of these prompts.
     #[must_use]
-    pub fn successes_of(&self, parts: &[prompt_part::PromptPart]) -> Vec<PartSuccess> {
-        let parts = parts.iter();
-        let successes = parts.filter_map(|part| {
-            let at = self.successes.last(*part)?;
-            Some(PartSuccess { part: *part, at })
+    pub fn evidence_about(&self, parts: &[prompt_part::PromptPart]) -> CrashEvidence {
+        let crashes = self.crashes_of(parts);
+        let lost = crashes.iter().flat_map(|crash| crash.parts.iter());
+        let parts: collections::BTreeSet<_> = parts.iter().chain(lost).copied().collect();
+        let successes = parts.into_iter().filter_map(|part| {
+            let at = self.successes.last(part)?;
+            Some(PartSuccess { part, at })
         });
-        successes.collect()
+        CrashEvidence {
+            successes: successes.collect(),
+            crashes,
+        }
     }
 
     /// Returns the suspects among `parts`, the shared parts of a prompt that has just crashed an
@@ -137,18 +155,54 @@
             || (is_new
                 && distinct.len() >= MIN_CRASHES
                 && count(&crashes, |crash| crash.request) >= MIN_REQUESTS);
-        if !has_enough || count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
+        if !has_enough
+            || count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS
+            || self.is_explained(&distinct, success)
+        {
             return None;
         }
         let mut common = crashes.first()?.parts.clone();
         common.retain(|other| {
             let is_common = crashes.iter().all(|crash| crash.parts.contains(other));
-            *other == part || (is_common && self.successes.last(*other).is_none())
+            *other == part || (is_common && self.successes.last(*other) == success)
         });
         common.sort_unstable();
         common.dedup();
         Some(common)
     }
+
+    /// Whether parts that worked less recently than `success` explain `crashes`, of which some may be
+    /// innocent.
+    fn is_explained(
+        &self,
+        crashes: &[&CrashRecord],
+        success: Option<boot_clock::BootInstant>,
+    ) -> bool {
+        let mut known = collections::HashSet::new();
+        let mut separate = 0;
+        for crash in crashes {
+            let likelier = self.likelier_parts(crash, success);
+            separate += usize::from(likelier.is_disjoint(&known));
+            known.extend(likelier);
+        }
+        !known.is_empty() && separate < MIN_SEPARATE
+    }
+
+    /// Parts of all prompts that were lost in `crash` that worked less recently than `success`.
+    fn likelier_parts(
+        &self,
+        crash: &CrashRecord,
+        success: Option<boot_clock::BootInstant>,
+    ) -> collections::HashSet<prompt_part::PromptPart> {
+        let lost = self
+            .crashes
+            .iter()
+            .filter(|lost| is_same_crash(lost, crash));
+        let parts = lost.flat_map(|lost| lost.parts.iter().copied());
+        parts
+            .filter(|part| self.successes.last(*part) < success)
+            .collect()
+    }
 }
 
 fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -78,20 +78,11 @@
     ) -> prompt_wire::PromptEvidenceWire {
         let now = boot_clock::BootInstant::now();
         let crash = crash_exchange::received_crash(wire, now);
-        let parts = crash.parts.clone();
         let mut ledger = self.ledger.lock();
-        let crashes = ledger.crashes_of(&parts);
+        let evidence = ledger.evidence_about(&crash.parts);
         ledger.record_crash(crash, now);
-        let successes = ledger.successes_of(&parts).into_iter();
-        prompt_wire::PromptEvidenceWire {
-            crashes: crashes
-                .iter()
-                .map(|crash| crash_exchange::sent_crash(crash, now))
-                .collect(),
-            successes: successes
-                .map(|success| (success.part.0, peer_wire::micros(now.since(success.at))))
-                .collect(),
-        }
+        drop(ledger);
+        crash_exchange::sent_evidence(&evidence, now)
     }
 
     /// Takes blocks that another router told.
--- a/tests/gateway/crash_evidence.rs
+++ b/tests/gateway/crash_evidence.rs
@@ -206,6 +206,72 @@
     assert_eq!(suspects(&ledger, &[1, 2, 3]), [[0; 0]; 0]);
 }
 
+/// Prompts with three crashing parts come at once, all with a first part that sound prompts share but
+/// rarely have. Blocking the shared part would reject the sound ones.
+fn replay_of_parts_that_share_one(seed: u64) {
+    const SHARED: u64 = 3;
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut ledger = ledger(&[]);
+    let mut crashes: collections::BTreeMap<u64, u32> = [(7, 0), (8, 0), (9, 0)].into();
+    let mut millis = 10_000;
+    succeed(&mut ledger, SHARED, 9_000);
+    while !crashes.is_empty() {
+        let part = random.choice(crashes.keys().copied()).expect("one is left");
+        let ids = [SHARED, part];
+        millis += PREFILL_MS + random.u64(100..900);
+        let lost = crash(random.u64(..), random.u64(..), &ids, millis);
+        ledger.record_crash(lost, at(millis));
+        crashes.entry(part).and_modify(|count| *count += 1);
+        let shown = suspects(&ledger, &ids);
+        assert!(!shown.contains(&vec![SHARED]), "{crashes:?}");
+        if shown.contains(&vec![part]) {
+            assert!(crashes[&part] <= 5, "{crashes:?}");
+            crashes.remove(&part);
+        }
+    }
+}
+
+/// A part that engines answered begins to crash them, whatever other parts come with it.
+fn a_part_that_worked_is_suspected_with_any_other_parts() {
+    let mut ledger = ledger(&[]);
+    succeed(&mut ledger, 7, 7_000);
+    for number in 0..5 {
+        let millis = 9_000 + number * 1_300;
+        ledger.record_crash(
+            crash(number, number, &[7, 100 + number], millis),
+            at(millis),
+        );
+    }
+    assert_eq!(suspects(&ledger, &[7]), [[7]]);
+}
+
+/// A router that lacks the success of another part would take it for the cause.
+fn evidence_holds_the_successes_of_all_parts_of_lost_prompts() {
+    let mut ledger = ledger(&[crash(1, 10, &[5, 7], 8_000)]);
+    succeed(&mut ledger, 5, 8_500);
+    succeed(&mut ledger, 6, 8_600);
+    let evidence = ledger.evidence_about(&parts(&[7]));
+    assert_eq!(evidence.crashes.len(), 1);
+    let known: Vec<_> = evidence
+        .successes
+        .iter()
+        .map(|success| success.part)
+        .collect();
+    assert_eq!(known, parts(&[5]));
+}
+
+/// Both parts worked, the shared one more recently, as other prompts have it too.
+fn the_part_that_worked_less_recently_is_suspected() {
+    let mut ledger = ledger(&[]);
+    succeed(&mut ledger, 7, 5_000);
+    succeed(&mut ledger, 3, 7_000);
+    for number in 0..3 {
+        let millis = 9_000 + number * 1_300;
+        ledger.record_crash(crash(number, number, &[3, 7], millis), at(millis));
+    }
+    assert_eq!(suspects(&ledger, &[3, 7]), [[7]]);
+}
+
 fn a_block_ends_and_one_more_crash_doubles_it() {
     let mut list = block_list::BlockList::default();
     list.block(parts(&[5, 7]), 1_000);
@@ -267,6 +333,12 @@
     replay_1: replay_of_many_routers(1);
     replay_2: replay_of_many_routers(2);
     replay_3: replay_of_many_routers(3);
+    shared_part_1: replay_of_parts_that_share_one(1);
+    shared_part_2: replay_of_parts_that_share_one(2);
+    shared_part_3: replay_of_parts_that_share_one(3);
+    any_other_parts: a_part_that_worked_is_suspected_with_any_other_parts();
+    successes_of_all_parts: evidence_holds_the_successes_of_all_parts_of_lost_prompts();
+    worked_less_recently: the_part_that_worked_less_recently_is_suspected();
     block_ends: a_block_ends_and_one_more_crash_doubles_it();
     limited_block: a_block_from_elsewhere_is_limited();
     stored_block: a_stored_block_is_read_as_written();
