--- a/tests/gateway/endless_responses.rs
+++ b/tests/gateway/endless_responses.rs
@@ -19,17 +19,29 @@
 /// timeout follows.
 const MAX_RESPONSE_TIME: time::Duration = time::Duration::from_millis(3_500);
 
-/// Peak resident memory of the first gateway in KB.
-fn peak_memory(system: &System) -> u64 {
+/// A figure in KB from a file that the kernel keeps for the first gateway.
+fn memory(system: &System, file: &str, field: &str) -> u64 {
     let pid = system.gateways[0].child.id();
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let text = fs::read_to_string(format!("/proc/{pid}/{file}")).expect("it runs");
+    let line = text.lines().find(|line| line.starts_with(field));
     let number = line.and_then(|line| line.split_whitespace().nth(1));
     number
         .and_then(|text| text.parse().ok())
         .expect("a number of KB")
 }
 
+/// Peak resident memory of the first gateway in KB.
+fn peak_memory(system: &System) -> u64 {
+    memory(system, "status", "VmHWM:")
+}
+
+/// Each thread allocates from pages of its own, so huge pages take several times what is in use.
+fn a_gateway_uses_no_huge_pages() {
+    let system = System::start(1);
+    System::send(system.ip(), "/safe/1", "r1").expect("an answer");
+    assert_eq!(memory(&system, "smaps_rollup", "AnonHugePages:"), 0);
+}
+
 /// Sends one request per caller at the same time; returns the responses and the total time.
 fn send_calls(
     system: &System,
@@ -115,5 +127,6 @@
     head_of_a_stream: a_stream_resumes_elsewhere(fakes::EndpointMode::EndlessHead);
     comments_of_a_stream: a_stream_resumes_elsewhere(fakes::EndpointMode::EndlessComments(4));
     slow_comments_of_a_stream: a_stream_resumes_elsewhere(fakes::EndpointMode::TrickledComments(4));
+    huge_pages: a_gateway_uses_no_huge_pages();
     foreign_events_of_a_stream: a_stream_resumes_elsewhere(fakes::EndpointMode::ForeignEvents(4));
 }
