Ask other routers for the configuration before reading the store at a restart

What callers would see: a router that starts while the store holds an older configuration serves keys that were taken away, until it hears of the newer configuration from another router (CONFIG: came back older).

Cause: a seed read the store at once at every start, and any other router after half a second at most, whether it had reached another router or not. What the store says was taken for the newest, though routers that still run knew better. Class of fault: as in the faults before, a restored store is taken for a continuation. Ruled out: a router that reaches another one before its first read; it takes the newer configuration.

Change: after its first start, a router reads the store only if the routers that it has reached have no configuration either, or after a further second. Seeds then read after 150 ms instead of at once, still before the others, so that few routers read when all start. The first start of the whole system is as before. The first read is logged with what the router knew of the others. The tests now tell a first start from a later one, as the platform does.

All 300 gateway tests pass. Conclusion: fixed as long as another router is reached within a second. If none is, the router cannot know better.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -58,7 +58,7 @@
     /// Waits and limits for reading the store.
     pub pace: readers::ReadTiming,
     /// When this router begins to read the store if no peer has sent it a configuration by then.
-    pub first_read_at: time::Instant,
+    pub first_read: readers::FirstRead,
     /// When the store last answered this router: for the configuration, then for the endpoints.
     pub store_answered_at: parking_lot::Mutex<[boot_clock::BootInstant; 2]>,
     /// When the store last answered a reader, as reported by peers of all zones.
@@ -113,13 +113,28 @@
     /// Whether this router watches the store itself instead of relying on another reader.
     #[must_use]
     pub fn is_watching_store(&self) -> bool {
-        if self.version_number().is_none() && time::Instant::now() < self.first_read_at {
+        if self.version_number().is_none()
+            && !self
+                .first_read
+                .is_due(self.peer_contact(), time::Instant::now())
+        {
             return false;
         }
         let now = boot_clock::BootInstant::now();
         self.is_reader() || !self.reader_watch.lock().has_recent_answer(self.pace, now)
     }
 
+    /// What this router knows of the configurations of others.
+    pub(super) fn peer_contact(&self) -> readers::PeerContact {
+        if self.gossip.newest_config_peer(0).is_some() {
+            return readers::PeerContact::Configured;
+        }
+        if self.gossip.members().len() > 1 {
+            return readers::PeerContact::Unconfigured;
+        }
+        readers::PeerContact::None
+    }
+
     /// Whether this router is the one that reads the store for its zone.
     #[must_use]
     pub fn is_reader(&self) -> bool {
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -190,7 +190,7 @@
     let is_seed = settings.seeds.contains(&own_address);
     let delay =
         readers::first_read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
-    let first_read_at = time::Instant::now() + delay;
+    let first_read = readers::FirstRead::new(delay, settings.is_first_start, time::Instant::now());
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let permits = sync::Arc::new(permits::RouterPermits::new(
         sync::Arc::clone(&fleet),
@@ -228,7 +228,7 @@
         fleet,
         registry: parking_lot::Mutex::new(registry),
         pace,
-        first_read_at,
+        first_read,
         endpoint_rows: parking_lot::Mutex::default(),
         endpoint_era: parking_lot::Mutex::default(),
         endpoint_clock: parking_lot::Mutex::default(),
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -156,6 +156,9 @@
         if topic == rows::RowTopic::Endpoints && node.registry.lock().take_reread(asked_at) {
             after = None;
         }
+        if era.is_none() && !is_unreachable {
+            log::info!(topic:? = topic, peers:? = node.peer_contact(); "first read of the store");
+        }
         node.metrics.count("store.called");
         let read = match after {
             None => node.store.read_all(topic).await,
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -94,6 +94,25 @@
     }
 }
 
+/// A gateway starts while the store holds an older configuration, with a key that was taken away. The
+/// others still know the newer one.
+fn a_gateway_that_starts_does_not_bring_back_an_older_configuration() {
+    let mut system = System::start(3);
+    let copy = system.store.copy();
+    system.put_config(2, r#""k2""#);
+    thread::sleep(SETTLE_TIME);
+    system.store.restore(&copy, &[]);
+    for index in 0..system.gateways.len() {
+        let killed = system.kill(index);
+        system.start_again(index, killed);
+        let started = time::Instant::now();
+        while started.elapsed() < time::Duration::from_secs(2) {
+            let status = status(killed.0, "r1", "k");
+            assert_ne!(status, 200, "{:?}; {}", started.elapsed(), system.logs());
+        }
+    }
+}
+
 /// An endpoint registered after the copy. Its entry is back after a while, and until then it is the
 /// only one that takes requests.
 fn an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again() {
@@ -184,6 +203,7 @@
     blocked_prompts: blocked_prompts_are_written_again();
     reissued_versions: a_change_after_an_unnoticed_restore_is_in_force_in_time();
     older_configuration: an_older_configuration_neither_returns_nor_confirms_the_newer_one();
+    older_configuration_at_start: a_gateway_that_starts_does_not_bring_back_an_older_configuration();
     endpoint_not_in_copy: an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again();
     endpoint_that_left: an_endpoint_that_left_is_not_used_again();
     router_addresses: router_addresses_are_written_again();
--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -188,7 +188,7 @@
             bed.put_entry(index, "ready");
         }
         for index in 0..usize::from(gateways) {
-            let gateway = bed.spawn(index);
+            let gateway = bed.spawn(index, router::StartKind::First);
             bed.gateways.push(Some(gateway));
         }
         bed
@@ -198,10 +198,10 @@
         net::IpAddr::from([self.net[0], self.net[1], self.net[2], last])
     }
 
-    fn spawn(&self, index: usize) -> router::GatewayProcess {
+    fn spawn(&self, index: usize, kind: router::StartKind) -> router::GatewayProcess {
         let number = u8::try_from(index + 1).expect("few gateways");
         let door = self.store_links[index].address;
-        router::spawn(self.folder.path(), self.net, number, door)
+        router::spawn(self.folder.path(), self.net, number, door, kind)
     }
 
     fn put_entry(&self, index: usize, state: &str) {
@@ -364,7 +364,7 @@
                 OpenFault::Killed(index) => {
                     // Dropping the old process first frees its addresses.
                     self.gateways[index] = None;
-                    self.gateways[index] = Some(self.spawn(index));
+                    self.gateways[index] = Some(self.spawn(index, router::StartKind::Later));
                 }
                 OpenFault::EndpointMood(index) => {
                     self.endpoints[index].set_mode(fakes::EndpointMode::Healthy);
--- a/tests/gateway/support/router.rs
+++ b/tests/gateway/support/router.rs
@@ -37,17 +37,26 @@
     }
 }
 
+/// Whether a gateway starts together with all others for the first time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartKind {
+    First,
+    Later,
+}
+
 /// Starts gateway `number` of a network, with its settings and its log in `folder`.
 pub fn spawn(
     folder: &path::Path,
     net: [u8; 3],
     number: u8,
     store_address: net::SocketAddr,
+    kind: StartKind,
 ) -> GatewayProcess {
     let ip = net::IpAddr::from([net[0], net[1], net[2], number]);
     let seed = net::IpAddr::from([net[0], net[1], net[2], 1]);
+    let is_first = kind == StartKind::First;
     let settings = format!(
-        "node: g{number}\nip: {ip}\nzone: z1\nlisten: {{front: '{ip}:8227', ready: '{ip}:8220', \
+        "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\nlisten: {{front: '{ip}:8227', ready: '{ip}:8220', \
          control: '{ip}:8229', directory: '{ip}:8224'}}\nseeds: ['{seed}:8229']\n\
          limits: {{memory_mb: 96, max_fds: 2870}}\nbounds: {{strict_revoke: true, \
          revoke_ms: 4000, grace_s: 4, ttl_max_s: 5, budget_ratio: 0.8, budget_slack: 300, \
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -54,7 +54,9 @@
             .put("servers", "e2", &system.second.entry("m", "z2", "ready"));
         for number in 1..=gateways {
             let store_address = system.store.open_listener();
-            let gateway = router::spawn(system.folder.path(), system.net, number, store_address);
+            let kind = router::StartKind::First;
+            let folder = system.folder.path();
+            let gateway = router::spawn(folder, system.net, number, store_address, kind);
             system.gateways.push(gateway);
         }
         for gateway in &system.gateways {
@@ -78,7 +80,8 @@
             net::IpAddr::V4(ip) => ip.octets()[3],
             net::IpAddr::V6(_) => unreachable!("the tests use IPv4"),
         };
-        let gateway = router::spawn(self.folder.path(), self.net, number, store_address);
+        let kind = router::StartKind::Later;
+        let gateway = router::spawn(self.folder.path(), self.net, number, store_address, kind);
         self.gateways.insert(index, gateway);
     }
 
