Let each configuration be confirmed by itself

What callers would see: a key is accepted for up to four seconds more than allowed, at a router that read an older configuration from a restored store and then got the newer one from another router (CONFIG).

Cause: the time of the last confirmation was kept when another configuration came into force. So the store's word for the older configuration counted for the newer one, which no store had confirmed since the restore. Ruled out: changes that the store or a peer delivers in the usual way; both confirm the new configuration in the same step.

Change: the clock starts anew with each configuration.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -217,6 +217,8 @@
         let routes = version.route_count();
         state.version = Some(sync::Arc::new(version));
         state.row = Some((key.to_owned(), value.to_vec()));
+        // What confirmed the version before says nothing about this one.
+        state.clock = freshness::FreshnessClock::default();
         drop(state);
         log::info!(version = number, routes, source; "version in force");
         let kind = timeline::EventKind::VersionInForce { number };
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -12,7 +12,7 @@
 
 use crate::common;
 use crate::support::system::System;
-use crate::support::{caller, fakes};
+use crate::support::{caller, fakes, router};
 
 /// Time in which a change must be in force at all gateways, as the platform's settings define it.
 const CHANGE_BOUND: time::Duration = time::Duration::from_secs(2);
@@ -113,6 +113,44 @@
     }
 }
 
+/// A gateway that starts reaches no other one, so it takes the older configuration of the store. The
+/// newer one that it gets from the others later was not confirmed since the restore.
+fn an_older_configuration_does_not_confirm_the_newer_one_of_a_peer() {
+    let mut system = System::start(3);
+    let copy = system.store.copy();
+    system.put_config(2, r#""k2""#);
+    thread::sleep(SETTLE_TIME);
+    system.store.restore(&copy, &[]);
+    let restored = time::Instant::now();
+    let killed = system.kill(0);
+    for gateway in &system.gateways {
+        router::signal(gateway, rustix::process::Signal::STOP);
+    }
+    thread::sleep(time::Duration::from_secs(2));
+    system.start_again(0, killed);
+    system.wait_for("the older configuration is in force", || {
+        status(killed.0, "r1", "k") == 200
+    });
+    for gateway in &system.gateways[1..] {
+        router::signal(gateway, rustix::process::Signal::CONT);
+    }
+    system.wait_for("the newer configuration is in force", || {
+        status(killed.0, "r2", "k") != 200
+    });
+    // Keys end after four seconds without news of the configuration.
+    while restored.elapsed() < time::Duration::from_millis(7_500) {
+        let status = status(killed.0, "r3", "k2");
+        let is_over = time::Duration::from_millis(4_250) < restored.elapsed();
+        assert!(
+            !is_over || status == 503,
+            "{status} {:?}; {}",
+            restored.elapsed(),
+            system.logs()
+        );
+        thread::sleep(time::Duration::from_millis(50));
+    }
+}
+
 /// An endpoint registered after the copy. Its entry is back after a while, and until then it is the
 /// only one that takes requests.
 fn an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again() {
@@ -204,6 +242,7 @@
     reissued_versions: a_change_after_an_unnoticed_restore_is_in_force_in_time();
     older_configuration: an_older_configuration_neither_returns_nor_confirms_the_newer_one();
     older_configuration_at_start: a_gateway_that_starts_does_not_bring_back_an_older_configuration();
+    older_configuration_before_newer: an_older_configuration_does_not_confirm_the_newer_one_of_a_peer();
     endpoint_not_in_copy: an_endpoint_that_the_copy_lacks_is_used_until_it_registers_again();
     endpoint_that_left: an_endpoint_that_left_is_not_used_again();
     router_addresses: router_addresses_are_written_again();
