Move the first read of the store and the role of a reader into files of their own

Ruled out: a change of behaviour; the code was moved, and the decision of the first read now has a test of its own beside the replay of many routers that start at once. Change: first_read.rs has the delays and FirstRead, store_role.rs whether this router reads the store and how old its last answer is. Two comments of the crash ledger say what their functions return.

--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -171,8 +171,8 @@
         Some(common)
     }
 
-    /// Whether parts that worked less recently than `success` explain `crashes`, of which some may be
-    /// innocent.
+    /// Whether `crashes` are too few to suspect a part that last worked at `success`, as likelier parts
+    /// explain them.
     fn is_explained(
         &self,
         crashes: &[&CrashRecord],
@@ -188,7 +188,7 @@
         !known.is_empty() && separate < MIN_SEPARATE
     }
 
-    /// Parts of all prompts that were lost in `crash` that worked less recently than `success`.
+    /// Parts that worked less recently than `success`, of all prompts that were lost in `crash`.
     fn likelier_parts(
         &self,
         crash: &CrashRecord,
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -7,8 +7,8 @@
 use crate::connection::h1::{head, sink};
 use crate::connection::peer;
 use crate::process::gateway::{
-    boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, freshness,
-    permits, prompt_guard, readers, request_check, rows, settings, stream_duration,
+    boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
+    freshness, permits, prompt_guard, readers, request_check, rows, settings, stream_duration,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -58,7 +58,7 @@
     /// Waits and limits for reading the store.
     pub pace: readers::ReadTiming,
     /// When this router begins to read the store if no peer has sent it a configuration by then.
-    pub first_read: readers::FirstRead,
+    pub first_read: first_read::FirstRead,
     /// When the store last answered this router: for the configuration, then for the endpoints.
     pub store_answered_at: parking_lot::Mutex<[boot_clock::BootInstant; 2]>,
     /// When the store last answered a reader, as reported by peers of all zones.
@@ -110,56 +110,6 @@
         version.map_or_else(traffic::CallerLimits::default, |version| *version.limits())
     }
 
-    /// Whether this router watches the store itself instead of relying on another reader.
-    #[must_use]
-    pub fn is_watching_store(&self) -> bool {
-        if self.version_number().is_none()
-            && !self
-                .first_read
-                .is_due(self.peer_contact(), time::Instant::now())
-        {
-            return false;
-        }
-        let now = boot_clock::BootInstant::now();
-        self.is_reader() || !self.reader_watch.lock().has_recent_answer(self.pace, now)
-    }
-
-    /// What this router knows of the configurations of others.
-    pub(super) fn peer_contact(&self) -> readers::PeerContact {
-        if self.gossip.newest_config_peer(0).is_some() {
-            return readers::PeerContact::Configured;
-        }
-        if self.gossip.members().len() > 1 {
-            return readers::PeerContact::Unconfigured;
-        }
-        readers::PeerContact::None
-    }
-
-    /// Whether this router is the one that reads the store for its zone.
-    #[must_use]
-    pub fn is_reader(&self) -> bool {
-        readers::ZonePosition(self.gossip.ready_index_in_zone()).is_reader()
-    }
-
-    /// Time since the store last answered this router or, if it does not watch the store, a reader
-    /// that peers reported; `None` if they reported none.
-    #[must_use]
-    pub fn store_answer_age(&self) -> Option<time::Duration> {
-        if self.is_watching_store() {
-            return Some(self.own_answer_age());
-        }
-        self.reader_watch.lock().age(boot_clock::BootInstant::now())
-    }
-
-    /// Time since the store last answered this router: the longer of the times for the
-    /// configuration and for the endpoints.
-    fn own_answer_age(&self) -> time::Duration {
-        let now = boot_clock::BootInstant::now();
-        let answers = *self.store_answered_at.lock();
-        let ages = answers.into_iter().map(|answer| now.since(answer));
-        ages.max().unwrap_or_default()
-    }
-
     /// Records that the list of endpoints is of this era of the store; returns whether the list before
     /// it was of another one, so that the store was restored meanwhile.
     pub(super) fn enter_endpoint_era(&self, era: u64) -> bool {
@@ -167,16 +117,6 @@
         before.is_some_and(|before| before != era)
     }
 
-    /// Records that the store has just answered a call for `topic`.
-    pub(super) fn record_store_answer(&self, topic: rows::RowTopic) {
-        let index = match topic {
-            rows::RowTopic::Config => 0,
-            rows::RowTopic::Endpoints => 1,
-            rows::RowTopic::Routers | rows::RowTopic::BlockedPrompts => return,
-        };
-        self.store_answered_at.lock()[index] = boot_clock::BootInstant::now();
-    }
-
     /// Whether new callers should use this router.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -14,8 +14,8 @@
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
-    budgets, caller_server, endpoint_fleet, endpoint_registry, info_server, node, peers, permits,
-    prompt_guard, readers, reload, rows, settings, store_watch,
+    budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
+    peers, permits, prompt_guard, readers, reload, rows, settings, store_watch,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -188,9 +188,9 @@
     let pace = readers::ReadTiming::new(settings.bounds.propagation_limit);
     let own_address = settings.peer_listen.to_string();
     let is_seed = settings.seeds.contains(&own_address);
-    let delay =
-        readers::first_read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
-    let first_read = readers::FirstRead::new(delay, settings.is_first_start, time::Instant::now());
+    let delay = first_read::read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
+    let first_read =
+        first_read::FirstRead::new(delay, settings.is_first_start, time::Instant::now());
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let permits = sync::Arc::new(permits::RouterPermits::new(
         sync::Arc::clone(&fleet),
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -7,7 +7,9 @@
 
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::endpoints::placement;
-use kumquatpulley::process::gateway::{boot_clock, budgets, endpoint_registry, freshness};
+use kumquatpulley::process::gateway::{
+    boot_clock, budgets, endpoint_registry, first_read, freshness,
+};
 use kumquatpulley::process::gateway::{
     endpoint_fleet, endpoint_notice, endpoint_rows, readers, settings,
 };
@@ -429,7 +431,7 @@
     const ANSWER_TIME: time::Duration = time::Duration::from_millis(50);
     let mut random = fastrand::Rng::with_seed(5);
     let delays = (0..ROUTERS)
-        .map(|router| readers::first_read_delay(router < seeds, is_first_start, &mut random));
+        .map(|router| first_read::read_delay(router < seeds, is_first_start, &mut random));
     let delays: Vec<time::Duration> = delays.collect();
     let first = delays.iter().min().copied().unwrap_or_default();
     let reading = delays.iter().filter(|delay| **delay <= first + ANSWER_TIME);
@@ -442,6 +444,27 @@
     assert!(last < time::Duration::from_secs(2));
 }
 
+/// A store that was restored holds an older configuration than routers that still run. One that starts
+/// again reads it late, unless those that it has reached have just started too.
+fn a_restart_reads_the_store_after_other_routers_were_asked() {
+    let delay = time::Duration::from_millis(150);
+    let second = time::Duration::from_secs(1);
+    let now = time::Instant::now();
+    let restart = first_read::FirstRead::new(delay, false, now);
+    for contact in [
+        first_read::PeerContact::None,
+        first_read::PeerContact::Configured,
+    ] {
+        assert!(!restart.is_due(contact, now + delay), "{contact:?}");
+        assert!(restart.is_due(contact, now + delay + second), "{contact:?}");
+    }
+    let contact = first_read::PeerContact::Unconfigured;
+    assert!(!restart.is_due(contact, now));
+    assert!(restart.is_due(contact, now + delay));
+    let first_start = first_read::FirstRead::new(delay, true, now);
+    assert!(first_start.is_due(first_read::PeerContact::None, now + delay));
+}
+
 /// Calls of the routers of one zone to an unreachable store, compared with a fixed pause of 0.2 s.
 fn an_outage_causes_few_calls() {
     const ROUTERS: u64 = 22;
@@ -838,6 +861,7 @@
     simultaneous_start: a_simultaneous_start_causes_few_calls(3, true, 3);
     simultaneous_start_without_seeds: a_simultaneous_start_causes_few_calls(0, true, 30);
     simultaneous_restart: a_simultaneous_start_causes_few_calls(3, false, 3);
+    restart_asks_first: a_restart_reads_the_store_after_other_routers_were_asked();
     no_recent_answer: a_router_without_recent_answers_reads_the_store();
     leaving_endpoint: leaving_endpoints_get_no_requests();
     failed_endpoint: failed_endpoints_are_used_only_as_a_last_resort();
