Name the restart delay of seeds and share the set-up of restored stores

A part of a delay becomes a delay of its own with a unit, the decoding of evidence moves to the file that encodes it, and three tests share the set-up that they had each written out. No behaviour changes: the delay of a seed stays 150 ms.

Ruled out: a change of a check; the tests keep their assertions.

--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -81,6 +81,24 @@
     }
 }
 
+/// Decodes evidence whose ages were right at `now`.
+pub(super) fn received_evidence(
+    wire: &prompt_wire::PromptEvidenceWire,
+    now: boot_clock::BootInstant,
+) -> crash_ledger::CrashEvidence {
+    let crashes = wire.crashes.iter();
+    let successes = wire.successes.iter();
+    crash_ledger::CrashEvidence {
+        crashes: crashes.map(|crash| received_crash(crash, now)).collect(),
+        successes: successes
+            .map(|(part, age_micros)| crash_ledger::PartSuccess {
+                part: prompt_part::PromptPart(*part),
+                at: now.before(time::Duration::from_micros(*age_micros)),
+            })
+            .collect(),
+    }
+}
+
 /// Decodes a crash whose age was right at `now`.
 pub(super) fn received_crash(
     wire: &prompt_wire::PromptCrashWire,
--- a/src/process/gateway/first_read.rs
+++ b/src/process/gateway/first_read.rs
@@ -13,8 +13,8 @@
 /// waiting.
 const MAX_RESTART_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// Part of the restart delay after which seeds read the store.
-const SEED_RESTART_PART: f64 = 0.3;
+/// Time for which a seed leaves reading to others at a later start; shorter than that of the rest.
+const SEED_RESTART_DELAY: time::Duration = time::Duration::from_millis(150);
 
 /// Longest further time for which a router that starts again waits for a peer's configuration. Covers
 /// a probe of a seed by the others, if this router is the only seed that they can reach.
@@ -33,16 +33,11 @@
     is_first_start: bool,
     random: &mut fastrand::Rng,
 ) -> time::Duration {
-    if is_seed && is_first_start {
-        return time::Duration::ZERO;
-    }
-    if is_seed {
-        return MAX_RESTART_DELAY.mul_f64(SEED_RESTART_PART);
-    }
-    let longest = if is_first_start {
-        MAX_FIRST_START_DELAY
-    } else {
-        MAX_RESTART_DELAY
+    let longest = match (is_seed, is_first_start) {
+        (true, true) => return time::Duration::ZERO,
+        (true, false) => return SEED_RESTART_DELAY,
+        (false, true) => MAX_FIRST_START_DELAY,
+        (false, false) => MAX_RESTART_DELAY,
     };
     longest.mul_f64(0.5 + random.f64() / 2.0)
 }
--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/prompt_guard.rs
@@ -182,14 +182,12 @@
                 continue;
             };
             count += 1;
-            for crash in &evidence.crashes {
-                ledger.record_crash(crash_exchange::received_crash(crash, asked_at), asked_at);
+            let evidence = crash_exchange::received_evidence(&evidence, asked_at);
+            for crash in evidence.crashes {
+                ledger.record_crash(crash, asked_at);
             }
-            for (part, age_micros) in evidence.successes {
-                ledger.record_success(crash_ledger::PartSuccess {
-                    part: prompt_part::PromptPart(part),
-                    at: asked_at.before(time::Duration::from_micros(age_micros)),
-                });
+            for success in evidence.successes {
+                ledger.record_success(success);
             }
         }
         count
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -8,10 +8,8 @@
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::endpoints::placement;
 use kumquatpulley::process::gateway::{
-    boot_clock, budgets, endpoint_registry, first_read, freshness,
-};
-use kumquatpulley::process::gateway::{
-    endpoint_fleet, endpoint_notice, endpoint_rows, readers, settings,
+    boot_clock, budgets, endpoint_fleet, endpoint_notice, endpoint_registry, endpoint_rows,
+    first_read, freshness, readers, settings,
 };
 use kumquatpulley::process::view;
 use kumquatpulley::request::key;
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -66,14 +66,21 @@
     }
 }
 
-/// The copy holds an older configuration, with a key that was taken away. Gateways keep the newer one,
-/// and do not take the older one for a sign that theirs is still the newest.
-fn an_older_configuration_neither_returns_nor_confirms_the_newer_one() {
+/// Three gateways that know version 2, with the key `k2`, and a store that was restored to version 1,
+/// with the key `k`.
+fn start_with_older_configuration() -> System {
     let system = System::start(3);
     let copy = system.store.copy();
     system.put_config(2, r#""k2""#);
     thread::sleep(SETTLE_TIME);
     system.store.restore(&copy, &[]);
+    system
+}
+
+/// The copy holds an older configuration, with a key that was taken away. Gateways keep the newer one,
+/// and do not take the older one for a sign that theirs is still the newest.
+fn an_older_configuration_neither_returns_nor_confirms_the_newer_one() {
+    let system = start_with_older_configuration();
     let restored = time::Instant::now();
     while restored.elapsed() < time::Duration::from_secs(6) {
         for gateway in &system.gateways {
@@ -97,11 +104,7 @@
 /// A gateway starts while the store holds an older configuration, with a key that was taken away. The
 /// others still know the newer one.
 fn a_gateway_that_starts_does_not_bring_back_an_older_configuration() {
-    let mut system = System::start(3);
-    let copy = system.store.copy();
-    system.put_config(2, r#""k2""#);
-    thread::sleep(SETTLE_TIME);
-    system.store.restore(&copy, &[]);
+    let mut system = start_with_older_configuration();
     for index in 0..system.gateways.len() {
         let killed = system.kill(index);
         system.start_again(index, killed);
@@ -116,11 +119,7 @@
 /// A gateway that starts reaches no other one, so it takes the older configuration of the store. The
 /// newer one that it gets from the others later was not confirmed since the restore.
 fn an_older_configuration_does_not_confirm_the_newer_one_of_a_peer() {
-    let mut system = System::start(3);
-    let copy = system.store.copy();
-    system.put_config(2, r#""k2""#);
-    thread::sleep(SETTLE_TIME);
-    system.store.restore(&copy, &[]);
+    let mut system = start_with_older_configuration();
     let restored = time::Instant::now();
     let killed = system.kill(0);
     for gateway in &system.gateways {
--- a/tests/gateway/support/router.rs
+++ b/tests/gateway/support/router.rs
@@ -56,7 +56,8 @@
     let seed = net::IpAddr::from([net[0], net[1], net[2], 1]);
     let is_first = kind == StartKind::First;
     let settings = format!(
-        "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\nlisten: {{front: '{ip}:8227', ready: '{ip}:8220', \
+        "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\n\
+         listen: {{front: '{ip}:8227', ready: '{ip}:8220', \
          control: '{ip}:8229', directory: '{ip}:8224'}}\nseeds: ['{seed}:8229']\n\
          limits: {{memory_mb: 96, max_fds: 2870}}\nbounds: {{strict_revoke: true, \
          revoke_ms: 4000, grace_s: 4, ttl_max_s: 5, budget_ratio: 0.8, budget_slack: 300, \
