Log what a stopping router does with each request, and which it abandons

The logs could not tell the hypotheses about requests lost at planned stops apart: nothing said why a request was taken or refused while the router stops, and a request that is cut at the end of the process left no line.

`request arrived while stopping` has the inputs of the decision: the time left and the mean duration of streams, `None` if none has ended yet. `request abandoned` is written when a request is dropped before its end, and `stopped` counts those that the exit aborts.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -227,11 +227,16 @@
             return self.refuse(sink, &refusal, Some(&id)).await;
         }
         self.relay.budget.deposit(&request.service, arrived);
+        let unfinished = UnfinishedRequest {
+            node: self,
+            request: &request,
+        };
         let end = if request.route.kind.is_stream() {
             stream::relay(&self.relay, &request, sink).await
         } else {
             buffered::relay(&self.relay, &request, sink).await
         };
+        unfinished.finish();
         self.record_outcome(&request, number, &end);
         match end {
             context::RelayOutcome::Refused(refusal) => self.refuse(sink, &refusal, Some(&id)).await,
@@ -249,18 +254,21 @@
         let code = verdict::RefusalCode::NotReady;
         let refusal = verdict::RequestRefusal::not_run(503, code, message);
         let refusal = refusal.retry_after(request_check::STALE_RETRY_DELAY);
-        if self.is_closing.load(atomic::Ordering::SeqCst) {
-            return Some(refusal);
-        }
-        if !request.route.kind.is_stream() {
-            return None;
-        }
         let closes_at = (*self.closes_at.lock())?;
         let time_left = closes_at.saturating_duration_since(request.arrived);
-        if self.stream_duration.lock().can_finish_within(time_left) {
-            return None;
-        }
-        Some(refusal)
+        let estimate = *self.stream_duration.lock();
+        let is_stream = request.route.kind.is_stream();
+        let is_admitted = !self.is_closing.load(atomic::Ordering::SeqCst)
+            && (!is_stream || estimate.can_finish_within(time_left));
+        log::info!(
+            request = request.metadata.id.as_str(),
+            is_stream,
+            is_admitted,
+            time_left_ms = whole_millis(time_left),
+            mean_ms:? = estimate.mean().map(whole_millis);
+            "request arrived while stopping"
+        );
+        (!is_admitted).then_some(refusal)
     }
 
     fn record_outcome(
@@ -286,7 +294,7 @@
             request = request.metadata.id.as_str(),
             route = request.route.name.as_str(),
             version,
-            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            elapsed_ms = whole_millis(elapsed),
             end:? = end;
             "request ended"
         );
@@ -308,7 +316,7 @@
             code:? = refusal.code,
             verdict = refusal.verdict.as_str(),
             version = self.version_number().unwrap_or_default(),
-            version_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            version_age_ms = whole_millis(age);
             "request refused"
         );
         let head = self.relay.dialect.refusal_head(refusal, request);
@@ -320,6 +328,35 @@
     }
 }
 
+/// Logs a request that is dropped before its end: its caller left, or the process exits.
+struct UnfinishedRequest<'a> {
+    node: &'a GatewayNode,
+    request: &'a context::RelayRequest,
+}
+
+impl UnfinishedRequest<'_> {
+    /// The request has an outcome, so nothing is logged.
+    fn finish(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for UnfinishedRequest<'_> {
+    fn drop(&mut self) {
+        log::warn!(
+            request = self.request.metadata.id.as_str(),
+            route = self.request.route.name.as_str(),
+            elapsed_ms = whole_millis(self.request.arrived.elapsed()),
+            is_closing = self.node.is_closing.load(atomic::Ordering::SeqCst);
+            "request abandoned"
+        );
+    }
+}
+
+fn whole_millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn relay_request(
     head: head::RequestHead,
     body: Vec<u8>,
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -162,9 +162,10 @@
     // wait.
     let _message = signals.drain.recv().await;
     stop(&node).await;
+    let aborted = node.in_flight.load(atomic::Ordering::SeqCst);
     drop(stop_source);
     task::sleep(POLL_INTERVAL).await;
-    log::info!("stopped");
+    log::info!(aborted; "stopped");
     log::logger().flush();
 }
 
--- a/src/process/gateway/stream_duration.rs
+++ b/src/process/gateway/stream_duration.rs
@@ -25,6 +25,12 @@
         self.mean = Some(mean.mul_f64(1.0 - SMOOTHING_FACTOR) + elapsed.mul_f64(SMOOTHING_FACTOR));
     }
 
+    /// Mean duration; `None` before the first [`record`](Self::record).
+    #[must_use]
+    pub const fn mean(&self) -> Option<time::Duration> {
+        self.mean
+    }
+
     /// Whether a stream that begins now is likely to end within `time_left`; true before the first
     /// [`record`](Self::record).
     #[must_use]
