Refuse streams that a stopping router cannot be certain to finish

Cause: a stopping router took a stream if 1.3 times the mean duration of its streams fitted into the time left. A router that had relayed no stream since its start took all of them, until 86 % of the grace period; a mean of short or of resumed streams let long ones pass. The class of fault: an estimate, or the lack of one, stands in for a guarantee. The same held for calls, which passed until 86 % whatever their deadline.

Change: from 2.5 s after the signal on, which is counted from the signal itself, a request is taken only if its own deadline ends it before the abort. Before that, streams are taken if mean and deviation of whole streams (RFC 6298) say that nearly all end in time; without any they may take until their deadline. Refused ones start at another router at once. The decision is apart from I/O in stop_schedule.

decisions::stopping_router asserted that a router without durations takes a stream with 1 s left, which is the fault itself; it now asserts the opposite. The other assertions are as they were.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -8,7 +8,8 @@
 use crate::connection::peer;
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
-    freshness, permits, prompt_guard, readers, request_check, rows, settings, stream_duration,
+    freshness, permits, prompt_guard, readers, request_check, rows, settings, stop_schedule,
+    stream_duration, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -81,8 +82,8 @@
     pub is_draining: atomic::AtomicBool,
     /// Whether all new requests are refused, as the process is about to exit.
     pub is_closing: atomic::AtomicBool,
-    /// When `is_closing` is set at the latest; `None` while the process is not stopping.
-    pub closes_at: parking_lot::Mutex<Option<time::Instant>>,
+    /// Times of the planned stop; `None` while the process is not stopping.
+    pub stop_schedule: parking_lot::Mutex<Option<stop_schedule::StopSchedule>>,
     /// Estimate of how long streams take.
     pub stream_duration: parking_lot::Mutex<stream_duration::DurationEstimate>,
     /// Number of requests in flight.
@@ -227,10 +228,7 @@
             return self.refuse(sink, &refusal, Some(&id)).await;
         }
         self.relay.budget.deposit(&request.service, arrived);
-        let unfinished = UnfinishedRequest {
-            node: self,
-            request: &request,
-        };
+        let unfinished = unfinished_request::UnfinishedRequest::new(self, &request);
         let end = if request.route.kind.is_stream() {
             stream::relay(&self.relay, &request, sink).await
         } else {
@@ -244,33 +242,6 @@
         }
     }
 
-    /// Refuses requests that the end of this process would probably abort, so that they start on
-    /// another router.
-    fn refuse_if_stopping(
-        &self,
-        request: &context::RelayRequest,
-    ) -> Option<verdict::RequestRefusal> {
-        let message = "this router will stop before the request can finish; use another address";
-        let code = verdict::RefusalCode::NotReady;
-        let refusal = verdict::RequestRefusal::not_run(503, code, message);
-        let refusal = refusal.retry_after(request_check::STALE_RETRY_DELAY);
-        let closes_at = (*self.closes_at.lock())?;
-        let time_left = closes_at.saturating_duration_since(request.arrived);
-        let estimate = *self.stream_duration.lock();
-        let is_stream = request.route.kind.is_stream();
-        let is_admitted = !self.is_closing.load(atomic::Ordering::SeqCst)
-            && (!is_stream || estimate.can_finish_within(time_left));
-        log::info!(
-            request = request.metadata.id.as_str(),
-            is_stream,
-            is_admitted,
-            time_left_ms = whole_millis(time_left),
-            mean_ms:? = estimate.mean().map(whole_millis);
-            "request arrived while stopping"
-        );
-        (!is_admitted).then_some(refusal)
-    }
-
     fn record_outcome(
         &self,
         request: &context::RelayRequest,
@@ -285,7 +256,9 @@
             "call.duration"
         };
         self.metrics.time(duration, elapsed);
-        if is_stream && *end == context::RelayOutcome::Served(200) {
+        // A resumed stream is only the rest of one.
+        let is_full = is_stream && request.metadata.last_event.is_none();
+        if is_full && *end == context::RelayOutcome::Served(200) {
             self.stream_duration.lock().record(elapsed);
         }
         self.metrics
@@ -328,32 +301,8 @@
     }
 }
 
-/// Logs a request that is dropped before its end: its caller left, or the process exits.
-struct UnfinishedRequest<'a> {
-    node: &'a GatewayNode,
-    request: &'a context::RelayRequest,
-}
-
-impl UnfinishedRequest<'_> {
-    /// The request has an outcome, so nothing is logged.
-    fn finish(self) {
-        std::mem::forget(self);
-    }
-}
-
-impl Drop for UnfinishedRequest<'_> {
-    fn drop(&mut self) {
-        log::warn!(
-            request = self.request.metadata.id.as_str(),
-            route = self.request.route.name.as_str(),
-            elapsed_ms = whole_millis(self.request.arrived.elapsed()),
-            is_closing = self.node.is_closing.load(atomic::Ordering::SeqCst);
-            "request abandoned"
-        );
-    }
-}
-
-fn whole_millis(time: time::Duration) -> u64 {
+/// Whole milliseconds for a log line.
+pub(super) fn whole_millis(time: time::Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -15,7 +15,7 @@
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
-    peers, permits, prompt_guard, readers, reload, rows, settings, store_watch,
+    peers, permits, prompt_guard, readers, reload, rows, settings, stop, store_watch,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -26,23 +26,9 @@
 /// response is held twice while it is assembled.
 const ANSWER_MEMORY_DIVISOR: usize = 8;
 
-/// Interval between checks of readiness and of requests in flight.
+/// Interval between checks of readiness.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// Shortest time from the signal to the end of the drain, so that callers that looked up addresses
-/// just before the signal still reach the router.
-const MIN_DRAIN_TIME: time::Duration = time::Duration::from_secs(3);
-
-/// Fraction of the grace period after which all new requests are refused.
-const CLOSE_FRACTION: f64 = 0.86;
-
-/// Fraction of the grace period after which requests in flight are aborted, so that callers
-/// continue them on another router.
-const ABORT_FRACTION: f64 = 0.95;
-
-/// Time for the last gossip of this router to reach other routers.
-const GOSSIP_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
-
 /// Adapters for the formats and protocols of one platform.
 #[derive(Clone, Debug)]
 pub struct PlatformAdapters {
@@ -60,7 +46,8 @@
 
 /// Signals of the operating system, with one channel for each purpose.
 struct SignalChannels {
-    drain: channel::Receiver<()>,
+    /// When the signal to stop came.
+    drain: channel::Receiver<time::Instant>,
     reload: channel::Receiver<()>,
 }
 
@@ -80,13 +67,12 @@
     let (reload_sender, reload_receiver) = channel::bounded(1);
     let signals = [consts::SIGTERM, consts::SIGINT, consts::SIGHUP];
     start::watch_signals(&signals, move |signal| {
-        let sender = if signal == consts::SIGHUP {
-            &reload_sender
-        } else {
-            &drain_sender
-        };
         // A full channel means that the same request is pending already.
-        let _already_pending = sender.try_send(());
+        if signal == consts::SIGHUP {
+            let _already_pending = reload_sender.try_send(());
+            return;
+        }
+        let _already_pending = drain_sender.try_send(time::Instant::now());
     })
     .map_err(start::NodeError::Setup)?;
     let metrics = metrics::RouterMetrics::new(None);
@@ -160,8 +146,9 @@
     ));
     // The signal thread keeps the sender, so the channel never closes and only a signal ends the
     // wait.
-    let _message = signals.drain.recv().await;
-    stop(&node).await;
+    let signalled_at = signals.drain.recv().await;
+    let signalled_at = signalled_at.unwrap_or_else(|_closed| time::Instant::now());
+    stop::stop(&node, signalled_at).await;
     let aborted = node.in_flight.load(atomic::Ordering::SeqCst);
     drop(stop_source);
     task::sleep(POLL_INTERVAL).await;
@@ -244,7 +231,7 @@
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
-        closes_at: parking_lot::Mutex::default(),
+        stop_schedule: parking_lot::Mutex::default(),
         stream_duration: parking_lot::Mutex::default(),
         in_flight: atomic::AtomicU64::default(),
         body_bytes: atomic::AtomicU64::default(),
@@ -317,29 +304,3 @@
     node.ring.record(None, timeline::EventKind::Ready);
     node.gossip.set_ready();
 }
-
-/// Drains: has this router removed from address answers, then waits until no request is in flight
-/// or the grace period is nearly over.
-async fn stop(node: &node::GatewayNode) {
-    let started = time::Instant::now();
-    let in_flight = || node.in_flight.load(atomic::Ordering::SeqCst);
-    let grace = node.settings.bounds.stop_grace;
-    let (close_after, abort_after) = (grace.mul_f64(CLOSE_FRACTION), grace.mul_f64(ABORT_FRACTION));
-    *node.closes_at.lock() = Some(started + close_after);
-    node.is_draining.store(true, atomic::Ordering::SeqCst);
-    node.gossip.set_draining();
-    node.ring.record(None, timeline::EventKind::Draining);
-    log::info!(in_flight = in_flight(); "draining");
-    let min_drain = MIN_DRAIN_TIME.min(close_after);
-    while started.elapsed() < close_after && (in_flight() > 0 || started.elapsed() < min_drain) {
-        task::sleep(POLL_INTERVAL).await;
-    }
-    log::info!(in_flight = in_flight(); "leaving");
-    // New requests are refused from now on, so that none is relayed and then aborted.
-    node.is_closing.store(true, atomic::Ordering::SeqCst);
-    node.gossip.set_left();
-    task::sleep(GOSSIP_FLUSH_TIME).await;
-    while started.elapsed() < abort_after && in_flight() > 0 {
-        task::sleep(POLL_INTERVAL).await;
-    }
-}
--- a/src/process/gateway/stream_duration.rs
+++ b/src/process/gateway/stream_duration.rs
@@ -6,36 +6,62 @@
 
 use std::time;
 
-/// Weight of each new duration in the moving average.
-const SMOOTHING_FACTOR: f64 = 0.1;
+/// Weight of each new duration in the smoothed mean, as for round-trip times in RFC 6298.
+const MEAN_WEIGHT: f64 = 0.125;
 
-/// Most streams end within this multiple of the mean.
-const SPREAD_FACTOR: f64 = 1.3;
+/// Weight of each new difference from the mean in the smoothed deviation, as in RFC 6298.
+const DEVIATION_WEIGHT: f64 = 0.25;
 
-/// Exponential moving average of the durations of the streams that this router relayed.
+/// Deviations above the mean within which nearly all streams end, as in RFC 6298.
+const DEVIATION_FACTOR: f64 = 4.0;
+
+/// Least margin above the mean, as a part of it: the newest streams may have been unusually alike.
+const MIN_MARGIN: f64 = 0.3;
+
+/// Smoothed mean and deviation of the durations of the streams that this router relayed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct DurationEstimate {
-    mean: Option<time::Duration>,
+    moments: Option<DurationMoments>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct DurationMoments {
+    mean: time::Duration,
+    deviation: time::Duration,
 }
 
 impl DurationEstimate {
-    /// Adds the duration of a stream that was relayed completely.
+    /// Adds the duration of a stream that was relayed from its first event to its last.
     pub fn record(&mut self, elapsed: time::Duration) {
-        let mean = self.mean.unwrap_or(elapsed);
-        self.mean = Some(mean.mul_f64(1.0 - SMOOTHING_FACTOR) + elapsed.mul_f64(SMOOTHING_FACTOR));
+        let moments = match self.moments {
+            None => DurationMoments {
+                mean: elapsed,
+                deviation: elapsed / 2,
+            },
+            Some(DurationMoments { mean, deviation }) => DurationMoments {
+                mean: smooth(mean, elapsed, MEAN_WEIGHT),
+                deviation: smooth(deviation, mean.abs_diff(elapsed), DEVIATION_WEIGHT),
+            },
+        };
+        self.moments = Some(moments);
     }
 
-    /// Mean duration; `None` before the first [`record`](Self::record).
+    /// Time in which nearly all streams end; `None` before the first [`record`](Self::record).
     #[must_use]
-    pub const fn mean(&self) -> Option<time::Duration> {
-        self.mean
+    pub fn upper_bound(&self) -> Option<time::Duration> {
+        let moments = self.moments?;
+        let margin = moments.deviation.mul_f64(DEVIATION_FACTOR);
+        Some(moments.mean + margin.max(moments.mean.mul_f64(MIN_MARGIN)))
     }
 
-    /// Whether a stream that begins now is likely to end within `time_left`; true before the first
-    /// [`record`](Self::record).
+    /// Whether a stream that begins now is likely to end within `time_left`; `false` before the
+    /// first [`record`](Self::record), as the stream may take until its deadline.
     #[must_use]
     pub fn can_finish_within(&self, time_left: time::Duration) -> bool {
-        self.mean
-            .is_none_or(|mean| mean.mul_f64(SPREAD_FACTOR) <= time_left)
+        self.upper_bound().is_some_and(|bound| bound <= time_left)
     }
 }
+
+fn smooth(old: time::Duration, new: time::Duration, weight: f64) -> time::Duration {
+    old.mul_f64(1.0 - weight) + new.mul_f64(weight)
+}
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -213,7 +213,7 @@
     let mut estimate = stream_duration::DurationEstimate::default();
     let seconds = time::Duration::from_secs;
     assert!(
-        estimate.can_finish_within(seconds(1)),
+        !estimate.can_finish_within(seconds(1)),
         "no durations are known yet"
     );
     for _stream in 0..20 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod planned_stops;
 mod restored_store;
 mod soak;
+mod stop_replays;
 mod stop_rules;
 mod support;
 mod whole;
