Answer requests that are still in flight when a stopping router exits

Callers saw requests end with a closed connection that an endpoint had queued or not answered yet when the router exited: neither a refusal nor a failure, although nothing of an answer had been sent.

Cause: at the end of the grace period all connections were dropped wherever they were. Class of fault: a cancellation from outside of the code that knows what it owes.

Change: a token that is passed down to the relay ends requests in flight. Where the answer has not begun, the caller gets `503` if the request has not run, else `502` and `may-have-run`. A stream in the midst of its events still ends with its connection. A router that is closing refuses before it checks the route, so that no check delays the answer.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -8,7 +8,7 @@
 use crate::connection::peer;
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
-    freshness, permits, prompt_guard, readers, request_check, rows, settings, stop_schedule,
+    freshness, permits, prompt_guard, readers, request_check, rows, settings, stop, stop_schedule,
     stream_duration, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
@@ -214,6 +214,9 @@
             Err(refusal) => return self.refuse(sink, &refusal, None).await,
         };
         let id = terms.id.clone();
+        if self.is_closing.load(atomic::Ordering::SeqCst) {
+            return self.refuse(sink, &stop::refuse_stopping(), Some(&id)).await;
+        }
         let checked = match self.check_request(&head, &terms).await {
             Ok(checked) => checked,
             Err(refusal) => return self.refuse(sink, &refusal, Some(&id)).await,
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -129,7 +129,8 @@
     signals: SignalChannels,
 ) {
     let stop_source = stop_token::StopSource::new();
-    let node = assemble(settings, &adapters, metrics);
+    let aborting = stop_token::StopSource::new();
+    let node = assemble(settings, &adapters, metrics, aborting.token());
     log::info!(
         router = node.settings.router.as_str(),
         zone = node.settings.zone.as_str(),
@@ -148,7 +149,7 @@
     // wait.
     let signalled_at = signals.drain.recv().await;
     let signalled_at = signalled_at.unwrap_or_else(|_closed| time::Instant::now());
-    stop::stop(&node, signalled_at).await;
+    stop::stop(&node, signalled_at, aborting).await;
     let aborted = node.in_flight.load(atomic::Ordering::SeqCst);
     drop(stop_source);
     task::sleep(POLL_INTERVAL).await;
@@ -160,6 +161,7 @@
     settings: settings::GatewaySettings,
     adapters: &PlatformAdapters,
     metrics: sync::Arc<metrics::RouterMetrics>,
+    aborting: stop_token::StopToken,
 ) -> sync::Arc<node::GatewayNode> {
     let peering::PeerComponents {
         ring,
@@ -203,6 +205,7 @@
         permits: sync::Arc::clone(&permits) as _,
         prompts: sync::Arc::clone(&prompts) as _,
         counters: sync::Arc::clone(&metrics) as _,
+        aborting,
     };
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
     sync::Arc::new(node::GatewayNode {
--- a/src/process/gateway/stop.rs
+++ b/src/process/gateway/stop.rs
@@ -21,8 +21,13 @@
 const GOSSIP_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Drains: has this router removed from address answers, then waits until no request is in flight
-/// or the grace period, which began at `signalled_at`, is nearly over.
-pub(super) async fn stop(node: &node::GatewayNode, signalled_at: time::Instant) {
+/// or the grace period, which began at `signalled_at`, is nearly over. Requests still in flight then
+/// end when `aborting` is dropped; those whose answer has not begun are refused.
+pub(super) async fn stop(
+    node: &node::GatewayNode,
+    signalled_at: time::Instant,
+    aborting: stop_token::StopSource,
+) {
     let grace = node.settings.bounds.stop_grace;
     let schedule = stop_schedule::StopSchedule::new(signalled_at, grace);
     *node.stop_schedule.lock() = Some(schedule);
@@ -39,6 +44,8 @@
     node.gossip.set_left();
     task::sleep(GOSSIP_FLUSH_TIME).await;
     wait_until(schedule.aborts_at(), || in_flight(node) == 0).await;
+    drop(aborting);
+    wait_until(schedule.exits_at(), || in_flight(node) == 0).await;
 }
 
 impl node::GatewayNode {
--- a/src/process/gateway/stop_schedule.rs
+++ b/src/process/gateway/stop_schedule.rs
@@ -19,6 +19,9 @@
 /// continue them on another router.
 const ABORT_FRACTION: f64 = 0.95;
 
+/// Fraction of the grace period after which the process exits, before the platform kills it.
+const EXIT_FRACTION: f64 = 0.98;
+
 /// What the admission of a request depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestArrival {
@@ -36,6 +39,7 @@
     signal: time::Instant,
     close: time::Instant,
     abort: time::Instant,
+    exit: time::Instant,
 }
 
 impl StopSchedule {
@@ -46,6 +50,7 @@
             signal: signalled_at,
             close: signalled_at + grace.mul_f64(CLOSE_FRACTION),
             abort: signalled_at + grace.mul_f64(ABORT_FRACTION),
+            exit: signalled_at + grace.mul_f64(EXIT_FRACTION),
         }
     }
 
@@ -61,6 +66,12 @@
         self.abort
     }
 
+    /// When the process exits, whatever is still in flight.
+    #[must_use]
+    pub const fn exits_at(&self) -> time::Instant {
+        self.exit
+    }
+
     /// Whether to accept a request. Later than [`LIKELY_ADMISSION_TIME`] after the signal, one is
     /// accepted only if its deadline ends it before the abort.
     #[must_use]
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use async_std::future;
+use stop_token::future::FutureExt as _;
 
 use crate::connection::h1::sink;
 use crate::request::relay::{attempt, context, dialect, fleet, retry};
@@ -32,9 +33,11 @@
 ) -> context::RelayOutcome {
     let tracker = AttemptTracker::default();
     let finding = find_response(context, request, &tracker);
-    let found = match future::timeout(request.time_left(), finding).await {
-        Ok(found) => found,
-        Err(_elapsed) => Err(context.refuse_expired(&request.service, tracker.verdict())),
+    let finding = future::timeout(request.time_left(), finding);
+    let found = match finding.timeout_at(context.aborting.clone()).await {
+        Ok(Ok(found)) => found,
+        Ok(Err(_elapsed)) => Err(context.refuse_expired(&request.service, tracker.verdict())),
+        Err(_aborted) => Err(context::refuse_aborted(tracker.verdict())),
     };
     match found {
         Err(refusal) => context::RelayOutcome::Refused(refusal),
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -45,6 +45,8 @@
     pub counters: sync::Arc<dyn view::CounterSink>,
     /// Memory budget for responses that are buffered whole.
     pub memory: sync::Arc<response_memory::ResponseMemory>,
+    /// Cancelled when the process is about to exit; requests in flight then end at once.
+    pub aborting: stop_token::StopToken,
 }
 
 /// An authorized request that can be relayed.
@@ -149,6 +151,10 @@
 /// endpoint is replaced or its entry expires.
 pub const NO_ENDPOINT_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Retry-After of a request that the end of the process interrupts; other routers can take it at
+/// once.
+const ABORTED_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// Time for which a request asks for permits before it goes to an endpoint without a limit; a few
 /// asks, as a caller notices longer delays.
 const MAX_ASKING_TIME: time::Duration = time::Duration::from_millis(20);
@@ -278,6 +284,23 @@
     }
 }
 
+/// Refusal for a request that the end of the process interrupts.
+#[must_use]
+pub fn refuse_aborted(verdict: verdict::RunVerdict) -> verdict::RequestRefusal {
+    let code = verdict::RefusalCode::NotReady;
+    match verdict {
+        verdict::RunVerdict::NotRun => {
+            let message = "this router stops; use another address";
+            verdict::RequestRefusal::not_run(503, code, message).retry_after(ABORTED_RETRY_DELAY)
+        }
+        verdict::RunVerdict::MayHaveRun => verdict::RequestRefusal::may_have_run(
+            502,
+            code,
+            "this router stopped before the endpoint answered; check for effects before retrying",
+        ),
+    }
+}
+
 /// Refusal for a request that no endpoint answered; one that did not run may be retried after
 /// `delay`.
 #[must_use]
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use async_std::future;
+use stop_token::future::FutureExt as _;
 
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
@@ -58,12 +59,14 @@
         is_sent: false,
         progress: stream_loss::AttemptProgress::new(),
     };
-    match future::timeout(time_left, relay.run()).await {
-        Ok(end) => end,
-        Err(_elapsed) => {
+    let running = future::timeout(time_left, relay.run());
+    match running.timeout_at(context.aborting.clone()).await {
+        Ok(Ok(end)) => end,
+        Ok(Err(_elapsed)) => {
             let verdict = relay.verdict(relay.is_sent);
             relay.give_up(context.refuse_expired(&request.service, verdict))
         }
+        Err(_aborted) => relay.give_up(context::refuse_aborted(relay.verdict(relay.is_sent))),
     }
 }
 
