Wait for callers to take the last answer before a connection is closed

Callers lost the end of answers that the router had written completely: their connection was reset at the close.

Cause: after the last answer the socket was closed at once, and all sockets at the exit of the process. If the caller had sent more, as a further request or a slow body, bytes were unread, the kernel dropped what the caller had not received yet and reset the connection. A request also counted as in flight only once it was read completely, so the process could exit while one was being read. Class of fault: the end of the write was taken for the end of the answer.

Change: the router ends its side first, and discards what the caller still sends until the caller closes, 2 s at most; this existed for refused requests and now serves every last answer. A request is in flight from its first byte until then, and the process waits for it within the grace period. Connections without a request are closed by a token of their own, before the one that aborts requests.

Ruled out: slow reading alone (12 of 12 answers before the change as well); requests that arrive at the exit: planned_stops::exit passed before and passes now, about 2,300 requests a case.

Evidence: planned_stops::unread_bytes, two cases: 12 and 11 of 12 answers of 512 KiB lost before, none now.

--- a/src/process/gateway/caller_server.rs
+++ b/src/process/gateway/caller_server.rs
@@ -22,12 +22,11 @@
 /// need two more descriptors towards endpoints.
 const CALLER_DESCRIPTOR_DIVISOR: u64 = 3;
 
-/// Limit on the bytes of a refused request that are read and discarded, so that closing does not
-/// reset the connection before the caller has read the refusal.
+/// Limit on the bytes that are read and discarded after the last answer on a connection.
 const MAX_DISCARD_BYTES: usize = 256 * 1024;
 
-/// Longest time for which the rest of a refused request is read and discarded.
-const DISCARD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Longest time to wait for a caller to close its connection after the last answer on it.
+const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// `Retry-After` for callers whose request body exceeds the memory that is left.
 const MEMORY_RETRY_DELAY: time::Duration = time::Duration::from_secs(1);
@@ -46,51 +45,59 @@
     Refused(verdict::RequestRefusal),
 }
 
-/// Serves connections until `token` is cancelled.
+/// Serves connections until `closing` is cancelled; those with a request in flight answer it first.
 pub async fn serve(
     listener: net::TcpListener,
     node: sync::Arc<node::GatewayNode>,
-    token: stop_token::StopToken,
+    closing: stop_token::StopToken,
 ) {
     let max_connections =
         usize::try_from(node.settings.max_descriptors / CALLER_DESCRIPTOR_DIVISOR)
             .unwrap_or(usize::MAX);
     let count_refused = |_stream| node.metrics.count("caller.connection_refused");
     let serve = |stream| {
-        let (node, token) = (sync::Arc::clone(&node), token.clone());
-        async move {
-            // When the process stops, open responses are aborted, and callers see that they are
-            // incomplete.
-            let _cancelled = serve_one(stream, &node).timeout_at(token).await;
-        }
+        let (node, closing) = (sync::Arc::clone(&node), closing.clone());
+        async move { serve_one(stream, &node, closing).await }
     };
     accept::serve_connections(
         listener,
         max_connections,
-        token.clone(),
+        closing.clone(),
         count_refused,
         serve,
     )
     .await;
 }
 
-async fn serve_one(stream: net::TcpStream, node: &node::GatewayNode) {
+async fn serve_one(
+    stream: net::TcpStream,
+    node: &node::GatewayNode,
+    closing: stop_token::StopToken,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let mut wire = wire::BufferedWire::new(stream);
     loop {
         let limits = node.limits();
+        if wire.buffered().is_empty() {
+            let beginning = begins_request(&mut wire, limits.idle_timeout);
+            if beginning.timeout_at(closing.clone()).await != Ok(true) {
+                return;
+            }
+        }
+        // Counted before the request is complete, so that the process does not exit in between.
+        let _in_flight = node.start_request();
         match read_request(&mut wire, node, &limits).await {
             Ok(request) => {
                 if !answer(&mut wire, node, request).await {
-                    return;
+                    return linger(wire).await;
                 }
             }
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::Refused(refusal)) => {
-                refuse(wire, node, &refusal).await;
-                return;
+                refuse(&wire, node, &refusal).await;
+                return linger(wire).await;
             }
         }
     }
@@ -102,7 +109,6 @@
     node: &node::GatewayNode,
     request: ReadRequest,
 ) -> bool {
-    let _in_flight = node.start_request();
     let _body_bytes = BodyBytesGuard::new(&node.body_bytes, request.body.len());
     let is_draining = node.is_draining.load(atomic::Ordering::SeqCst);
     let is_kept_alive = request.head.keeps_connection() && !is_draining;
@@ -117,17 +123,17 @@
     sink.may_reuse()
 }
 
+/// Whether the caller sends a byte of a request within `idle_timeout`.
+async fn begins_request(wire: &mut wire::BufferedWire, idle_timeout: time::Duration) -> bool {
+    let filled = future::timeout(idle_timeout, wire.fill()).await;
+    matches!(filled, Ok(Ok(1..)))
+}
+
 async fn read_request(
     wire: &mut wire::BufferedWire,
     node: &node::GatewayNode,
     limits: &traffic::CallerLimits,
 ) -> Result<ReadRequest, ReadFailure> {
-    if wire.buffered().is_empty() {
-        match future::timeout(limits.idle_timeout, wire.fill()).await {
-            Ok(Ok(1..)) => {}
-            _ => return Err(ReadFailure::Closed),
-        }
-    }
     let reading = read_head(wire, limits);
     let head = future::timeout(limits.head_timeout, reading).await;
     let head = head.unwrap_or_else(|_elapsed| Err(ReadFailure::Refused(request_timeout())))?;
@@ -241,7 +247,7 @@
 }
 
 async fn refuse(
-    mut wire: wire::BufferedWire,
+    wire: &wire::BufferedWire,
     node: &node::GatewayNode,
     refusal: &verdict::RequestRefusal,
 ) {
@@ -253,6 +259,11 @@
     };
     let mut sink = sink::AnswerSink::new(wire.stream(), &head, false);
     node.refuse(&mut sink, refusal, None).await;
+}
+
+/// Waits until the caller has closed the connection, and discards what it still sends. Closing a
+/// socket with unread bytes resets the connection, and the caller loses what it has not received.
+async fn linger(mut wire: wire::BufferedWire) {
     if wire.stream().shutdown(std::net::Shutdown::Write).is_err() {
         return;
     }
@@ -266,8 +277,8 @@
             }
         }
     };
-    // A caller that still sends after the timeout may lose the refusal.
-    let _discarded = future::timeout(DISCARD_TIMEOUT, discarding).await;
+    // A caller that still sends after the timeout may lose the end of the answer.
+    let _discarded = future::timeout(LINGER_TIMEOUT, discarding).await;
 }
 
 /// Counts the bytes of a body as held until it is dropped.
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -86,7 +86,7 @@
     pub stop_schedule: parking_lot::Mutex<Option<stop_schedule::StopSchedule>>,
     /// Estimate of how long streams take.
     pub stream_duration: parking_lot::Mutex<stream_duration::DurationEstimate>,
-    /// Number of requests in flight.
+    /// Number of requests in flight, from the first byte read to the end of the answer.
     pub in_flight: atomic::AtomicU64,
     /// Bytes of request bodies held in memory.
     pub body_bytes: atomic::AtomicU64,
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -129,8 +129,8 @@
     signals: SignalChannels,
 ) {
     let stop_source = stop_token::StopSource::new();
-    let aborting = stop_token::StopSource::new();
-    let node = assemble(settings, &adapters, metrics, aborting.token());
+    let requests = stop::RequestSources::default();
+    let node = assemble(settings, &adapters, metrics, requests.aborting.token());
     log::info!(
         router = node.settings.router.as_str(),
         zone = node.settings.zone.as_str(),
@@ -138,7 +138,7 @@
         "started"
     );
     node.ring.record(None, timeline::EventKind::ProcessStarted);
-    spawn_all(&node, &adapters, listeners, &stop_source);
+    spawn_all(&node, &adapters, listeners, &stop_source, &requests);
     task::spawn(reload::watch_settings(
         sync::Arc::clone(&node),
         sync::Arc::clone(&adapters.settings),
@@ -149,11 +149,10 @@
     // wait.
     let signalled_at = signals.drain.recv().await;
     let signalled_at = signalled_at.unwrap_or_else(|_closed| time::Instant::now());
-    stop::stop(&node, signalled_at, aborting).await;
-    let aborted = node.in_flight.load(atomic::Ordering::SeqCst);
+    stop::stop(&node, signalled_at, requests).await;
+    let in_flight = node.in_flight.load(atomic::Ordering::SeqCst);
     drop(stop_source);
-    task::sleep(POLL_INTERVAL).await;
-    log::info!(aborted; "stopped");
+    log::info!(in_flight; "stopped");
     log::logger().flush();
 }
 
@@ -259,12 +258,13 @@
     adapters: &PlatformAdapters,
     listeners: GatewayListeners,
     stop_source: &stop_token::StopSource,
+    requests: &stop::RequestSources,
 ) {
     let token = || stop_source.token();
     task::spawn(caller_server::serve(
         listeners.caller,
         sync::Arc::clone(node),
-        token(),
+        requests.closing.token(),
     ));
     for listener in listeners.info {
         let dialect = sync::Arc::clone(&adapters.info);
--- a/src/process/gateway/stop.rs
+++ b/src/process/gateway/stop.rs
@@ -20,13 +20,21 @@
 /// Time for the last gossip of this router to reach other routers.
 const GOSSIP_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
 
+/// Cancels the work on callers' requests in steps, when dropped.
+#[derive(Debug, Default)]
+pub(super) struct RequestSources {
+    /// Ends the listener and connections without a request in flight.
+    pub(super) closing: stop_token::StopSource,
+    /// Ends requests in flight; those whose answer has not begun are refused.
+    pub(super) aborting: stop_token::StopSource,
+}
+
 /// Drains: has this router removed from address answers, then waits until no request is in flight
-/// or the grace period, which began at `signalled_at`, is nearly over. Requests still in flight then
-/// end when `aborting` is dropped; those whose answer has not begun are refused.
+/// or the grace period, which began at `signalled_at`, is nearly over.
 pub(super) async fn stop(
     node: &node::GatewayNode,
     signalled_at: time::Instant,
-    aborting: stop_token::StopSource,
+    requests: RequestSources,
 ) {
     let grace = node.settings.bounds.stop_grace;
     let schedule = stop_schedule::StopSchedule::new(signalled_at, grace);
@@ -43,8 +51,11 @@
     node.is_closing.store(true, atomic::Ordering::SeqCst);
     node.gossip.set_left();
     task::sleep(GOSSIP_FLUSH_TIME).await;
+    drop(requests.closing);
+    // A connection that has just read the first bytes of a request counts it within this time.
+    task::sleep(POLL_INTERVAL).await;
     wait_until(schedule.aborts_at(), || in_flight(node) == 0).await;
-    drop(aborting);
+    drop(requests.aborting);
     wait_until(schedule.exits_at(), || in_flight(node) == 0).await;
 }
 
