--- a/tests/gateway/planned_stops/mod.rs
+++ b/tests/gateway/planned_stops/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod last_moments;
+mod series;
 mod unanswered;
 mod unread_bytes;
 
--- a/tests/gateway/support/planned_stop.rs
+++ b/tests/gateway/support/planned_stop.rs
@@ -11,7 +11,7 @@
 use crate::support::{limit_judge, router, stop_caller, stop_judge, timed_work};
 
 /// Time in which a connection may end after a request that is not passed on.
-const LOSS_SLACK: time::Duration = time::Duration::from_millis(200);
+pub const LOSS_SLACK: time::Duration = time::Duration::from_millis(200);
 
 /// Time for which a gateway keeps an idle connection; longer than any case.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
@@ -150,7 +150,7 @@
             disruption: self
                 .pause
                 .map(|pause| (signal.at + pause.from, signal.at + pause.until)),
-            exited: exited.duration_since(signal.at),
+            exited: Some(exited.duration_since(signal.at)),
         }
     }
 }
@@ -181,8 +181,8 @@
     pub bounds: stop_judge::StopBounds,
     /// From when until when the process was paused.
     pub disruption: Option<(time::Instant, time::Instant)>,
-    /// Time from the SIGTERM to the end of the process.
-    pub exited: time::Duration,
+    /// Time from the SIGTERM to the end of the process, if there was one stop.
+    pub exited: Option<time::Duration>,
 }
 
 impl StopReport {
