Decode each row of the store by itself

Seen by: other operators, whose machines stopped following the runners for good after one odd entry. Here one row whose value is no base64 text, or whose key or mark of removal has another type, failed the whole answer of the store, the list and the feed alike, as often as it was read; the list of runners, the configuration and the blocked prompts then aged. Cause: the rows of an answer were decoded as one list of typed rows. Ruled out: deep nesting and huge numbers inside the value, which is base64 text, and in fields that are not read. Change: the rows of a page are kept as raw JSON and decoded one by one. A row without a readable key is left out with a warning; one without a readable value counts as absent, as an entry that cannot be decoded does. A page that ends with a row without a key goes on from the last key known, so the rest of the list is not taken for removed.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -43,16 +43,16 @@
         Self { address }
     }
 
-    /// Reads rows, and the era of the store that they are of.
+    /// Reads a page of rows, and the era of the store that they are of.
     async fn get(
         &self,
         path: &str,
         wait: time::Duration,
-    ) -> rows::Result<(store_wire::RowsWire, u64)> {
+    ) -> rows::Result<(store_wire::RowPage, u64)> {
         let method = http_types::Method::Get;
         let whole = self.call(method, path, None, wait).await?;
-        let rows = serde_json::from_slice(&whole.body).map_err(unavailable)?;
-        Ok((rows, store_era(&whole.response)?))
+        let page = store_wire::RowPage::decode(&whole.body).map_err(unavailable)?;
+        Ok((page, store_era(&whole.response)?))
     }
 
     async fn call(
@@ -87,13 +87,12 @@
         let mut all = rows::RowBatch::default();
         let mut path = format!("/rows-get?table={table}&part=");
         for _page in 0..MAX_PAGES {
-            let (wire, era) = self.get(&path, time::Duration::ZERO).await?;
-            let next = wire.last_key().filter(|_key| wire.has_more).map(next_key);
-            let batch = rows::RowBatch::try_from(wire).map_err(unavailable)?;
+            let (page, era) = self.get(&path, time::Duration::ZERO).await?;
+            let next = page.next_after().map_err(unavailable)?.map(next_key);
             // Keeps the version of the first page, so that the next read of changes also returns
             // what changed while the pages were read.
             if all.version == 0 {
-                all.version = batch.version;
+                all.version = page.version;
                 all.era = era;
             }
             if all.era != era {
@@ -101,7 +100,7 @@
                     "the store was restored while its rows were read",
                 ));
             }
-            all.rows.extend(batch.rows);
+            all.rows.extend(page.rows);
             let Some(next) = next else {
                 return Ok(all);
             };
@@ -151,9 +150,12 @@
             let table = store_wire::table_name(topic);
             let wait_ms = wait.as_millis();
             let path = format!("/rows-feed?table={table}&after={after}&wait_ms={wait_ms}");
-            let (wire, era) = self.get(&path, wait).await?;
-            let batch = rows::RowBatch::try_from(wire).map_err(unavailable)?;
-            Ok(rows::RowBatch { era, ..batch })
+            let (page, era) = self.get(&path, wait).await?;
+            Ok(rows::RowBatch {
+                rows: page.rows,
+                version: page.version,
+                era,
+            })
         }
         .boxed()
     }
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -30,19 +30,25 @@
 /// Response that contains rows.
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
-pub(super) struct RowsWire {
+struct PageWire<'a> {
+    /// Rows as received; each is decoded by itself, as other writers may have written odd ones.
+    #[serde(borrow, default)]
+    rows: Vec<&'a serde_json::value::RawValue>,
     #[serde(default)]
-    rows: Vec<RowWire>,
-    #[serde(default)]
-    pub(super) has_more: bool,
+    has_more: bool,
     /// Version of the whole store at the time of the response, not of a single row.
     ver: u64,
 }
 
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
-struct RowWire {
+struct RowKeyWire {
     key: String,
+}
+
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
+struct RowValueWire {
     /// Base64-encoded value.
     value: Option<String>,
     /// Whether the row was deleted; only set in responses that list changes.
@@ -50,42 +56,73 @@
     removed: bool,
 }
 
-impl RowsWire {
-    /// Key of the last row, after which the next page of a truncated list starts.
-    pub(super) fn last_key(&self) -> Option<&str> {
-        self.rows.last().map(|row| row.key.as_str())
-    }
+/// One page of rows.
+#[derive(Debug)]
+pub(super) struct RowPage {
+    /// Rows of the page that have a key.
+    pub(super) rows: Vec<rows::RowChange>,
+    /// Version of the whole store.
+    pub(super) version: u64,
+    has_more: bool,
 }
 
-impl TryFrom<RowsWire> for rows::RowBatch {
-    type Error = WireError;
-
-    fn try_from(wire: RowsWire) -> Result<Self> {
-        let rows: Result<Vec<rows::RowChange>> = wire
-            .rows
-            .into_iter()
-            .map(rows::RowChange::try_from)
-            .collect();
+impl RowPage {
+    /// Decodes a response of the store. Rows without a readable key are left out, and those without
+    /// a readable value have none.
+    ///
+    /// # Errors
+    /// [`WireError`] if the response is not a page of rows.
+    pub(super) fn decode(body: &[u8]) -> Result<Self> {
+        let text = String::from_utf8_lossy(body);
+        let wire: PageWire<'_> =
+            serde_json::from_str(&text).map_err(|error| WireError(error.to_string()))?;
         Ok(Self {
-            rows: rows?,
+            rows: wire.rows.into_iter().filter_map(decode_row).collect(),
             version: wire.ver,
-            era: 0,
+            has_more: wire.has_more,
         })
     }
+
+    /// Key after which the next page starts; `None` on the last page.
+    ///
+    /// # Errors
+    /// [`WireError`] if the page has no row with a key.
+    pub(super) fn next_after(&self) -> Result<Option<&str>> {
+        if !self.has_more {
+            return Ok(None);
+        }
+        let last = self.rows.last();
+        let last =
+            last.ok_or_else(|| WireError("a page that is not the last has no key".into()))?;
+        Ok(Some(&last.key))
+    }
 }
 
-impl TryFrom<RowWire> for rows::RowChange {
-    type Error = WireError;
+fn decode_row(row: &serde_json::value::RawValue) -> Option<rows::RowChange> {
+    let named: serde_json::Result<RowKeyWire> = serde_json::from_str(row.get());
+    let key = match named {
+        Ok(named) => named.key,
+        Err(error) => {
+            log::warn!(cause = error.to_string().as_str(); "row without a key left out");
+            return None;
+        }
+    };
+    let value = decode_value(row).unwrap_or_else(|error| {
+        let cause = error.to_string();
+        log::warn!(key = key.as_str(), cause = cause.as_str(); "row without a readable value");
+        None
+    });
+    Some(rows::RowChange { key, value })
+}
 
-    fn try_from(wire: RowWire) -> Result<Self> {
-        let text = wire.value.filter(|_text| !wire.removed);
-        let decode = |text: String| general_purpose::STANDARD.decode(text);
-        let value = text.map(decode).transpose();
-        Ok(Self {
-            key: wire.key,
-            value: value.map_err(|error| WireError(error.to_string()))?,
-        })
-    }
+fn decode_value(row: &serde_json::value::RawValue) -> Result<Option<Vec<u8>>> {
+    let wire: RowValueWire =
+        serde_json::from_str(row.get()).map_err(|error| WireError(error.to_string()))?;
+    let text = wire.value.filter(|_text| !wire.removed);
+    let value = text.map(|text| general_purpose::STANDARD.decode(text));
+    value
+        .transpose()
+        .map_err(|error| WireError(error.to_string()))
 }
 
 /// Returns the name of the table that holds the rows of a topic.
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -51,7 +51,7 @@
 pub struct RowChange {
     /// Key, unique within its topic.
     pub key: String,
-    /// Content; `None` when the row was removed.
+    /// Content; `None` when the row was removed or its content cannot be read.
     pub value: Option<Vec<u8>>,
 }
 
