Use no endpoint whose name cannot be sent in a header

Seen by: runners, which would get requests with header fields that no caller sent: the router names the runner in Kumquatpulley-Expect-Runner, and the name is the key of its entry, any text of another writer. A key with a line break ends that field and begins others, such as Kumquatpulley-Tenant. Cause: the name of an entry was not checked. Ruled out: the address, which is parsed; zone and service, which are sent to nobody. Change: an entry whose name is empty or has bytes other than visible ASCII characters names no endpoint, as one that cannot be decoded. The error of an entry has a type of its own. Evidence: the 9 cases name_* and store_entry_* of odd_entries failed before: the entry was taken, and the endpoint at its address received the field X-Odd; they pass now. In store_entry_* two gateways, one of them started again, meet odd entries in list, feed and at the peer, follow a change of another entry within 2 s, and run on; the odd values themselves (deep nesting, a huge number, port 65536, no UTF-8) did no harm before either. formats, cached_state and whole with these: 157 of 157 pass. Conclusion: none for the platform's own runners, whose names are of letters, digits and dashes.

--- a/src/platform/entry_wire.rs
+++ b/src/platform/entry_wire.rs
@@ -1,11 +1,34 @@
 //! JSON decoding of the entries that endpoints register in the platform store.
 
+use std::fmt;
 use std::net;
 
 use crate::process::gateway::endpoint_registry;
 
 /// Result of decoding an endpoint entry.
-pub type Result<T> = std::result::Result<T, serde_json::Error>;
+pub type Result<T> = std::result::Result<T, EntryError>;
+
+/// Why an entry names no endpoint to use.
+#[derive(Debug)]
+pub enum EntryError {
+    /// The value is not a JSON entry.
+    Malformed(serde_json::Error),
+    /// The name cannot be sent as a header value.
+    InvalidName,
+}
+
+impl fmt::Display for EntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(error) => write!(f, "the entry is not valid: {error}"),
+            Self::InvalidName => f.write_str(
+                "the name is not of visible ASCII characters; register under another one",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for EntryError {}
 
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
@@ -32,9 +55,13 @@
 /// Decodes the entry of the endpoint `name`.
 ///
 /// # Errors
-/// The JSON error if `value` is not a valid entry.
+/// [`EntryError`] if the entry names no endpoint that requests can be sent to.
 pub fn decode(name: &str, value: &[u8]) -> Result<endpoint_registry::EndpointRecord> {
-    let wire: EntryWire = serde_json::from_slice(value)?;
+    // Requests name their endpoint in a header, which a line break would end.
+    if name.is_empty() || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(EntryError::InvalidName);
+    }
+    let wire: EntryWire = serde_json::from_slice(value).map_err(EntryError::Malformed)?;
     Ok(endpoint_registry::EndpointRecord {
         name: name.to_owned(),
         incarnation: wire.born,
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -2,23 +2,51 @@
 
 use std::io::Write as _;
 use std::net;
+use std::thread;
 use std::time;
 
 use async_std::task;
-use kumquatpulley::platform::store_client;
+use kumquatpulley::platform::{store_client, store_wire};
+use kumquatpulley::process::gateway::endpoint_registry;
 use kumquatpulley::process::gateway::rows;
-use kumquatpulley::process::gateway::rows::RowStore as _;
+use kumquatpulley::process::gateway::rows::{RowCodec as _, RowStore as _};
 
 use crate::common;
 use crate::support::fakes;
+use crate::support::system::System;
 
 /// Levels of nesting that overflow the stack of a decoder without a limit.
 const DEEP_LEVELS: usize = 200_000;
 
+/// Time within which a change of an entry must be known, as the platform's settings define it.
+const CHANGE_BOUND: time::Duration = time::Duration::from_secs(2);
+
 fn deep() -> String {
     format!("{}{}", "[".repeat(DEEP_LEVELS), "]".repeat(DEEP_LEVELS))
 }
 
+/// An entry with one field replaced by `value`, which is JSON; the field is added if it is new.
+fn entry_with(field: &str, value: &str) -> String {
+    let fields = [
+        ("service", r#""m""#),
+        ("addr", r#""127.0.0.1:9""#),
+        ("zone", r#""z1""#),
+        ("version", r#""v1""#),
+        ("slots", "8"),
+        ("state", r#""ready""#),
+        ("cold_left_ms", "0"),
+        ("seq", "1"),
+        ("born", "1"),
+    ];
+    let mut parts: Vec<String> = fields
+        .iter()
+        .filter(|(name, _default)| *name != field)
+        .map(|(name, default)| format!("\"{name}\":{default}"))
+        .collect();
+    parts.push(format!("\"{field}\":{value}"));
+    format!("{{{}}}", parts.join(","))
+}
+
 /// Serves the same answer to each call, and returns a client for it.
 fn store_that_answers(body: &[u8]) -> store_client::StoreClient {
     store_that_pages(&[body.to_vec()])
@@ -85,6 +113,59 @@
     );
 }
 
+fn entry_names_no_endpoint(name: &str, value: &[u8]) {
+    let change = store_wire::StoreCodec.endpoint(name, value);
+    let expected = endpoint_registry::EntryChange::Absent(name.to_owned());
+    assert_eq!(change, expected);
+}
+
+/// Whether a caller of each gateway is served.
+fn assert_all_serve(system: &System, id: &str) {
+    for (index, gateway) in system.gateways.iter().enumerate() {
+        for path in ["/once/1", "/stream/1"] {
+            let id = format!("{id}-{index}-{}", path.len());
+            let answer = System::send(gateway.ip, path, &id).expect("an answer");
+            assert_eq!(answer.head.status, 200, "{}", system.logs());
+            assert!(answer.is_complete, "{}", system.logs());
+        }
+    }
+}
+
+fn assert_all_run(system: &mut System) {
+    for index in 0..system.gateways.len() {
+        let ended = system.gateways[index].child.try_wait().expect("a child");
+        assert_eq!(ended, None, "{}", system.logs());
+    }
+    assert!(!system.logs().contains("panicked"), "{}", system.logs());
+}
+
+/// Odd entries come through the feed at one gateway and from a peer at the other, and from the list
+/// at one that starts later. Each goes on to follow the entries.
+fn entries_are_followed_beside_odd_ones(odd: &[u8]) {
+    let mut system = System::start(2);
+    system.store.put("servers", "e0", odd);
+    let entry = system.second.entry("m", "z2", "ready");
+    system
+        .store
+        .put("servers", "e3\r\nX-Odd: 1\r\nX-Rest:", &entry);
+    let killed = system.kill(1);
+    system.start_again(1, killed);
+    let ip = system.gateways[1].ip;
+    system.wait_for("the gateway that started again is ready", || {
+        System::get(ip, 8220, "/ready") == 200
+    });
+    assert_all_serve(&system, "before");
+    let entry = system.first.entry("m", "z1", "draining");
+    system.store.put("servers", "e1", &entry);
+    thread::sleep(CHANGE_BOUND);
+    let before = system.first.received().len();
+    assert_all_serve(&system, "after");
+    assert_eq!(system.first.received().len(), before, "{}", system.logs());
+    let received = system.second.received();
+    assert!(received.iter().all(|seen| seen.field("X-Odd").is_none()));
+    assert_all_run(&mut system);
+}
+
 common::cases! {
     row_value_is_not_base64: other_rows_are_read(br#"{"key":"e5","value":"%%%","ver":2}"#);
     row_value_is_a_number: other_rows_are_read(br#"{"key":"e5","value":5,"ver":2}"#);
@@ -99,4 +180,15 @@
     row_is_null: other_rows_are_read(b"null");
     page_ends_with_a_bad_value: the_next_page_is_read(br#"{"key":"e5","value":5}"#);
     page_ends_with_a_bad_key: the_next_page_is_read(br#"{"key":5,"value":"b25l"}"#);
+    name_has_a_line_break:
+        entry_names_no_endpoint("e1\r\nKumquatpulley-Tenant: w2", entry_with("slots", "8").as_bytes());
+    name_has_a_null_byte: entry_names_no_endpoint("e\0", entry_with("slots", "8").as_bytes());
+    name_has_a_space: entry_names_no_endpoint("e 1", entry_with("slots", "8").as_bytes());
+    name_is_empty: entry_names_no_endpoint("", entry_with("slots", "8").as_bytes());
+    store_entry_is_deep: entries_are_followed_beside_odd_ones(&deep().as_bytes()[..60_000]);
+    store_entry_has_a_huge_number: entries_are_followed_beside_odd_ones(entry_with("slots", "1e400").as_bytes());
+    store_entry_has_an_odd_port:
+        entries_are_followed_beside_odd_ones(entry_with("addr", r#""127.0.0.1:65536""#).as_bytes());
+    store_entry_is_no_utf8: entries_are_followed_beside_odd_ones(b"\xff\0\xfe");
+    store_entry_has_an_odd_name: entries_are_followed_beside_odd_ones(entry_with("born", "5").as_bytes());
 }
