Use no endpoint whose entry is not whole

Seen by: nobody yet. Such entries were used if the fields that the router needs were there: with port 0, the address 0.0.0.0 or no slots, or with version, seq or cold_left_ms missing or of another type. Cause: only the fields that are used were decoded. Ruled out: harm to other entries; each counts for itself. Change: all eight fields that each entry has are decoded. Port 0, an unspecified address and zero slots are refused too, each with an error that says what to register. Evidence: of the 40 new cases of odd_entries 10 failed before, as the endpoint was used (port_is_zero, address_is_unspecified, slots_are_zero, and version, sequence and cold time of another type or missing); all pass. Conclusion: entries of the platform's own runners have all eight, as its examples of messages show.

--- a/src/platform/entry_wire.rs
+++ b/src/platform/entry_wire.rs
@@ -15,6 +15,10 @@
     Malformed(serde_json::Error),
     /// The name cannot be sent as a header value.
     InvalidName,
+    /// No connection can be made to the address.
+    InvalidAddress(net::SocketAddr),
+    /// The endpoint processes no requests.
+    NoSlots,
 }
 
 impl fmt::Display for EntryError {
@@ -24,20 +28,32 @@
             Self::InvalidName => f.write_str(
                 "the name is not of visible ASCII characters; register under another one",
             ),
+            Self::InvalidAddress(address) => write!(
+                f,
+                "nothing can listen at {address}; register the address of the endpoint"
+            ),
+            Self::NoSlots => f.write_str("the endpoint has no slots; register it with one or more"),
         }
     }
 }
 
 impl std::error::Error for EntryError {}
 
+/// An entry; one without any of these fields comes from another writer.
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
 struct EntryWire {
     service: String,
     addr: net::SocketAddr,
     zone: String,
+    #[serde(rename = "version")]
+    _version: String,
     slots: u32,
     state: StateWire,
+    #[serde(rename = "cold_left_ms")]
+    _cold_left_ms: f64,
+    #[serde(rename = "seq")]
+    _seq: u64,
     /// Start time of this incarnation of the endpoint, in milliseconds since the Unix epoch. A
     /// restarted endpoint may reuse its name.
     #[serde(default)]
@@ -62,6 +78,12 @@
         return Err(EntryError::InvalidName);
     }
     let wire: EntryWire = serde_json::from_slice(value).map_err(EntryError::Malformed)?;
+    if wire.addr.port() == 0 || wire.addr.ip().is_unspecified() {
+        return Err(EntryError::InvalidAddress(wire.addr));
+    }
+    if wire.slots == 0 {
+        return Err(EntryError::NoSlots);
+    }
     Ok(endpoint_registry::EndpointRecord {
         name: name.to_owned(),
         incarnation: wire.born,
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -119,6 +119,32 @@
     assert_eq!(change, expected);
 }
 
+fn field_names_no_endpoint(field: &str, value: &str) {
+    entry_names_no_endpoint("e1", entry_with(field, value).as_bytes());
+}
+
+fn entry_names_an_endpoint(field: &str, value: &str) {
+    let text = entry_with(field, value);
+    let change = store_wire::StoreCodec.endpoint("e1", text.as_bytes());
+    assert!(
+        matches!(change, endpoint_registry::EntryChange::Present(_)),
+        "{change:?}"
+    );
+}
+
+fn missing_field_names_no_endpoint(field: &str) {
+    let text = entry_with(field, "0").replace(&format!(",\"{field}\":0"), "");
+    assert!(!text.contains(field), "{text}");
+    entry_names_no_endpoint("e1", text.as_bytes());
+}
+
+fn blocked_prompt_is_ignored(value: &str) {
+    assert_eq!(
+        store_wire::StoreCodec.blocked_prompt(value.as_bytes()),
+        None
+    );
+}
+
 /// Whether a caller of each gateway is served.
 fn assert_all_serve(system: &System, id: &str) {
     for (index, gateway) in system.gateways.iter().enumerate() {
@@ -180,11 +206,51 @@
     row_is_null: other_rows_are_read(b"null");
     page_ends_with_a_bad_value: the_next_page_is_read(br#"{"key":"e5","value":5}"#);
     page_ends_with_a_bad_key: the_next_page_is_read(br#"{"key":5,"value":"b25l"}"#);
+    entry_is_deep: entry_names_no_endpoint("e1", deep().as_bytes());
+    entry_is_deep_without_end: entry_names_no_endpoint("e1", "[".repeat(DEEP_LEVELS).as_bytes());
+    entry_is_no_utf8: entry_names_no_endpoint("e1", b"{\"service\":\"\xff\"}");
+    entry_is_empty: entry_names_no_endpoint("e1", b"");
+    slots_are_deep: field_names_no_endpoint("slots", &deep());
+    unknown_field_is_deep: entry_names_an_endpoint("models", &deep());
+    slots_are_huge: field_names_no_endpoint("slots", "1e400");
+    slots_exceed_their_type: field_names_no_endpoint("slots", "18446744073709551616");
+    slots_are_negative: field_names_no_endpoint("slots", "-1");
+    slots_are_a_fraction: field_names_no_endpoint("slots", "1.5");
+    slots_are_no_number: field_names_no_endpoint("slots", "NaN");
+    slots_are_zero: field_names_no_endpoint("slots", "0");
+    slots_are_many: entry_names_an_endpoint("slots", "4294967295");
+    port_is_out_of_range: field_names_no_endpoint("addr", r#""10.0.0.1:65536""#);
+    port_is_huge: field_names_no_endpoint("addr", r#""10.0.0.1:99999999999999999999""#);
+    port_is_negative: field_names_no_endpoint("addr", r#""10.0.0.1:-1""#);
+    port_is_zero: field_names_no_endpoint("addr", r#""10.0.0.1:0""#);
+    port_is_missing: field_names_no_endpoint("addr", r#""10.0.0.1""#);
+    address_is_unspecified: field_names_no_endpoint("addr", r#""0.0.0.0:80""#);
+    address_is_a_name: field_names_no_endpoint("addr", r#""localhost:80""#);
+    address_has_a_null_byte: field_names_no_endpoint("addr", r#""10.0.0.1\u0000:80""#);
+    address_is_long: field_names_no_endpoint("addr", &format!("\"{}\"", "1".repeat(60_000)));
+    state_is_a_number: field_names_no_endpoint("state", "1");
+    start_is_negative: field_names_no_endpoint("born", "-1");
+    start_is_huge: field_names_no_endpoint("born", "1e400");
+    sequence_is_huge: field_names_no_endpoint("seq", "1e400");
+    sequence_is_a_text: field_names_no_endpoint("seq", r#""4""#);
+    cold_time_is_a_text: field_names_no_endpoint("cold_left_ms", r#""4""#);
+    cold_time_is_huge: entry_names_an_endpoint("cold_left_ms", "1e300");
+    version_is_a_number: field_names_no_endpoint("version", "1");
     name_has_a_line_break:
         entry_names_no_endpoint("e1\r\nKumquatpulley-Tenant: w2", entry_with("slots", "8").as_bytes());
     name_has_a_null_byte: entry_names_no_endpoint("e\0", entry_with("slots", "8").as_bytes());
     name_has_a_space: entry_names_no_endpoint("e 1", entry_with("slots", "8").as_bytes());
     name_is_empty: entry_names_no_endpoint("", entry_with("slots", "8").as_bytes());
+    service_is_missing: missing_field_names_no_endpoint("service");
+    address_is_missing: missing_field_names_no_endpoint("addr");
+    zone_is_missing: missing_field_names_no_endpoint("zone");
+    version_is_missing: missing_field_names_no_endpoint("version");
+    slots_are_missing: missing_field_names_no_endpoint("slots");
+    state_is_missing: missing_field_names_no_endpoint("state");
+    cold_time_is_missing: missing_field_names_no_endpoint("cold_left_ms");
+    sequence_is_missing: missing_field_names_no_endpoint("seq");
+    blocked_prompt_is_deep: blocked_prompt_is_ignored(&deep());
+    blocked_prompt_is_huge: blocked_prompt_is_ignored(r#"{"parts":["1"],"until_ms":1e400,"count":1}"#);
     store_entry_is_deep: entries_are_followed_beside_odd_ones(&deep().as_bytes()[..60_000]);
     store_entry_has_a_huge_number: entries_are_followed_beside_odd_ones(entry_with("slots", "1e400").as_bytes());
     store_entry_has_an_odd_port:
