Compare the memory of engines without overflow

Seen by: nobody yet; an engine whose report claims 10^17 tokens or more in use makes the product with the weight of memory overflow. With checks for overflow the task of the caller's connection ends, and the caller gets no answer; without them the load is any number, and a full engine may look idle. Cause: the product was computed in 64 bits. Ruled out: the other sums of a load, which add counts of 32 bits, and the room for a run, which saturates. Change: the share of memory is computed in 128 bits and cut to 64. Evidence: report_memory_is_huge of odd_answers failed before ("attempt to multiply with overflow" in selection.rs) and passes. report_field_is_deep passed before too: unknown fields are skipped without recursion. formats, cached_state, whole and odd_entries with these: 199 of 199 cases pass. Conclusion: none.

--- a/src/request/relay/selection.rs
+++ b/src/request/relay/selection.rs
@@ -105,8 +105,11 @@
         let generating = report.running.saturating_sub(prefilling);
         let prompts =
             u64::from(report.waiting) + u64::from(prefilling) + u64::from(self.recent_requests);
-        let memory = (report.memory_used * MEMORY_WEIGHT).checked_div(report.memory_total);
-        Some(prompts * PREFILL_WEIGHT + u64::from(generating) + memory.unwrap_or_default())
+        let memory = u128::from(report.memory_used) * u128::from(MEMORY_WEIGHT);
+        let memory = memory.checked_div(u128::from(report.memory_total));
+        let memory = u64::try_from(memory.unwrap_or_default()).unwrap_or(u64::MAX);
+        let load = prompts * PREFILL_WEIGHT + u64::from(generating);
+        Some(load.saturating_add(memory))
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod endpoint_notices;
 mod formats;
 mod framing;
+mod odd_answers;
 mod odd_entries;
 mod permit_replays;
 mod permits;
