Decode each field of an engine's report by itself

Seen by: callers of streams, at an engine whose report has one odd number: a count below zero, a fraction, one beyond 32 bits, memory beyond 64 bits, or one odd request in the list. The report counted as none, an engine without a report counts as gone, and the router broke off the streams that it still ran, between events and while the prompt was read. Cause: the report was decoded as a whole, and the same decoder serves placement and the check for life. Ruled out: engines that answer with no JSON object; such an answer shows no engine at work. Change: numbers are cut to the range of their type, and fields that cannot be read count as absent. A list of requests in which one has no readable ID counts as no list, since any request may be that one; it is then held to be at work. Conclusion: none.

--- a/src/platform/report_wire.rs
+++ b/src/platform/report_wire.rs
@@ -10,26 +10,23 @@
 /// `state` of an engine that accepts no new requests.
 const LEAVING_STATE: &str = "draining";
 
+/// A report; each field is decoded by itself, so that an odd one does not hide the others.
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
-struct ReportWire {
-    #[serde(default)]
-    state: Option<String>,
+struct ReportWire<'a> {
+    #[serde(borrow)]
+    state: Option<&'a serde_json::value::RawValue>,
     /// Requests waiting in the queue.
-    #[serde(default)]
-    queued: u32,
+    queued: Option<&'a serde_json::value::RawValue>,
     /// Requests being computed.
-    #[serde(default)]
-    active: u32,
+    active: Option<&'a serde_json::value::RawValue>,
     /// KV cache in use that cannot be evicted, in tokens.
-    #[serde(default)]
-    kv_used: u64,
+    kv_used: Option<&'a serde_json::value::RawValue>,
     /// KV cache size, in tokens.
-    #[serde(default)]
-    kv_total: u64,
+    kv_total: Option<&'a serde_json::value::RawValue>,
     /// Requests on the engine: ID, tokens in the KV cache, events generated, priority. `None` if
     /// the engine does not list them.
-    runs: Option<Vec<(String, u64, u64, serde_json::Value)>>,
+    runs: Option<&'a serde_json::value::RawValue>,
 }
 
 /// Request to copy the KV cache of a request. The request keeps running, as `last` is not sent.
@@ -72,33 +69,62 @@
     })
 }
 
-/// Decodes an engine report.
+/// Decodes an engine report. Numbers are cut to the range of their type; fields that cannot be read
+/// count as absent.
 ///
 /// # Errors
-/// The JSON error if `value` is not a valid report.
+/// The JSON error if `value` is not a JSON object.
 pub fn decode(value: &[u8]) -> Result<report::EngineReport> {
-    let wire: ReportWire = serde_json::from_slice(value)?;
+    let wire: ReportWire<'_> = serde_json::from_slice(value)?;
     Ok(report::EngineReport::from(wire))
 }
 
-impl From<ReportWire> for report::EngineReport {
-    fn from(wire: ReportWire) -> Self {
-        let runs = wire.runs.map(|runs| {
-            let runs = runs.into_iter();
-            let runs = runs.map(|(request, tokens, events, _priority)| report::EngineRun {
-                request,
-                tokens,
-                events,
-            });
-            runs.collect()
-        });
+impl From<ReportWire<'_>> for report::EngineReport {
+    fn from(wire: ReportWire<'_>) -> Self {
         Self {
-            is_leaving: wire.state.as_deref() == Some(LEAVING_STATE),
-            waiting: wire.queued,
-            running: wire.active,
-            memory_used: wire.kv_used,
-            memory_total: wire.kv_total,
-            runs,
+            is_leaving: wire.state.and_then(text).as_deref() == Some(LEAVING_STATE),
+            waiting: u32::try_from(number(wire.queued)).unwrap_or(u32::MAX),
+            running: u32::try_from(number(wire.active)).unwrap_or(u32::MAX),
+            memory_used: number(wire.kv_used),
+            memory_total: number(wire.kv_total),
+            runs: wire.runs.and_then(engine_runs),
         }
     }
 }
+
+/// The requests on an engine; `None` if one of them cannot be told, as any request may be that one.
+fn engine_runs(list: &serde_json::value::RawValue) -> Option<Vec<report::EngineRun>> {
+    let runs: Vec<&serde_json::value::RawValue> = serde_json::from_str(list.get()).ok()?;
+    runs.into_iter().map(engine_run).collect()
+}
+
+fn engine_run(run: &serde_json::value::RawValue) -> Option<report::EngineRun> {
+    let fields: Vec<&serde_json::value::RawValue> = serde_json::from_str(run.get()).ok()?;
+    let mut fields = fields.into_iter();
+    Some(report::EngineRun {
+        request: fields.next().and_then(text)?,
+        tokens: number(fields.next()),
+        events: number(fields.next()),
+    })
+}
+
+fn text(value: &serde_json::value::RawValue) -> Option<String> {
+    serde_json::from_str(value.get()).ok()
+}
+
+/// A number cut to the range of the type; 0 for anything else.
+fn number(value: Option<&serde_json::value::RawValue>) -> u64 {
+    let Some(text) = value.map(serde_json::value::RawValue::get) else {
+        return 0;
+    };
+    let whole = text.parse::<u64>();
+    whole.unwrap_or_else(|_not_whole| {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the cast cuts to the range of the type"
+        )]
+        let cut = text.parse::<f64>().unwrap_or_default() as u64;
+        cut
+    })
+}
--- a/tests/gateway/odd_answers.rs
+++ b/tests/gateway/odd_answers.rs
@@ -1,7 +1,7 @@
 //! Odd numbers and texts in answers and requests affect nothing but themselves.
 
 use kumquatpulley::connection::h1::head;
-use kumquatpulley::platform::request_header;
+use kumquatpulley::platform::{report_wire, request_header};
 use kumquatpulley::request::relay::dialect::RequestDialect as _;
 use kumquatpulley::request::relay::{attempt, selection};
 
@@ -36,6 +36,27 @@
     );
 }
 
+fn the_known_numbers_of_a_report_count() {
+    let text = r#"{"state":5,"queued":-1,"active":5000000000,"kv_used":1e400,"kv_total":90000.5,
+        "runs":[["r1",100,3,2],["r2"],["r3",1e30,-4,null]]}"#;
+    let report = report_wire::decode(text.as_bytes()).expect("a report");
+    assert_eq!((report.waiting, report.running), (0, u32::MAX));
+    assert_eq!(
+        (report.memory_used, report.memory_total),
+        (u64::MAX, 90_000)
+    );
+    let runs = report.runs.expect("a list of runs");
+    let names: Vec<&str> = runs.iter().map(|run| run.request.as_str()).collect();
+    assert_eq!(names, ["r1", "r2", "r3"]);
+}
+
+/// Any request may be the one that the report does not name.
+fn a_list_with_an_unreadable_run_is_no_list(run: &str) {
+    let text = format!(r#"{{"active":3,"runs":[["r1",100,3,2],{run}]}}"#);
+    let report = report_wire::decode(text.as_bytes()).expect("a report");
+    assert_eq!((report.running, report.runs), (3, None));
+}
+
 fn response(body: &str) -> attempt::FullResponse {
     attempt::FullResponse {
         head: head::ResponseHead {
@@ -49,5 +70,17 @@
 common::cases! {
     report_memory_is_huge: an_engine_with_an_odd_report_is_alive(
         r#"{"queued":1,"active":2,"kv_used":18446744073709551615,"kv_total":18446744073709551615}"#);
+    report_memory_exceeds_its_type: an_engine_with_an_odd_report_is_alive(
+        r#"{"queued":1,"active":2,"kv_used":1e400,"kv_total":1e400}"#);
+    report_counts_exceed_their_type: an_engine_with_an_odd_report_is_alive(
+        r#"{"queued":5000000000,"active":5000000000,"kv_used":1,"kv_total":2}"#);
+    report_counts_are_negative: an_engine_with_an_odd_report_is_alive(r#"{"queued":-1,"active":-1}"#);
+    report_counts_are_fractions: an_engine_with_an_odd_report_is_alive(r#"{"queued":0.5,"active":1.5}"#);
     report_field_is_deep: an_engine_with_an_odd_report_is_alive(&format!(r#"{{"active":1,"x":{}}}"#, deep()));
+    report_runs_are_odd: an_engine_with_an_odd_report_is_alive(r#"{"active":1,"runs":[["r1",-1,2,3],["r2"]]}"#);
+    report_numbers: the_known_numbers_of_a_report_count();
+    run_without_a_name: a_list_with_an_unreadable_run_is_no_list("[7,100,3,2]");
+    run_is_no_list: a_list_with_an_unreadable_run_is_no_list(r#"{"x":1}"#);
+    run_is_empty: a_list_with_an_unreadable_run_is_no_list("[]");
+    run_is_deep: a_list_with_an_unreadable_run_is_no_list(&deep());
 }
