Take no copy handle that cannot be sent in a header

Seen by: nobody yet; a faulty runner could name a copy with a line break or a space. The router sends the handle in the field Kv-From of the resumed request and in the path that frees the copy, so it would end the field or the line there and begin another, or another request. Cause: any JSON value was taken as a handle, a list as its JSON text. Ruled out: deep nesting, which the decoder refuses; the request's ID in the other form of Kv-From, which is read from a header and so has no line break. Change: a handle is a number or a text of 1 to 200 visible ASCII characters. Evidence: of the 5 cases handle_* of odd_answers 4 failed before, as the handle was taken; all pass, as do the rest of odd_answers and formats (60 cases). Conclusion: none.

--- a/src/platform/report_wire.rs
+++ b/src/platform/report_wire.rs
@@ -2,11 +2,16 @@
 
 use std::net;
 
+use serde::de::Error as _;
+
 use crate::request::relay::report;
 
 /// Result of decoding an engine response.
 pub type Result<T> = std::result::Result<T, serde_json::Error>;
 
+/// Maximum length of the handle of a copy.
+const MAX_HANDLE_BYTES: usize = 200;
+
 /// `state` of an engine that accepts no new requests.
 const LEAVING_STATE: &str = "draining";
 
@@ -42,8 +47,16 @@
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
 struct MovedWire {
-    /// Handle of the copy: a string or a number.
-    handle: serde_json::Value,
+    handle: HandleWire,
+}
+
+/// Handle of a copy.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+#[serde(untagged)]
+enum HandleWire {
+    Name(String),
+    Number(serde_json::Number),
 }
 
 /// Encodes the body of a call that copies the KV cache of `request` to `holder`.
@@ -60,13 +73,21 @@
 /// Decodes the handle of a copy, which may be a string or a number, as a string.
 ///
 /// # Errors
-/// The JSON error if `value` is not a valid response.
+/// The JSON error if `value` is not a valid response, or the handle cannot be sent in a header.
 pub fn decode_moved(value: &[u8]) -> Result<String> {
     let wire: MovedWire = serde_json::from_slice(value)?;
-    Ok(match wire.handle {
-        serde_json::Value::String(name) => name,
-        other => other.to_string(),
-    })
+    let name = match wire.handle {
+        HandleWire::Name(name) => name,
+        HandleWire::Number(number) => number.to_string(),
+    };
+    // Requests name the copy in a header, which a line break would end.
+    let is_token = name.bytes().all(|byte| byte.is_ascii_graphic());
+    if name.is_empty() || name.len() > MAX_HANDLE_BYTES || !is_token {
+        return Err(serde_json::Error::custom(
+            "the handle is empty, too long or not of visible ASCII characters",
+        ));
+    }
+    Ok(name)
 }
 
 /// Decodes an engine report. Numbers are cut to the range of their type; fields that cannot be read
--- a/tests/gateway/odd_answers.rs
+++ b/tests/gateway/odd_answers.rs
@@ -57,6 +57,13 @@
     assert_eq!((report.running, report.runs), (3, None));
 }
 
+fn copy_handle_is_ignored(text: &str) {
+    assert_eq!(
+        request_header::HeaderDialect.moved_copy(&response(text)),
+        None
+    );
+}
+
 fn response(body: &str) -> attempt::FullResponse {
     attempt::FullResponse {
         head: head::ResponseHead {
@@ -83,4 +90,9 @@
     run_is_no_list: a_list_with_an_unreadable_run_is_no_list(r#"{"x":1}"#);
     run_is_empty: a_list_with_an_unreadable_run_is_no_list("[]");
     run_is_deep: a_list_with_an_unreadable_run_is_no_list(&deep());
+    handle_has_a_line_break: copy_handle_is_ignored(r#"{"handle":"a\r\nX-Odd: 1"}"#);
+    handle_has_a_space: copy_handle_is_ignored(r#"{"handle":"a b"}"#);
+    handle_is_empty: copy_handle_is_ignored(r#"{"handle":""}"#);
+    handle_is_a_list: copy_handle_is_ignored(r#"{"handle":[1]}"#);
+    handle_is_deep: copy_handle_is_ignored(&format!(r#"{{"handle":{}}}"#, deep()));
 }
