Cut times of the configuration to what a clock can count

Seen by: callers of a route whose time is beyond any clock, or below zero: each request without a shorter deadline of its own ended with a closed connection, as the task of the connection ended with "overflow when adding duration to instant". Cause: a time that is no duration became the longest one, which cannot be added to the present. Ruled out: the deadline of the caller, of which the shorter one of the two counts; the limits for callers, which go to timers that allow any time, and are cut too. Change: times of routes and limits are cut to a year. Evidence: huge_route_times of odd_answers, a gateway under a version with all times of routes at 1e300 ms, failed before with no answer and passes for a call and a stream; odd_answers and formats pass (61 cases). Conclusion: none.

--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -13,6 +13,9 @@
 /// Request timeout of routes that set no `timeout_ms`.
 const DEFAULT_TIMEOUT_MS: f64 = 30_000.0;
 
+/// Longer times are cut to this, as a clock cannot count to the end of any time.
+const LONGEST_TIME: time::Duration = time::Duration::from_secs(365 * 24 * 60 * 60);
+
 /// Priority of routes that set none; 0 is the highest.
 const DEFAULT_PRIORITY: u8 = 5;
 
@@ -197,8 +200,10 @@
 impl From<LimitsWire> for traffic::CallerLimits {
     fn from(wire: LimitsWire) -> Self {
         let default = Self::default();
-        let millis =
-            |value: Option<u64>, default| value.map_or(default, time::Duration::from_millis);
+        let millis = |value: Option<u64>, default| {
+            let duration = value.map_or(default, time::Duration::from_millis);
+            duration.min(LONGEST_TIME)
+        };
         Self {
             head_bytes: wire.max_header_bytes.unwrap_or(default.head_bytes),
             body_bytes: wire.max_body_bytes.unwrap_or(default.body_bytes),
@@ -209,5 +214,6 @@
 }
 
 fn millis(value: f64) -> time::Duration {
-    time::Duration::try_from_secs_f64(value / 1_000.0).unwrap_or(time::Duration::MAX)
+    let duration = time::Duration::try_from_secs_f64(value / 1_000.0);
+    duration.map_or(LONGEST_TIME, |duration| duration.min(LONGEST_TIME))
 }
--- a/tests/gateway/odd_answers.rs
+++ b/tests/gateway/odd_answers.rs
@@ -6,6 +6,8 @@
 use kumquatpulley::request::relay::{attempt, selection};
 
 use crate::common;
+use crate::support::caller;
+use crate::support::system::System;
 
 /// Levels of nesting that overflow the stack of a decoder without a limit.
 const DEEP_LEVELS: usize = 200_000;
@@ -74,6 +76,39 @@
     }
 }
 
+fn assert_all_run(system: &mut System) {
+    for index in 0..system.gateways.len() {
+        let ended = system.gateways[index].child.try_wait().expect("a child");
+        assert_eq!(ended, None, "{}", system.logs());
+    }
+    assert!(!system.logs().contains("panicked"), "{}", system.logs());
+}
+
+/// Times of a route that no clock can count are no limits.
+fn routes_with_huge_times_are_served() {
+    let mut system = System::start(1);
+    let text = System::config(2, r#""k""#);
+    let text = text.replace("20000", "1e300").replace("3000", "1e300");
+    let text = text.replace("4500", "1e300").replace("700", "1e300");
+    system.store.put("op", "config", text.as_bytes());
+    system.wait_for("the version is in force", || {
+        system
+            .logs()
+            .lines()
+            .any(|line| line.contains("version in force") && line.contains(r#""version":2"#))
+    });
+    let untimed =
+        caller::request("/once/1", "r1", "k").replace("Kumquatpulley-Deadline-Ms: 8000\r\n", "");
+    let answer = caller::exchange((system.ip(), 8227).into(), untimed.as_bytes());
+    let answer = answer.unwrap_or_else(|| panic!("no answer; {}", system.logs()));
+    assert_eq!(answer.head.status, 200, "{}", system.logs());
+    let untimed = untimed.replace("/once/1", "/stream/1");
+    let answer = caller::exchange((system.ip(), 8227).into(), untimed.as_bytes());
+    let answer = answer.unwrap_or_else(|| panic!("no answer; {}", system.logs()));
+    assert!(answer.is_complete, "{}", system.logs());
+    assert_all_run(&mut system);
+}
+
 common::cases! {
     report_memory_is_huge: an_engine_with_an_odd_report_is_alive(
         r#"{"queued":1,"active":2,"kv_used":18446744073709551615,"kv_total":18446744073709551615}"#);
@@ -95,4 +130,5 @@
     handle_is_empty: copy_handle_is_ignored(r#"{"handle":""}"#);
     handle_is_a_list: copy_handle_is_ignored(r#"{"handle":[1]}"#);
     handle_is_deep: copy_handle_is_ignored(&format!(r#"{{"handle":{}}}"#, deep()));
+    huge_route_times: routes_with_huge_times_are_served();
 }
