Show that odd fields of callers end nothing

Cause: none found. The deadline is the shorter one of the caller's and the route's; sums of tokens saturate and fields that are no numbers count as none; parts of a prompt that are no hexadecimal numbers are hashed; event numbers are only compared. Ruled out: a panic or another answer than the runner's. Change: seven cases in odd_answers with the largest deadline, token counts, length hint and event number, and odd parts of a prompt.

--- a/tests/gateway/odd_answers.rs
+++ b/tests/gateway/odd_answers.rs
@@ -84,6 +84,24 @@
     assert!(!system.logs().contains("panicked"), "{}", system.logs());
 }
 
+fn request_with_an_odd_field_is_answered(path: &str, field: &str, value: &str) {
+    let mut system = System::start(1);
+    let text = caller::request(path, "r1", "k");
+    let old = format!("\r\n{field}:");
+    let text = match text.split_once(&old) {
+        Some((start, rest)) => {
+            let rest = rest.split_once("\r\n").expect("a line").1;
+            format!("{start}\r\n{field}: {value}\r\n{rest}")
+        }
+        None => text.replacen("\r\n", &format!("\r\n{field}: {value}\r\n"), 1),
+    };
+    let answer = caller::exchange((system.ip(), 8227).into(), text.as_bytes());
+    let answer = answer.unwrap_or_else(|| panic!("no answer; {}", system.logs()));
+    assert_eq!(answer.head.status, 200, "{}", system.logs());
+    assert!(answer.is_complete);
+    assert_all_run(&mut system);
+}
+
 /// Times of a route that no clock can count are no limits.
 fn routes_with_huge_times_are_served() {
     let mut system = System::start(1);
@@ -130,5 +148,19 @@
     handle_is_empty: copy_handle_is_ignored(r#"{"handle":""}"#);
     handle_is_a_list: copy_handle_is_ignored(r#"{"handle":[1]}"#);
     handle_is_deep: copy_handle_is_ignored(&format!(r#"{{"handle":{}}}"#, deep()));
+    deadline_is_the_largest: request_with_an_odd_field_is_answered("/once/1",
+        "Kumquatpulley-Deadline-Ms", "18446744073709551615");
+    stream_deadline_is_the_largest: request_with_an_odd_field_is_answered("/stream/1",
+        "Kumquatpulley-Deadline-Ms", "18446744073709551615");
+    token_counts_are_huge: request_with_an_odd_field_is_answered("/stream/1",
+        "Kumquatpulley-Token-Counts", "18446744073709551615,18446744073709551615");
+    token_counts_are_odd: request_with_an_odd_field_is_answered("/stream/1",
+        "Kumquatpulley-Token-Counts", "-1,1e400,,9999999999999999999999");
+    length_hint_is_huge: request_with_an_odd_field_is_answered("/stream/1",
+        "Kumquatpulley-Length-Hint", "18446744073709551615");
+    prompt_parts_are_odd: request_with_an_odd_field_is_answered("/stream/1",
+        "Kumquatpulley-Prompt-Prefix", "zz:-1,ffffffffffffffffffff:1e400,::,a:9,b:2");
+    last_event_is_huge: request_with_an_odd_field_is_answered("/stream/1",
+        "Last-Event-Id", "18446744073709551614");
     huge_route_times: routes_with_huge_times_are_served();
 }
