Count a refusal of a stream only if it is about that stream

Seen by: other operators, whose clients were told "not run" of requests that a faulty runner was running, as it wrote an earlier refusal once more (REFUSED), or such a request ran at a second runner (TWICE). Here a stream that may run once was answered 503 after a refusal with another request's id, a call or stream after a success with Kumquatpulley-Not-Run, and either after a refusal with two ids. Cause: calls compared the id of a refusal with their own, streams did not; only the first of several ids was read; and the mark counted with any status. Ruled out: kept connections, as each attempt has its own. So a refusal without an id can be about nothing else and counts; the platform's examples of refusals have none. An interim head before it, or a seal, changes nothing about whom it names. Change: one function for both, ResponseMetadata::refuses. The mark counts with 400, 408, 421, 429 and 503; several ids are joined, and bytes that are no UTF-8 replaced, so that neither equals a request's. Anything else may have run: 502, or for streams that may be resumed another attempt. Conclusion: a faulty runner that repeats its refusal of an earlier attempt of the same request, under the same id, on a new connection cannot be told from one that refuses again.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -131,9 +131,9 @@
 
     fn response_metadata(&self, head: &head::ResponseHead) -> dialect::ResponseMetadata {
         dialect::ResponseMetadata {
-            request: head.headers.get(REQUEST_ID).map(str::to_owned),
+            request: named_request(&head.headers),
             is_sealed: head.headers.count(SEAL) == 1,
-            is_not_run: head.headers.count(NOT_RUN) > 0,
+            is_not_run: is_not_run(head),
             is_altered: head.headers.count("Content-Encoding") > 0,
             notice: dialect::EndpointNotice {
                 is_leaving: is_leaving(&head.headers),
@@ -232,6 +232,24 @@
         .collect()
 }
 
+/// IDs of the requests that a response names, joined with commas; bytes that are not UTF-8 are
+/// replaced. `None` if it names none.
+fn named_request(headers: &head::HeaderList) -> Option<String> {
+    let values = headers.values(REQUEST_ID);
+    let ids: Vec<_> = values.map(String::from_utf8_lossy).collect();
+    (!ids.is_empty()).then(|| ids.join(","))
+}
+
+/// Whether a response states that the request did not run. Other statuses come from requests that
+/// ran, so they contradict such a statement.
+fn is_not_run(head: &head::ResponseHead) -> bool {
+    match head.status {
+        421 => true,
+        400 | 408 | 429 | 503 => head.headers.count(NOT_RUN) > 0,
+        _ => false,
+    }
+}
+
 fn is_leaving(headers: &head::HeaderList) -> bool {
     headers
         .get(LEAVING)
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -205,11 +205,10 @@
     response: &attempt::FullResponse,
 ) -> retry::AttemptOutcome {
     let metadata = context.dialect.response_metadata(&response.head);
-    let is_foreign = |id: &String| *id != request.metadata.id;
-    if metadata.request.as_ref().is_some_and(is_foreign) {
+    if metadata.is_foreign(&request.metadata.id) {
         return retry::AttemptOutcome::Lost;
     }
-    if metadata.is_not_run || response.head.status == 421 {
+    if metadata.refuses(&request.metadata.id) {
         return retry::AttemptOutcome::NotRun;
     }
     // Callers read these statuses as "did not run", but the endpoint did not state that.
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -61,7 +61,8 @@
 /// Response metadata from the endpoint's headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseMetadata {
-    /// Identifier of the request that this responds to; `None` when absent.
+    /// Identifier of the request that this responds to; `None` when absent. Several identifiers
+    /// are joined with commas, so that they equal none of the requests.
     pub request: Option<String>,
     /// Whether the endpoint's seal, its proof that it wrote the response, is present.
     pub is_sealed: bool,
@@ -73,6 +74,22 @@
     pub notice: EndpointNotice,
 }
 
+impl ResponseMetadata {
+    /// Whether the response is to another request than `request`, as far as it says so.
+    #[must_use]
+    pub fn is_foreign(&self, request: &str) -> bool {
+        self.request.as_deref().is_some_and(|id| id != request)
+    }
+
+    /// Whether the endpoint states of `request` that it did not run.
+    ///
+    /// A response that names no request counts, as each attempt has a connection of its own.
+    #[must_use]
+    pub fn refuses(&self, request: &str) -> bool {
+        self.is_not_run && !self.is_foreign(request)
+    }
+}
+
 /// Announcements of an endpoint about itself, which any of its responses may carry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndpointNotice {
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -198,7 +198,7 @@
         let head = reader.first_head().await?;
         self.progress.has_head = true;
         let metadata = self.context.observe_head(self.request, lease, &head);
-        if metadata.is_not_run || head.status == 421 {
+        if metadata.refuses(&self.request.metadata.id) {
             let observation = buffered::refusal_observation(head.status);
             return Ok(stream_end::StreamEnd::NotRun(observation));
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,5 +23,6 @@
 mod soak;
 mod stop_replays;
 mod stop_rules;
+mod stray_refusals;
 mod support;
 mod whole;
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -141,6 +141,8 @@
     TrickledComments(u64),
     /// Sends events without an id, as of another stream, after this event.
     ForeignEvents(u64),
+    /// Runs the request and answers with this text, in which `{id}` stands for its id.
+    AnswersWith(&'static str),
 }
 
 /// Number of events in each stream.
@@ -456,6 +458,10 @@
             write(stream, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
             stop_judge::RunEnd::Refused
         }
+        EndpointMode::AnswersWith(text) => {
+            write(stream, &text.replace("{id}", id));
+            stop_judge::RunEnd::Finished
+        }
         EndpointMode::DropsAnswer => stop_judge::RunEnd::BrokenOff,
         EndpointMode::Truncates => {
             write(stream, &format!("{}hel", sealed(id, 5)));
