Let the soak stop routers in series and judge LOST around them

The soak killed each router within 3 s of its SIGTERM, so that no request could be judged there. Cause: none of its runs gave a router its grace period. Ruled out: an unplanned fault. Faults of the router, its link to the store, the store, the endpoints or their links excuse what is sent up to 3 s after their end; so do the start of the run, restores of the store and crashes of endpoints. Callers' records take the time of sending from the write, so that a slow connect does not count; endpoints in all modes honour the length of a stream that its request names.

--- a/tests/gateway/soak/bed.rs
+++ b/tests/gateway/soak/bed.rs
@@ -10,7 +10,7 @@
 
 use rustix::process as unix;
 
-use crate::soak::{clients, limit_days, relay, restore_days};
+use crate::soak::{clients, disruptions, limit_days, relay, restore_days, stop_days};
 use crate::support::{crash_judge, fake_store, fakes, limit_judge, router};
 
 /// Gateways for each of which faults strike as often as in the smallest bed.
@@ -19,6 +19,15 @@
 const ENDPOINTS: u8 = 4;
 const CALLERS: u64 = 6;
 
+/// Callers of a run with planned stops.
+const STOP_CALLERS: u64 = 24;
+
+/// Interval between checks whether planned stops are over.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Time after an unplanned fault for which it is an excuse.
+pub const CONTACT_TIME: time::Duration = limit_judge::CONTACT_TIME;
+
 /// Pause between two faults; some overlap, as each lasts up to [`LONGEST_FAULT`].
 const LONGEST_PAUSE: u64 = 900;
 
@@ -41,8 +50,8 @@
 const CALM_SERVED: usize = 98;
 
 /// A fault that ends at some time.
-#[derive(Clone, Copy, Debug)]
-enum OpenFault {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenFault {
     Paused(usize),
     Killed(usize),
     EndpointMood(usize),
@@ -60,27 +69,36 @@
     until: Option<time::Instant>,
 }
 
-struct Bed {
+pub struct Bed {
     random: fastrand::Rng,
     folder: tempfile::TempDir,
     net: [u8; 3],
     store: fake_store::FakeStore,
     store_links: Vec<relay::Relay>,
     store_doors: Vec<net::SocketAddr>,
-    endpoints: Vec<fakes::FakeEndpoint>,
+    pub(super) endpoints: Vec<fakes::FakeEndpoint>,
     endpoint_links: Vec<relay::Relay>,
-    gateways: Vec<Option<router::GatewayProcess>>,
+    pub(super) gateways: Vec<Option<router::GatewayProcess>>,
     desk: sync::Arc<clients::CallerDesk>,
     version: u64,
     /// Keys taken away, and when.
     revoked: Vec<(String, time::Instant)>,
-    open: Vec<(time::Instant, OpenFault)>,
+    pub(super) open: Vec<(time::Instant, OpenFault)>,
     limits: Option<limit_days::LimitDay>,
     restores: Option<restore_days::RestoreDay>,
+    pub(super) stops: Option<stop_days::StopDay>,
+    pub(super) unplanned: disruptions::FaultRecord,
     /// Gateways that were stopped, and when they were.
     stopped: Vec<StoppedTime>,
     log: Vec<String>,
-    started: time::Instant,
+    pub(super) started: time::Instant,
+}
+
+/// Planned stops of gateways in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlannedStops {
+    None,
+    TwoSeries,
 }
 
 /// What happens in a run beside the usual faults.
@@ -94,6 +112,8 @@
     pub has_crashes: bool,
     /// Whether the store comes back from copies.
     pub has_restores: bool,
+    /// Whether gateways get SIGTERM and their whole grace period.
+    pub stops: PlannedStops,
 }
 
 /// Runs one seed; returns what broke a promise.
@@ -110,13 +130,20 @@
     bed.restores = plan
         .has_restores
         .then(|| restore_days::RestoreDay::draw(seed, faults));
-    let callers: Vec<thread::JoinHandle<()>> = (0..CALLERS)
+    let has_stops = plan.stops == PlannedStops::TwoSeries;
+    if has_stops {
+        let calm = bed.started.elapsed() + KNOWN_BOUND + faults;
+        bed.stops = Some(stop_days::StopDay::draw(seed, calm, gateways));
+        bed.desk.has_timing.store(true, atomic::Ordering::SeqCst);
+    }
+    let callers = if has_stops { STOP_CALLERS } else { CALLERS };
+    let callers: Vec<thread::JoinHandle<()>> = (0..callers)
         .map(|number| {
             let ips = (1..=gateways).map(|gateway| bed.ip(gateway)).collect();
             clients::spawn(&bed.desk, ips, format!("c{number}"), seed + number)
         })
         .collect();
-    thread::sleep(KNOWN_BOUND);
+    bed.rest(KNOWN_BOUND);
     let until = time::Instant::now() + faults;
     while time::Instant::now() < until {
         for _fault in 0..gateways.div_ceil(GATEWAYS_A_FAULT) {
@@ -125,13 +152,15 @@
         bed.end_faults(false);
         bed.set_limits();
         bed.restore_store();
-        thread::sleep(time::Duration::from_millis(
-            bed.random.u64(50..LONGEST_PAUSE),
-        ));
+        let pause = bed.random.u64(50..LONGEST_PAUSE);
+        bed.rest(time::Duration::from_millis(pause));
     }
     bed.end_faults(true);
     bed.end_limits();
-    thread::sleep(RECOVERY);
+    bed.rest(RECOVERY);
+    while bed.stops.as_ref().is_some_and(|day| !day.is_over()) {
+        bed.rest(POLL_INTERVAL);
+    }
     let calm = time::Instant::now();
     let left = bed.leave_endpoint();
     thread::sleep(KNOWN_BOUND + CALM);
@@ -179,6 +208,8 @@
             open: Vec::new(),
             limits: None,
             restores: None,
+            stops: None,
+            unplanned: disruptions::FaultRecord::default(),
             stopped: Vec::new(),
             log: Vec::new(),
             started: time::Instant::now(),
@@ -191,6 +222,7 @@
             let gateway = bed.spawn(index, router::StartKind::First);
             bed.gateways.push(Some(gateway));
         }
+        bed.unplanned.add_moment(time::Instant::now());
         bed
     }
 
@@ -198,7 +230,7 @@
         net::IpAddr::from([self.net[0], self.net[1], self.net[2], last])
     }
 
-    fn spawn(&self, index: usize, kind: router::StartKind) -> router::GatewayProcess {
+    pub(super) fn spawn(&self, index: usize, kind: router::StartKind) -> router::GatewayProcess {
         let number = u8::try_from(index + 1).expect("few gateways");
         let door = self.store_links[index].address;
         let start = router::GatewayStart::new(kind);
@@ -311,13 +343,23 @@
             }
         };
         if let Some(OpenFault::Paused(gateway) | OpenFault::Killed(gateway)) = fault {
-            self.stopped.push(StoppedTime {
-                gateway,
-                from: time::Instant::now(),
-                until: None,
-            });
+            self.begin_stopped(gateway);
+        }
+        if let Some(OpenFault::Killed(gateway)) = fault
+            && let Some(day) = &mut self.stops
+        {
+            // The gateway ends before its grace period is over, so this is no planned stop.
+            day.open.retain(|stop| stop.gateway != gateway);
         }
         if let Some(fault) = fault {
+            let struck = match fault {
+                OpenFault::Paused(gateway)
+                | OpenFault::Killed(gateway)
+                | OpenFault::StoreLink(gateway)
+                | OpenFault::StoreAway(gateway) => Some(self.gateway_ip(gateway)),
+                OpenFault::EndpointMood(_) | OpenFault::EndpointLink(_) => None,
+            };
+            self.unplanned.begin(fault, struck);
             self.note(&format!("begins: {fault:?}"));
             self.open.push((ends, fault));
         }
@@ -336,7 +378,7 @@
         ][self.random.usize(..7)]
     }
 
-    fn signal(&mut self, index: usize, signal: unix::Signal) {
+    pub(super) fn signal(&mut self, index: usize, signal: unix::Signal) {
         if let Some(gateway) = &self.gateways[index] {
             router::signal(gateway, signal);
         }
@@ -354,11 +396,7 @@
         for (_ends, fault) in due {
             self.note(&format!("ends: {fault:?}"));
             if let OpenFault::Paused(gateway) | OpenFault::Killed(gateway) = fault {
-                let stopped = self.stopped.iter_mut();
-                let mut open = stopped.filter(|stop| stop.gateway == gateway);
-                if let Some(stop) = open.find(|stop| stop.until.is_none()) {
-                    stop.until = Some(time::Instant::now());
-                }
+                self.end_stopped(gateway);
             }
             match fault {
                 OpenFault::Paused(index) => self.signal(index, unix::Signal::CONT),
@@ -366,6 +404,9 @@
                     // Dropping the old process first frees its addresses.
                     self.gateways[index] = None;
                     self.gateways[index] = Some(self.spawn(index, router::StartKind::Later));
+                    if let Some(day) = &mut self.stops {
+                        day.record_start(index);
+                    }
                 }
                 OpenFault::EndpointMood(index) => {
                     self.endpoints[index].set_mode(fakes::EndpointMode::Healthy);
@@ -379,9 +420,30 @@
                     self.store.set_unavailable(self.store_doors[index], false);
                 }
             }
+            self.unplanned.end(fault);
+        }
+    }
+
+    pub(super) fn begin_stopped(&mut self, gateway: usize) {
+        self.stopped.push(StoppedTime {
+            gateway,
+            from: time::Instant::now(),
+            until: None,
+        });
+    }
+
+    pub(super) fn end_stopped(&mut self, gateway: usize) {
+        let stopped = self.stopped.iter_mut();
+        let mut open = stopped.filter(|stop| stop.gateway == gateway);
+        if let Some(stop) = open.find(|stop| stop.until.is_none()) {
+            stop.until = Some(time::Instant::now());
         }
     }
 
+    pub(super) fn gateway_ip(&self, index: usize) -> net::IpAddr {
+        self.ip(u8::try_from(index + 1).expect("few gateways"))
+    }
+
     /// Lets endpoints name the limits that are due.
     fn set_limits(&mut self) {
         let elapsed = self.started.elapsed();
@@ -423,6 +485,7 @@
             self.store.restore(&copy, &changes);
             false
         };
+        self.unplanned.add_moment(time::Instant::now());
         self.note(&format!(
             "the store comes back from a copy, unnoticed {is_unnoticed}"
         ));
@@ -494,7 +557,7 @@
         (index, time::Instant::now() + KNOWN_BOUND)
     }
 
-    fn note(&mut self, text: &str) {
+    pub(super) fn note(&mut self, text: &str) {
         let at = self.started.elapsed().as_millis();
         self.log.push(format!("{at:>6} ms {text}"));
     }
@@ -540,6 +603,7 @@
             }
         }
         findings.extend(self.find_excesses(&records));
+        findings.extend(self.find_lost(&records));
         let (endpoint, known) = left;
         let late = self.endpoints[endpoint]
             .received()
--- a/tests/gateway/soak/clients.rs
+++ b/tests/gateway/soak/clients.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time;
 
-use crate::support::{caller, crash_judge, fakes};
+use crate::support::{caller, crash_judge, fakes, stop_judge, timed_work};
 
 /// Longest wait of a caller for bytes of an answer.
 const PATIENCE: time::Duration = time::Duration::from_secs(4);
@@ -21,21 +21,32 @@
 /// One in this many streams has the deadly part.
 const STREAMS_A_DEADLY_PROMPT: u32 = 6;
 
+/// Earlier of the routes' timeouts and the callers' deadlines.
+const TIME_LIMIT: time::Duration = time::Duration::from_millis(3_500);
+
+/// One in this many timed streams takes seconds.
+const STREAMS_A_LONG_STREAM: u32 = 3;
+
 /// What a caller was told about one request.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
     pub id: String,
     pub path: &'static str,
+    /// Time that the endpoint takes; `None` for its usual one.
+    pub timing: Option<timed_work::WorkTiming>,
     /// Shared parts of its prompt.
     pub prompt: Option<&'static str>,
     pub key: String,
     pub sent: time::Instant,
+    /// When its last byte was sent.
+    pub last_byte: time::Instant,
     /// Gateway that it was sent to.
     pub gateway: Option<net::SocketAddr>,
     /// When the answer had arrived or the connection had ended.
     pub ended: time::Instant,
     /// Status of the answer; `None` when there was none.
     pub status: Option<u16>,
+    pub end: stop_judge::CallEnd,
     /// What was wrong with the answer.
     pub fault: Option<String>,
     /// Whether the answer was a whole success.
@@ -47,6 +58,34 @@
     pub fn is_deadly(&self) -> bool {
         self.prompt == Some(crash_judge::DEADLY_PROMPT)
     }
+
+    /// The request for the judge of planned stops; `None` if it was never sent.
+    pub fn stop_view(&self) -> Option<stop_judge::CallerView> {
+        Some(stop_judge::CallerView {
+            id: self.id.clone(),
+            gateway: self.gateway?.ip(),
+            sent: self.sent,
+            last_byte: self.last_byte,
+            ended: self.ended,
+            status: self.status,
+            end: self.end,
+            time_limit: TIME_LIMIT,
+            has_successor: false,
+        })
+    }
+
+    fn target(&self) -> String {
+        let timing = self.timing.as_ref();
+        timing.map_or_else(|| self.path.to_owned(), |timing| timing.target(self.path))
+    }
+
+    fn expected_body(&self) -> String {
+        match &self.timing {
+            Some(timing) if self.path.starts_with("/stream/") => timing.stream_body(0),
+            None if self.path.starts_with("/stream/") => caller::complete_stream(),
+            _ => fakes::plain_answer(&self.id),
+        }
+    }
 }
 
 /// What callers share.
@@ -57,6 +96,8 @@
     pub is_over: atomic::AtomicBool,
     /// Whether streams have prompts, some of which crash endpoints.
     pub sends_prompts: atomic::AtomicBool,
+    /// Whether requests without prompts take up to some seconds.
+    pub has_timing: atomic::AtomicBool,
 }
 
 /// Runs one caller until the desk says that it is over.
@@ -92,16 +133,21 @@
                     crash_judge::SOUND_PROMPT
                 }
             });
+            let has_timing = !sends_prompt && desk.has_timing.load(atomic::Ordering::SeqCst);
+            let timing = has_timing.then(|| draw_timing(path, &mut random));
             let key = desk.key.lock().expect("not poisoned").clone();
             let mut record = CallRecord {
                 id: format!("{name}-{number}"),
                 path,
+                timing,
                 prompt,
                 key,
                 sent: time::Instant::now(),
+                last_byte: time::Instant::now(),
                 ended: time::Instant::now(),
                 gateway: None,
                 status: None,
+                end: stop_judge::CallEnd::GivenUp,
                 fault: None,
                 is_served: false,
             };
@@ -117,6 +163,21 @@
     })
 }
 
+/// Times of a request to `path`, all within its time limit.
+fn draw_timing(path: &str, random: &mut fastrand::Rng) -> timed_work::WorkTiming {
+    let is_long = random.u32(..STREAMS_A_LONG_STREAM) == 0;
+    let (silent, streamed) = match (path.starts_with("/stream/"), is_long) {
+        (true, true) => (0..100, 2_000..3_000),
+        (true, false) => (0..100, 100..400),
+        (false, _) => (0..1_500, 0..1),
+    };
+    timed_work::WorkTiming {
+        silent: time::Duration::from_millis(random.u64(silent)),
+        streamed: time::Duration::from_millis(random.u64(streamed)),
+        ..Default::default()
+    }
+}
+
 fn connect(address: net::SocketAddr) -> Option<net::TcpStream> {
     let stream = net::TcpStream::connect_timeout(&address, CONNECT_LIMIT).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
@@ -149,20 +210,27 @@
     let prompt = record
         .prompt
         .map(|parts| format!("{parts},{:x}:9", fastrand::u64(..)));
-    let request = caller::prompt_request(record.path, &record.id, &record.key, prompt.as_deref());
+    let target = record.target();
+    let request = caller::prompt_request(&target, &record.id, &record.key, prompt.as_deref());
     record.gateway = stream.peer_addr().ok();
-    stream.write_all(request.as_bytes()).ok()?;
-    let answer = caller::read_answer(&mut stream)?;
+    record.sent = time::Instant::now();
+    let written = stream.write_all(request.as_bytes());
+    record.last_byte = time::Instant::now();
+    let (answer, end) = match written {
+        Ok(()) => caller::read_to_end(&mut stream),
+        Err(error) => (None, Err(error)),
+    };
+    record.end = match end {
+        Ok(()) => stop_judge::CallEnd::Answered,
+        Err(error) => stop_judge::CallEnd::of_error(&error),
+    };
+    let answer = answer?;
     record.status = Some(answer.head.status);
     if answer.head.status != 200 {
         let keeps = answer.is_complete && !answer.head.headers.has_token("connection", "close");
         return keeps.then_some(stream);
     }
-    let expected = if record.path.starts_with("/stream/") {
-        caller::complete_stream()
-    } else {
-        fakes::plain_answer(&record.id)
-    };
+    let expected = record.expected_body();
     let text = answer.text();
     if answer.head.headers.get("Kumquatpulley-Request-Id") != Some(record.id.as_str()) {
         record.fault = Some("the answer belongs to another request".to_owned());
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -5,13 +5,16 @@
 //! `KUMQUATPULLEY_SOAK_FIRST` names the first seed, else it is drawn; `KUMQUATPULLEY_SOAK_GATEWAYS` the
 //! number of gateways, 200 at most. Endpoints name request limits unless `KUMQUATPULLEY_SOAK_LIMITS` is 0, and
 //! some prompts crash them unless `KUMQUATPULLEY_SOAK_CRASHES` is 0; the store comes back from copies unless
-//! `KUMQUATPULLEY_SOAK_RESTORES` is 0.
+//! `KUMQUATPULLEY_SOAK_RESTORES` is 0, and gateways are stopped in series unless `KUMQUATPULLEY_SOAK_STOPS` is 0.
 
 mod bed;
 mod clients;
+mod disruptions;
 mod limit_days;
 mod relay;
 mod restore_days;
+mod stop_days;
+mod stop_steps;
 
 use std::env;
 use std::time;
@@ -21,6 +24,9 @@
 /// Time of faults in a usual run.
 const FAULT_TIME: time::Duration = time::Duration::from_secs(12);
 
+/// Time of faults in a run with planned stops, most of which are in the calm time.
+const STOP_FAULT_TIME: time::Duration = time::Duration::from_secs(4);
+
 /// Gateways of a usual run.
 const GATEWAYS: u8 = 3;
 
@@ -32,10 +38,15 @@
     has_limits: false,
     has_crashes: false,
     has_restores: false,
+    stops: bed::PlannedStops::None,
 };
 
 fn soak(seed: u64, plan: bed::SoakPlan) {
-    let findings = bed::run(seed, FAULT_TIME, plan);
+    soak_for(seed, FAULT_TIME, plan);
+}
+
+fn soak_for(seed: u64, faults: time::Duration, plan: bed::SoakPlan) {
+    let findings = bed::run(seed, faults, plan);
     assert!(findings.is_empty(), "seed {seed}:\n{}", findings.join("\n"));
 }
 
@@ -55,6 +66,11 @@
         has_limits: is_on("KUMQUATPULLEY_SOAK_LIMITS"),
         has_crashes: is_on("KUMQUATPULLEY_SOAK_CRASHES"),
         has_restores: is_on("KUMQUATPULLEY_SOAK_RESTORES"),
+        stops: if is_on("KUMQUATPULLEY_SOAK_STOPS") {
+            bed::PlannedStops::TwoSeries
+        } else {
+            bed::PlannedStops::None
+        },
     };
     let mut failed = Vec::new();
     for seed in first..first + count {
@@ -87,4 +103,6 @@
     restored_store: soak(7_003, bed::SoakPlan { has_restores: true, ..CALM_ENDPOINTS });
     // Sound prompts were blocked because an endpoint cut off answers and did not crash.
     truncating_endpoint: soak(7_503, bed::SoakPlan { has_limits: true, has_crashes: true, ..CALM_ENDPOINTS });
+    // Stopping gateways cut streams that they had taken, and closed others without an answer.
+    planned_stops: soak_for(7_004, STOP_FAULT_TIME, bed::SoakPlan { stops: bed::PlannedStops::TwoSeries, ..CALM_ENDPOINTS });
 }
--- a/tests/gateway/support/caller.rs
+++ b/tests/gateway/support/caller.rs
@@ -1,5 +1,6 @@
 //! A caller that checks whether answers are complete.
 
+use std::io;
 use std::io::{Read as _, Write as _};
 use std::net;
 use std::time;
@@ -54,40 +55,62 @@
 
 /// Reads one answer; if the connection ends early, it is not complete.
 pub fn read_answer(stream: &mut net::TcpStream) -> Option<Answer> {
+    read_to_end(stream).0
+}
+
+/// Reads one answer; returns why it is not complete, too.
+pub fn read_to_end(stream: &mut net::TcpStream) -> (Option<Answer>, io::Result<()>) {
+    let mut answer = None;
+    let end = read_into(stream, &mut answer);
+    (answer, end)
+}
+
+fn read_into(stream: &mut net::TcpStream, answer: &mut Option<Answer>) -> io::Result<()> {
     let mut pending = Vec::new();
-    let mut chunk = [0_u8; 4096];
     let (head, length) = loop {
-        if let Some(parsed) = head::parse_response(&pending).ok()? {
+        let parsed = head::parse_response(&pending).map_err(io::Error::other)?;
+        if let Some(parsed) = parsed {
             break parsed;
         }
-        let count = stream.read(&mut chunk).ok().filter(|count| *count > 0)?;
-        pending.extend_from_slice(&chunk[..count]);
+        fill(stream, &mut pending)?;
     };
     pending.drain(..length);
-    let mut decoder = body::BodyDecoder::new(head.framing("POST").ok()?);
-    let mut answer = Answer {
+    let framing = head.framing("POST").map_err(io::Error::other)?;
+    let mut decoder = body::BodyDecoder::new(framing);
+    let begun = Answer {
         head,
         body: Vec::new(),
         is_complete: false,
         longest_pause: time::Duration::ZERO,
     };
     let mut last = time::Instant::now();
+    let answered = answer.insert(begun);
     loop {
-        let used = decoder.decode(&pending, &mut answer.body).ok()?;
+        let Ok(used) = decoder.decode(&pending, &mut answered.body) else {
+            *answer = None;
+            return Err(io::Error::other("a malformed body"));
+        };
         pending.drain(..used);
-        answer.is_complete = decoder.is_complete();
-        if answer.is_complete {
-            return Some(answer);
+        answered.is_complete = decoder.is_complete();
+        if answered.is_complete {
+            return Ok(());
         }
-        let Some(count) = stream.read(&mut chunk).ok().filter(|count| *count > 0) else {
-            return Some(answer);
-        };
-        answer.longest_pause = answer.longest_pause.max(last.elapsed());
+        fill(stream, &mut pending)?;
+        answered.longest_pause = answered.longest_pause.max(last.elapsed());
         last = time::Instant::now();
-        pending.extend_from_slice(&chunk[..count]);
     }
 }
 
+fn fill(stream: &mut net::TcpStream, pending: &mut Vec<u8>) -> io::Result<()> {
+    let mut chunk = [0_u8; 4096];
+    let count = stream.read(&mut chunk)?;
+    if count == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    pending.extend_from_slice(&chunk[..count]);
+    Ok(())
+}
+
 /// The body of a complete stream.
 pub fn complete_stream() -> String {
     let events =
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -398,7 +398,8 @@
     let run = state.runs.add(&id);
     let timing = timed_work::WorkTiming::parse(&request);
     let end = if let (EndpointMode::Healthy, Some(timing)) = (mode, timing) {
-        timed_work::answer(stream, &request, timing, (&state.runs, run))
+        let notices = notice_fields(state, mode, &id);
+        timed_work::answer(stream, &request, (timing, &notices), (&state.runs, run))
     } else {
         if request.is_started {
             state.runs.begin(run);
@@ -593,7 +594,9 @@
         state.crash(stream);
         return stop_judge::RunEnd::BrokenOff;
     }
-    for event in first..=EVENT_COUNT {
+    let timing = timed_work::WorkTiming::parse(request);
+    let last = timing.map_or(EVENT_COUNT, |timing| timing.last_event());
+    for event in first..=last {
         if state.crash_count() > crashes_before {
             reset(stream);
             return stop_judge::RunEnd::BrokenOff;
@@ -649,6 +652,7 @@
         }
         thread::sleep(match mode {
             EndpointMode::SlowThenDiesAfter(_) => SLOW_EVENT_PAUSE,
+            _ if timing.is_some() => timed_work::EVENT_INTERVAL,
             _ => EVENT_PAUSE,
         });
     }
--- a/tests/gateway/support/stop_caller.rs
+++ b/tests/gateway/support/stop_caller.rs
@@ -225,17 +225,10 @@
 
     fn end_with(&mut self, error: &io::Error) {
         self.view.ended = time::Instant::now();
-        self.view.end = match error.kind() {
-            io::ErrorKind::UnexpectedEof => stop_judge::CallEnd::Closed,
-            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => {
-                stop_judge::CallEnd::Reset
-            }
-            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => stop_judge::CallEnd::GivenUp,
-            _ => {
-                self.fault = Some(format!("{}: {error}", self.view.id));
-                stop_judge::CallEnd::Closed
-            }
-        };
+        self.view.end = stop_judge::CallEnd::of_error(error);
+        if error.kind() == io::ErrorKind::Other {
+            self.fault = Some(format!("{}: {error}", self.view.id));
+        }
     }
 }
 
--- a/tests/gateway/support/stop_judge.rs
+++ b/tests/gateway/support/stop_judge.rs
@@ -6,6 +6,7 @@
 //! for a socket that is closed with unread bytes.
 
 use std::collections;
+use std::io;
 use std::net;
 use std::time;
 
@@ -32,6 +33,17 @@
     GivenUp,
 }
 
+impl CallEnd {
+    /// The end of a request whose answer could not be read completely.
+    pub fn of_error(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => Self::Reset,
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Self::GivenUp,
+            _ => Self::Closed,
+        }
+    }
+}
+
 /// A request as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct CallerView {
--- a/tests/gateway/support/timed_work.rs
+++ b/tests/gateway/support/timed_work.rs
@@ -73,11 +73,12 @@
     format!("id: {event}\ndata: piece {event}\n\n")
 }
 
-/// Answers a request with this timing and records when the work on it begins; returns how it ended.
+/// Answers a request with this timing and these additional header fields, and records when the work
+/// on it begins; returns how it ended.
 pub fn answer(
     stream: &mut net::TcpStream,
     request: &fakes::ReceivedRequest,
-    timing: WorkTiming,
+    (timing, notices): (WorkTiming, &str),
     (log, index): (&run_log::RunLog, usize),
 ) -> stop_judge::RunEnd {
     if !wait(stream, timing.queued) {
@@ -86,9 +87,9 @@
     log.begin(index);
     let is_written = wait(stream, timing.silent)
         && if request.head.target.starts_with("/stream/") {
-            write_stream(stream, request, timing)
+            write_stream(stream, request, timing, notices)
         } else {
-            write_plain(stream, request, timing)
+            write_plain(stream, request, timing, notices)
         };
     if is_written {
         stop_judge::RunEnd::Finished
@@ -112,12 +113,12 @@
     }
 }
 
-fn head_text(request: &fakes::ReceivedRequest, framing: &str) -> String {
+fn head_text(request: &fakes::ReceivedRequest, notices: &str, framing: &str) -> String {
     let id = request.field("Kumquatpulley-Request-Id");
     let id = id.unwrap_or_default();
     format!(
         "HTTP/1.1 200 OK\r\nKumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
-         {framing}\r\n\r\n"
+         {notices}{framing}\r\n\r\n"
     )
 }
 
@@ -125,10 +126,11 @@
     stream: &mut net::TcpStream,
     request: &fakes::ReceivedRequest,
     timing: WorkTiming,
+    notices: &str,
 ) -> bool {
     let id = request.field("Kumquatpulley-Request-Id");
     let body = timing.plain_body(&id.unwrap_or_default());
-    let head = head_text(request, &format!("Content-Length: {}", body.len()));
+    let head = head_text(request, notices, &format!("Content-Length: {}", body.len()));
     stream.write_all((head + &body).as_bytes()).is_ok()
 }
 
@@ -136,12 +138,13 @@
     stream: &mut net::TcpStream,
     request: &fakes::ReceivedRequest,
     timing: WorkTiming,
+    notices: &str,
 ) -> bool {
     let last = request.field("Last-Event-Id");
     let last = last
         .and_then(|text| text.parse::<u64>().ok())
         .unwrap_or_default();
-    let head = head_text(request, "Transfer-Encoding: chunked");
+    let head = head_text(request, notices, "Transfer-Encoding: chunked");
     if stream.write_all(head.as_bytes()).is_err() {
         return false;
     }
