--- a/tests/gateway/soak/stop_days.rs
+++ b/tests/gateway/soak/stop_days.rs
@@ -9,6 +9,9 @@
 /// Pause between two stops of a series, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 1_000..2_000;
 
+/// Gateways that one series stops, at most.
+const LONGEST_SERIES: usize = 6;
+
 /// Latest begin of the second series after the last fault is excused, in milliseconds.
 const LATEST_BEGIN_MS: u64 = 1_000;
 
@@ -44,6 +47,7 @@
         for mut at in [random.u64(..calm_ms), second] {
             let mut order: Vec<usize> = (0..usize::from(gateways)).collect();
             random.shuffle(&mut order);
+            order.truncate(LONGEST_SERIES);
             for gateway in order {
                 due.push((time::Duration::from_millis(at), gateway));
                 at += random.u64(PAUSE_MS);
