Reset the connection of an old caller whose stream breaks off

Seen by: callers of HTTP/1.0, for whom a stream ends with its connection. A stream that the router gave up, or that was open when the router stopped or was killed, ended in an orderly way and looked complete. Cause: the connection was closed as after a whole answer; chunks mark the end only in HTTP/1.1. Ruled out: answers with a length, and streams to callers of HTTP/1.1, which lack their last chunk then. Change: before the first byte of a body that ends with the connection, the socket is set to reset when it is closed, and back when the body is whole. Such a connection is closed without the wait for its caller, which begins with an orderly end. Conclusion: an old caller that reads slowly may lose events that had reached its machine when the stream broke off.

--- a/src/connection/h1/sink.rs
+++ b/src/connection/h1/sink.rs
@@ -1,5 +1,7 @@
 //! Writes the answer to one caller's request.
 
+use std::time;
+
 use async_std::io::WriteExt as _;
 use async_std::net;
 
@@ -49,6 +51,13 @@
         self.is_kept_alive && self.state == SinkState::Complete
     }
 
+    /// Whether the connection has to be reset, as the caller takes its orderly end for the end of the
+    /// answer.
+    #[must_use]
+    pub fn must_reset(&self) -> bool {
+        !self.is_http11 && self.state == SinkState::Started
+    }
+
     /// Writes a complete answer.
     ///
     /// # Errors
@@ -69,7 +78,7 @@
     /// The socket's error; the caller has disconnected.
     pub async fn push(&mut self, head: &head::ResponseHead, data: &[u8]) -> wire::Result<()> {
         let mut bytes = Vec::with_capacity(data.len() + 16);
-        self.begin(head, &mut bytes);
+        self.begin(head, &mut bytes)?;
         if self.is_http11 && !data.is_empty() {
             head::write_chunk(&mut bytes, data);
         } else {
@@ -84,25 +93,37 @@
     /// The socket's error; the caller has disconnected.
     pub async fn finish(&mut self, head: &head::ResponseHead) -> wire::Result<()> {
         let mut bytes = Vec::new();
-        self.begin(head, &mut bytes);
+        self.begin(head, &mut bytes)?;
         if self.is_http11 {
             bytes.extend_from_slice(head::LAST_CHUNK);
         }
         self.stream.write_all(&bytes).await?;
+        if !self.is_http11 {
+            self.set_reset_on_close(false)?;
+        }
         self.state = SinkState::Complete;
         Ok(())
     }
 
-    fn begin(&mut self, head: &head::ResponseHead, bytes: &mut Vec<u8>) {
+    fn begin(&mut self, head: &head::ResponseHead, bytes: &mut Vec<u8>) -> wire::Result<()> {
         if self.state != SinkState::NotStarted {
-            return;
+            return Ok(());
         }
-        self.state = SinkState::Started;
         let framing = if self.is_http11 {
             head::BodyFraming::Chunked
         } else {
+            // The caller takes an orderly end of the connection for the end of the body. Set before
+            // the first byte, so that it also holds when the process is killed.
+            self.set_reset_on_close(true)?;
             head::BodyFraming::UntilClose
         };
+        self.state = SinkState::Started;
         bytes.extend_from_slice(&head::write_response(head, framing, self.is_kept_alive));
+        Ok(())
+    }
+
+    fn set_reset_on_close(&self, is_reset: bool) -> wire::Result<()> {
+        let linger = is_reset.then_some(time::Duration::ZERO);
+        socket2::SockRef::from(&self.stream).set_linger(linger)
     }
 }
--- a/src/process/gateway/caller_server.rs
+++ b/src/process/gateway/caller_server.rs
@@ -37,6 +37,16 @@
     body: Vec<u8>,
 }
 
+/// What becomes of a connection after an answer.
+enum ConnectionStep {
+    /// The next request is read.
+    Reuse,
+    /// The caller is given time to take the answer.
+    Linger,
+    /// Closed at once: the caller has gone, or must not take an orderly end for that of the answer.
+    Drop,
+}
+
 /// Why no request was read.
 enum ReadFailure {
     /// The caller closed the connection or exceeded the idle timeout.
@@ -89,11 +99,11 @@
         // Counted before the request is complete, so that the process does not exit in between.
         let _in_flight = node.start_request();
         match read_request(&mut wire, node, &limits).await {
-            Ok(request) => {
-                if !answer(&mut wire, node, request).await {
-                    return linger(wire).await;
-                }
-            }
+            Ok(request) => match answer(&mut wire, node, request).await {
+                ConnectionStep::Reuse => {}
+                ConnectionStep::Linger => return linger(wire).await,
+                ConnectionStep::Drop => return,
+            },
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::Refused(refusal)) => {
                 refuse(&wire, node, &refusal).await;
@@ -103,12 +113,12 @@
     }
 }
 
-/// Answers one request; returns whether the connection can be reused.
+/// Answers one request.
 async fn answer(
     wire: &mut wire::BufferedWire,
     node: &node::GatewayNode,
     request: ReadRequest,
-) -> bool {
+) -> ConnectionStep {
     let _body_bytes = BodyBytesGuard::new(&node.body_bytes, request.body.len());
     let is_draining = node.is_draining.load(atomic::Ordering::SeqCst);
     let is_kept_alive = request.head.keeps_connection() && !is_draining;
@@ -118,9 +128,15 @@
     if let futures_future::Either::Right(_) = futures_future::select(responding, closed).await {
         // Dropping the relay closes its connections, so that endpoints stop working on the request.
         node.metrics.count("caller.left");
-        return false;
+        return ConnectionStep::Drop;
+    }
+    if sink.may_reuse() {
+        return ConnectionStep::Reuse;
+    }
+    if sink.must_reset() {
+        return ConnectionStep::Drop;
     }
-    sink.may_reuse()
+    ConnectionStep::Linger
 }
 
 /// Whether the caller sends a byte of a request within `idle_timeout`.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod broken_streams;
 mod burst;
 mod cached_state;
 mod crash_evidence;
--- a/tests/gateway/stray_refusals.rs
+++ b/tests/gateway/stray_refusals.rs
@@ -7,22 +7,9 @@
 const STREAM: &str = "/stream/1";
 const CALL: &str = "/once/1";
 
-/// A system whose streams cannot be resumed, so that they may run once only.
-fn start() -> System {
-    let system = System::start(1);
-    let config = System::config(2, r#""k""#).replace(r#""can_resume":true,"#, "");
-    system.store.put("op", "config", config.as_bytes());
-    system.wait_for("the version is in force", || {
-        let logs = system.logs();
-        let mut lines = logs.lines();
-        lines.any(|line| line.contains("version in force") && line.contains(r#""version":2"#))
-    });
-    system
-}
-
 /// Guards against faulty endpoints that send an earlier refusal while they run the request.
 fn a_refusal_that_may_be_stray_does_not_count(path: &str, text: &'static str) {
-    let system = start();
+    let system = System::start_unresumable();
     system.set_modes(fakes::EndpointMode::AnswersWith(text));
     let answer = System::send(system.ip(), path, "r1").expect("an answer");
     assert_eq!(answer.head.status, 502, "{}", system.logs());
@@ -31,7 +18,7 @@
 }
 
 fn a_refusal_of_the_request_counts(path: &str, text: &'static str) {
-    let system = start();
+    let system = System::start_unresumable();
     system
         .first
         .set_mode(fakes::EndpointMode::AnswersWith(text));
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -158,4 +158,17 @@
         self.first.set_mode(mode);
         self.second.set_mode(fakes::EndpointMode::Full);
     }
+
+    /// A system of one gateway whose streams cannot be resumed, so that they may run once only.
+    pub fn start_unresumable() -> Self {
+        let system = Self::start(1);
+        let config = Self::config(2, r#""k""#).replace(r#""can_resume":true,"#, "");
+        system.store.put("op", "config", config.as_bytes());
+        system.wait_for("the version is in force", || {
+            let logs = system.logs();
+            let mut lines = logs.lines();
+            lines.any(|line| line.contains("version in force") && line.contains(r#""version":2"#))
+        });
+        system
+    }
 }
