Reproduce requests that a router with a brief grace period never answers

Callers saw: streams that an engine had queued end with a closed connection and no head, at the SIGKILL.

Cause: stop::stop closes at 86 % of the grace period and then sleeps 200 ms for gossip and 20 ms for connections, whatever the grace period is. With 1 s that ends at 1.08 s: after the abort (0.95 s), the exit (0.98 s) and the SIGKILL (1 s). Below about 2.4 s the abort is late, and as the exit is a point in time of its own, no time is left between the two.

Ruled out: admission; all requests were sent before the signal.

Change: planned_stops::brief_grace, grace periods of 1 s and 2 s.

--- a/tests/gateway/planned_stops/mod.rs
+++ b/tests/gateway/planned_stops/mod.rs
@@ -1,6 +1,7 @@
 //! Requests around the SIGTERM of real gateway processes, judged by the rule LOST.
 
 mod admission;
+mod brief_grace;
 mod last_moments;
 mod series;
 mod unanswered;
