Reproduce a router that exits at once after it has aborted its requests

Callers saw: streams that an engine had queued end with a closed connection and no head, although the process exits by itself.

Cause: stop::stop waits for requests after the abort only until exits_at, a point in time of its own. If the abort comes late, that is past already: wait_until returns at once and main returns while the aborted requests still write their refusals. A grace period of 1.7 s shows it, as the fixed waits end at 1.68 s; with 8 s the stop task has to be 0.24 s late.

Not mended here.

--- a/tests/gateway/planned_stops/brief_grace.rs
+++ b/tests/gateway/planned_stops/brief_grace.rs
@@ -33,5 +33,6 @@
 
 common::cases! {
     grace_of_one_second: queued_streams(millis(1_000));
+    grace_just_above_the_waits: queued_streams(millis(1_700));
     grace_of_two_seconds: queued_streams(millis(2_000));
 }
