Reproduce requests without an answer after the grace period was shortened

Callers saw: requests in flight end with a closed connection and no head, at the SIGKILL.

Cause: stop::stop reads stop_grace from GatewayNode::settings, which are those of the start. reload::watch_settings reads the new ones after SIGHUP, logs that a restart is needed, and keeps only the seeds. A restart is a stop by SIGTERM, and this one is planned with a grace period that is no longer given.

Change: planned_stops::changed_grace: 8 s become 4 s by SIGHUP.

--- a/tests/gateway/planned_stops/mod.rs
+++ b/tests/gateway/planned_stops/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod brief_grace;
+mod changed_grace;
 mod last_moments;
 mod series;
 mod unanswered;
