Keep time for the answers of a stop whatever its grace period is

Callers saw streams that an engine had queued end with a closed connection and no head, although the router had not exited by itself or had just aborted them: with grace periods below about 2 s, after one was shortened by SIGHUP, and wherever the stop is late.

Cause: fixed waits (0.22 s for gossip and connections) beside times that are parts of the grace period; an exit at a point in time of its own, which left no time if the abort was late; and a grace period that was read once, at the start. Class of fault: a wait without the bound that it serves.

Change: fixed waits end at the abort at the latest, requests have 0.2 s for their answers once they are aborted, and the grace period of the newest settings counts when the signal comes.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -82,6 +82,8 @@
     pub is_draining: atomic::AtomicBool,
     /// Whether all new requests are refused, as the process is about to exit.
     pub is_closing: atomic::AtomicBool,
+    /// Grace period of a planned stop, by the newest settings.
+    pub stop_grace: parking_lot::Mutex<time::Duration>,
     /// Times of the planned stop; `None` while the process is not stopping.
     pub stop_schedule: parking_lot::Mutex<Option<stop_schedule::StopSchedule>>,
     /// Estimate of how long streams take.
--- a/src/process/gateway/reload.rs
+++ b/src/process/gateway/reload.rs
@@ -27,7 +27,8 @@
 
 /// Reads the settings after each signal and periodically, until `token` is cancelled.
 ///
-/// Only changed peer addresses take effect at once; all other changes need a restart. Invalid
+/// Only changed peer addresses and the grace period take effect at once; all other changes need a
+/// restart. Invalid
 /// settings are logged and change nothing.
 pub async fn watch_settings(
     node: sync::Arc<node::GatewayNode>,
@@ -45,10 +46,15 @@
                     let needs_restart = settings::GatewaySettings {
                         seeds: current.seeds.clone(),
                         is_first_start: current.is_first_start,
+                        bounds: settings::GatewayBounds {
+                            stop_grace: current.bounds.stop_grace,
+                            ..settings.bounds
+                        },
                         ..settings.clone()
                     } != current;
                     log::info!(by_signal = is_signalled, needs_restart; "settings reloaded");
                     node.seeds.set_configured(settings.seeds.clone());
+                    *node.stop_grace.lock() = settings.bounds.stop_grace;
                     current = settings;
                 }
                 Err(faults) => {
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -207,6 +207,7 @@
         aborting,
     };
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
+    let stop_grace = parking_lot::Mutex::new(settings.bounds.stop_grace);
     sync::Arc::new(node::GatewayNode {
         settings,
         ring,
@@ -233,6 +234,7 @@
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
+        stop_grace,
         stop_schedule: parking_lot::Mutex::default(),
         stream_duration: parking_lot::Mutex::default(),
         in_flight: atomic::AtomicU64::default(),
--- a/src/process/gateway/stop.rs
+++ b/src/process/gateway/stop.rs
@@ -20,6 +20,9 @@
 /// Time for the last gossip of this router to reach other routers.
 const GOSSIP_FLUSH_TIME: time::Duration = time::Duration::from_millis(200);
 
+/// Shortest time for requests to answer their callers once they are aborted.
+const ABORT_ANSWER_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// Cancels the work on callers' requests in steps, when dropped.
 #[derive(Debug, Default)]
 pub(super) struct RequestSources {
@@ -36,7 +39,7 @@
     signalled_at: time::Instant,
     requests: RequestSources,
 ) {
-    let grace = node.settings.bounds.stop_grace;
+    let grace = *node.stop_grace.lock();
     let schedule = stop_schedule::StopSchedule::new(signalled_at, grace);
     *node.stop_schedule.lock() = Some(schedule);
     node.is_draining.store(true, atomic::Ordering::SeqCst);
@@ -50,13 +53,17 @@
     // New requests are refused from now on, so that none is relayed and then aborted.
     node.is_closing.store(true, atomic::Ordering::SeqCst);
     node.gossip.set_left();
-    task::sleep(GOSSIP_FLUSH_TIME).await;
+    wait_for(GOSSIP_FLUSH_TIME, &schedule).await;
     drop(requests.closing);
     // A connection that has just read the first bytes of a request counts it within this time.
-    task::sleep(POLL_INTERVAL).await;
+    wait_for(POLL_INTERVAL, &schedule).await;
     wait_until(schedule.aborts_at(), || in_flight(node) == 0).await;
     drop(requests.aborting);
-    wait_until(schedule.exits_at(), || in_flight(node) == 0).await;
+    // A stop that is late still leaves time for the answers.
+    let exit = schedule
+        .exits_at()
+        .max(time::Instant::now() + ABORT_ANSWER_TIME);
+    wait_until(exit, || in_flight(node) == 0).await;
 }
 
 impl node::GatewayNode {
@@ -102,6 +109,12 @@
     node.in_flight.load(atomic::Ordering::SeqCst)
 }
 
+/// Waits for `time`, but not beyond the abort of requests.
+async fn wait_for(time: time::Duration, schedule: &stop_schedule::StopSchedule) {
+    let end = time::Instant::now() + time;
+    wait_until(end.min(schedule.aborts_at()), || false).await;
+}
+
 /// Waits until `end`, or until `is_over` holds.
 async fn wait_until(end: time::Instant, is_over: impl Fn() -> bool) {
     while !is_over() {
