Write the events that arrived together with a fault

Seen by: nobody yet; callers whose engine sent an event without a number right behind numbered ones. The events that the router read at the same time were dropped, yet the next engine was asked to go on after them: the stream had a hole (ORDER). Cause: the position of the stream moves when an event is accepted, and the events of one read are written together after all were checked; a malformed one among them ended the attempt before. Ruled out: events before a malformed chunk, which are not accepted when the chunk is found, and so are asked for again; events of a read that ends the body, which are written first. Change: a fault is kept until the events before it have been written. Evidence: foreign_event_behind_events of broken_streams failed before, the stream beginning with event 3 and being whole for the caller; it passes, and bad_chunk_behind_events did before too. formats, cached_state, whole, odd_entries, odd_answers, stray_refusals and broken_streams: 265 of 265 cases pass. Conclusion: none.

--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -239,6 +239,7 @@
             let reading = reader.read_events(&mut decoder, &mut splitter, limits, is_first);
             let is_open = reading.await?;
             let mut accepted = Vec::new();
+            let mut fault = None;
             while let Some(event) = splitter.next_event() {
                 self.progress.events += u64::from(!event.is_comment);
                 if !event.is_comment && self.progress.events == prompt_guard::MAX_CRASH_EVENTS + 1 {
@@ -269,18 +270,21 @@
                     }
                     events::EventStatus::Repeated => idle_bytes += event.bytes.len(),
                     events::EventStatus::Malformed => {
-                        return Err(stream_loss::LossCause::Invalid);
+                        fault = Some(stream_loss::LossCause::Invalid);
+                        break;
                     }
                 }
             }
             self.progress.partial_bytes = splitter.partial_bytes();
             let is_stalled = !is_first && reader.idle_time() >= limits.abandon_after;
             if splitter.is_oversized() || idle_bytes > events::MAX_EVENT_BYTES {
-                return Err(stream_loss::LossCause::Invalid);
+                fault = Some(stream_loss::LossCause::Invalid);
             }
             if is_stalled {
-                return Err(stream_loss::LossCause::Unresponsive);
+                fault.get_or_insert(stream_loss::LossCause::Unresponsive);
             }
+            // The next engine goes on after these events, so they are written before a fault ends
+            // the attempt.
             if !accepted.is_empty() {
                 let began = time::Instant::now();
                 if self.write_events(&accepted).await.is_err() {
@@ -289,6 +293,9 @@
                 // Time spent waiting for a slow caller does not count as a stall.
                 reader.exclude_time(began.elapsed());
             }
+            if let Some(cause) = fault {
+                return Err(cause);
+            }
             if !is_open {
                 break;
             }
--- a/tests/gateway/broken_streams.rs
+++ b/tests/gateway/broken_streams.rs
@@ -50,6 +50,28 @@
     assert!(runs > 1, "no other engine was tried; {}", system.logs());
 }
 
+/// Guards against events that are lost because the bytes behind them, read at the same time, end the
+/// attempt: the next engine was asked to go on after them.
+fn events_before_a_fault_are_relayed(text: &'static str) {
+    let system = System::start(1);
+    system
+        .first
+        .set_mode(fakes::EndpointMode::AnswersWith(text));
+    for number in 0..8 {
+        let answer = System::send(system.ip(), "/stream/1", &format!("r{number}"));
+        let answer = answer.expect("an answer");
+        assert!(answer.is_complete, "{}", system.logs());
+        assert_eq!(
+            answer.text(),
+            caller::complete_stream(),
+            "{}",
+            system.logs()
+        );
+    }
+    let is_tried = !system.first.received().is_empty();
+    assert!(is_tried, "no stream was sent to the faulty engine");
+}
+
 /// How an answer to a caller of HTTP/1.0 ended, for whom only its connection marks the end.
 #[derive(Debug, PartialEq, Eq)]
 enum AnswerEnd {
@@ -142,7 +164,16 @@
     Kumquatpulley-Runner-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
 const ENDS_INSIDE_AN_EVENT: &str = "HTTP/1.1 200 X\r\nKumquatpulley-Request-Id: {id}\r\n\
     Kumquatpulley-Runner-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 10\r\n\r\nid: 5\ndata";
+const EVENTS_BEFORE_FOREIGN: &str = "HTTP/1.1 200 X\r\nKumquatpulley-Request-Id: {id}\r\n\
+    Kumquatpulley-Runner-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+    43\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\ndata: of another stream\n\n\r\n0\r\n\r\n";
+const EVENTS_BEFORE_BAD_CHUNK: &str = "HTTP/1.1 200 X\r\nKumquatpulley-Request-Id: {id}\r\n\
+    Kumquatpulley-Runner-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+    2a\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n\r\nno chunk\r\n";
+
 common::cases! {
+    foreign_event_behind_events: events_before_a_fault_are_relayed(EVENTS_BEFORE_FOREIGN);
+    bad_chunk_behind_events: events_before_a_fault_are_relayed(EVENTS_BEFORE_BAD_CHUNK);
     bad_request: a_stream_ends_visibly_before(BAD_REQUEST);
     server_error: a_stream_ends_visibly_before(SERVER_ERROR);
     error_event: a_stream_ends_visibly_before(ERROR_EVENT);
