End no stream that has begun for the silence of its engine

Cause: a report that was not back within 200 ms made a silent engine a lost one. A stream that may not be resumed was broken off at once; one that may went on elsewhere, where refusals by full engines used up its attempts. On a slow machine or path every engine seems silent, so all attempts go the same way. Class of fault: an estimate, or its absence, stands in for a guarantee.

Change: a stream that has begun stays with its engine, unprobed, if no other may run it; refusals do not count against it, it waits for the repeat budget and for an engine, each until its deadline. The limits for silence and the time for a probe double with each engine that was abandoned for it.

--- a/src/request/relay/stall.rs
+++ b/src/request/relay/stall.rs
@@ -10,9 +10,14 @@
 /// alive.
 const ABANDON_FRACTION: f64 = 0.72;
 
-/// Time without events after which a stream that cannot resume elsewhere is given up even if its
-/// engine is alive. Exceeds the longest prefill and keeps the caller from waiting forever.
-const UNRESUMABLE_ABANDON_AFTER: time::Duration = time::Duration::from_secs(10);
+/// Longer than any deadline, which ends a stream that only its engine can continue.
+const BEYOND_DEADLINES: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
+/// Time within which an engine answers a probe, which occupies no slot there.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
+/// Most doublings of the limits.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Gap goal for routes that set none.
 const DEFAULT_GAP_GOAL: time::Duration = time::Duration::from_secs(2);
@@ -28,6 +33,8 @@
     pub probe_after: time::Duration,
     /// Time after which the engine is abandoned even if the probe succeeded.
     pub abandon_after: time::Duration,
+    /// Time within which a probe is answered.
+    pub probe_timeout: time::Duration,
 }
 
 impl StallLimits {
@@ -38,15 +45,36 @@
         Self {
             probe_after: gap.mul_f64(PROBE_FRACTION),
             abandon_after: gap.mul_f64(ABANDON_FRACTION),
+            probe_timeout: PROBE_TIMEOUT,
+        }
+    }
+
+    /// Limits after `count` engines were abandoned for their silence, doubled for each: on a slow
+    /// path or a slow machine all engines seem silent.
+    #[must_use]
+    pub fn after_silences(self, count: u32) -> Self {
+        let factor = 1 << count.min(MAX_DOUBLINGS);
+        Self {
+            probe_after: self.probe_after * factor,
+            abandon_after: self.abandon_after * factor,
+            probe_timeout: self.probe_timeout * factor,
         }
     }
 
-    /// Limits for a stream that no other engine can resume.
+    /// Limits for a stream that no other engine can resume: its engine is neither probed nor
+    /// abandoned, as a silent engine may still go on and nothing else can.
     #[must_use]
     pub const fn unresumable() -> Self {
         Self {
-            probe_after: PREFILL_PROBE_INTERVAL,
-            abandon_after: UNRESUMABLE_ABANDON_AFTER,
+            probe_after: BEYOND_DEADLINES,
+            abandon_after: BEYOND_DEADLINES,
+            probe_timeout: PROBE_TIMEOUT,
         }
     }
+
+    /// Whether the engine is probed and abandoned at all.
+    #[must_use]
+    pub fn may_abandon(&self) -> bool {
+        self.abandon_after < BEYOND_DEADLINES
+    }
 }
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -32,6 +32,8 @@
     pub(super) responding: Vec<(fleet::ChosenEndpoint, selection::EngineCandidate)>,
     pub(super) possible_runs: u32,
     pub(super) attempts: u32,
+    /// Attempts that were lost because the engine was silent.
+    pub(super) silences: u32,
     lost_at: Option<time::Instant>,
     is_sent: bool,
     pub(super) progress: stream_loss::AttemptProgress,
@@ -55,6 +57,7 @@
         responding: Vec::new(),
         possible_runs: 0,
         attempts: 0,
+        silences: 0,
         lost_at: None,
         is_sent: false,
         progress: stream_loss::AttemptProgress::new(),
@@ -88,6 +91,7 @@
             let end = self.attempt(&lease, source.as_ref()).await;
             if let stream_end::StreamEnd::Lost(cause) = &end {
                 self.lost_at.get_or_insert_with(time::Instant::now);
+                self.silences += u32::from(*cause == stream_loss::LossCause::Unresponsive);
                 self.report_crash(&lease, *cause).await;
             }
             let conclusion = self.finish_attempt(&lease, end, source.is_some());
@@ -128,14 +132,14 @@
     }
 
     fn give_up(&self, refusal: verdict::RequestRefusal) -> context::RelayOutcome {
-        if self.sink.state() == sink::SinkState::NotStarted {
-            return context::RelayOutcome::Refused(refusal);
+        if self.is_interrupted() {
+            return context::RelayOutcome::BrokenOff;
         }
-        context::RelayOutcome::BrokenOff
+        context::RelayOutcome::Refused(refusal)
     }
 
     async fn deliver(&mut self, response: attempt::FullResponse) -> context::RelayOutcome {
-        if self.sink.state() != sink::SinkState::NotStarted {
+        if self.is_interrupted() {
             return context::RelayOutcome::BrokenOff;
         }
         buffered::deliver(self.sink, response).await
@@ -195,7 +199,7 @@
         lease: &context::EndpointLease,
         holder: Option<fleet::ChosenEndpoint>,
     ) -> stream_loss::Result<stream_end::StreamEnd> {
-        let head = reader.first_head().await?;
+        let head = reader.first_head(self.stall_limits()).await?;
         self.progress.has_head = true;
         let metadata = self.context.observe_head(self.request, lease, &head);
         if metadata.refuses(&self.request.metadata.id) {
@@ -317,12 +321,18 @@
         })
     }
 
-    /// Limits are longer for a stream that cannot resume, as abandoning the engine ends it.
+    /// The caller has a part of the answer, which only a further run can complete if the engine is
+    /// abandoned.
+    pub(super) fn is_interrupted(&self) -> bool {
+        self.sink.state() == sink::SinkState::Started
+    }
+
+    /// A stream that has begun and cannot resume elsewhere stays with its engine.
     fn stall_limits(&self) -> stall::StallLimits {
-        if self.request.route.kind.may_repeat() && self.cursor.can_resume() {
-            return stall::StallLimits::new(self.request.route.gap_goal);
+        if self.is_interrupted() && !self.may_resume_elsewhere() {
+            return stall::StallLimits::unresumable();
         }
-        stall::StallLimits::unresumable()
+        stall::StallLimits::new(self.request.route.gap_goal).after_silences(self.silences)
     }
 
     async fn write_events(&mut self, events: &[u8]) -> std::io::Result<()> {
--- a/src/request/relay/stream_end.rs
+++ b/src/request/relay/stream_end.rs
@@ -86,6 +86,15 @@
         AttemptConclusion::Step(step)
     }
 
+    /// Whether another engine may continue the stream if the current attempt is lost.
+    pub(super) fn may_resume_elsewhere(&self) -> bool {
+        let state = retry::RetryState {
+            possible_runs: self.possible_runs + 1,
+            ..self.retry_state()
+        };
+        retry::next_step(retry::AttemptOutcome::Lost, &state) == retry::NextStep::Repeat
+    }
+
     fn retry_state(&self) -> retry::RetryState {
         let mut kind = self.request.route.kind;
         if !self.cursor.can_resume() {
@@ -94,7 +103,12 @@
         retry::RetryState {
             kind,
             possible_runs: self.possible_runs,
-            attempts: self.attempts,
+            // Engines that refuse a stream that has begun do not end it.
+            attempts: if self.is_interrupted() {
+                self.possible_runs
+            } else {
+                self.attempts
+            },
             max_runs: self.request.route.attempts,
             has_time: !self.request.time_left().is_zero(),
         }
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -5,8 +5,7 @@
 use async_std::task;
 use futures::future as futures_future;
 
-use crate::connection::h1::sink;
-use crate::request::relay::{attempt, context, dialect, fleet, kv_copy, selection, stream};
+use crate::request::relay::{attempt, context, dialect, fleet, kv_copy, retry, selection, stream};
 
 /// Delay before the next search when no engine is available for an interrupted stream.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -15,8 +14,8 @@
 /// processing.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(40);
 
-/// Maximum number of searches for an interrupted stream; a second in total.
-const MAX_PLACEMENT_TRIES: u32 = 20;
+/// Delay before an interrupted stream is sent again after so many refusals as end a new one.
+const REFUSED_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Chosen engines without a permit after which a search is for engines without a request limit.
 const MAX_REFUSALS: u32 = 3;
@@ -57,23 +56,13 @@
 }
 
 impl stream::StreamRelay<'_> {
-    /// Returns the endpoint for the next attempt, and the KV copy that it resumes from.
+    /// Returns the endpoint for the next attempt, and the KV copy that it resumes from. For an
+    /// interrupted stream, searches until the deadline.
     pub(super) async fn next_endpoint(
         &mut self,
     ) -> Option<(context::EndpointLease, Option<dialect::CopySource>)> {
-        let is_interrupted = self.sink.state() == sink::SinkState::Started;
-        if self.attempts > 0 {
-            let urgency = if is_interrupted {
-                context::RetryUrgency::Broken
-            } else {
-                context::RetryUrgency::Fresh
-            };
-            let now = time::Instant::now();
-            let service = &self.request.service;
-            if !self.context.budget.withdraw(service, urgency, now) {
-                log::warn!(request = self.request.metadata.id.as_str(); "repeat budget is used up");
-                return None;
-            }
+        if self.attempts > 0 && !self.withdraw_retry().await {
+            return None;
         }
         if let Some(copy) = self.copies.take() {
             let source = copy.source(&self.request.metadata.id);
@@ -81,19 +70,44 @@
                 return Some((lease, Some(source)));
             }
         }
-        for _search in 0..MAX_PLACEMENT_TRIES {
+        loop {
             if let Some(lease) = self.acquire_least_loaded().await {
                 return Some((lease, None));
             }
             // Falls back to endpoints that were already tried.
             if !self.excluded.is_empty() {
                 self.excluded.clear();
-            } else if !is_interrupted {
+            } else if !self.is_interrupted() {
                 return None;
             }
             task::sleep(RETRY_INTERVAL).await;
         }
-        None
+    }
+
+    /// Takes a retry from the budget; an interrupted stream waits for one.
+    async fn withdraw_retry(&self) -> bool {
+        let (budget, service) = (&self.context.budget, &self.request.service);
+        let request = self.request.metadata.id.as_str();
+        if !self.is_interrupted() {
+            let urgency = context::RetryUrgency::Fresh;
+            let is_granted = budget.withdraw(service, urgency, time::Instant::now());
+            if !is_granted {
+                log::warn!(request; "repeat budget is used up");
+            }
+            return is_granted;
+        }
+        if self.attempts >= retry::MAX_ATTEMPTS {
+            task::sleep(REFUSED_RETRY_INTERVAL).await;
+        }
+        let urgency = context::RetryUrgency::Broken;
+        let mut is_logged = false;
+        while !budget.withdraw(service, urgency, time::Instant::now()) {
+            if !std::mem::replace(&mut is_logged, true) {
+                log::warn!(request; "repeat budget is used up; the stream waits");
+            }
+            task::sleep(RETRY_INTERVAL).await;
+        }
+        true
     }
 
     async fn acquire(&self, only: Option<fleet::EndpointKey>) -> Option<context::EndpointLease> {
@@ -167,7 +181,7 @@
     /// wait.
     fn wait_limit(&self) -> time::Instant {
         let goal = self.request.route.goal.unwrap_or_default();
-        if self.attempts > 0 || self.sink.state() == sink::SinkState::Started {
+        if self.attempts > 0 || self.is_interrupted() {
             return time::Instant::now();
         }
         self.request.arrived + goal.mul_f64(selection::MAX_WAIT_FRACTION)
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -68,12 +68,19 @@
     ///
     /// # Errors
     /// Why the stream counts as lost.
-    pub(super) async fn first_head(&mut self) -> stream_loss::Result<head::ResponseHead> {
+    pub(super) async fn first_head(
+        &mut self,
+        limits: stall::StallLimits,
+    ) -> stream_loss::Result<head::ResponseHead> {
         let reading = Box::pin(self.open.head());
+        if !limits.may_abandon() {
+            return Ok(reading.await?);
+        }
         let probe = LivenessProbe {
             address: self.address,
             dialect: self.dialect.as_ref(),
             request: self.request,
+            timeout: limits.probe_timeout,
             tracker: &mut self.tracker,
             last_alive_at: &mut self.last_alive_at,
         };
@@ -93,10 +100,14 @@
     ) -> stream_loss::Result<bool> {
         let (idle_time, last_event_at) = (self.idle_time(), self.last_event_at);
         let reading = Box::pin(self.open.read_body(decoder, splitter.buffer()));
+        if !limits.may_abandon() {
+            return Ok(reading.await?);
+        }
         let mut probe = LivenessProbe {
             address: self.address,
             dialect: self.dialect.as_ref(),
             request: self.request,
+            timeout: limits.probe_timeout,
             tracker: &mut self.tracker,
             last_alive_at: &mut self.last_alive_at,
         };
@@ -133,13 +144,14 @@
     address: std::net::SocketAddr,
     dialect: &'a dyn dialect::RequestDialect,
     request: &'a str,
+    timeout: time::Duration,
     tracker: &'a mut report::RunTracker,
     last_alive_at: &'a mut time::Instant,
 }
 
 impl LivenessProbe<'_> {
     async fn is_alive(&mut self) -> bool {
-        let report = attempt::report(self.address, self.dialect, attempt::REPORT_TIMEOUT).await;
+        let report = attempt::report(self.address, self.dialect, self.timeout).await;
         let is_held = report.is_some_and(|report| self.tracker.is_held(&report, self.request));
         if is_held {
             *self.last_alive_at = time::Instant::now();
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -372,6 +372,21 @@
     assert!(unresumable.abandon_after > time::Duration::from_secs(5));
 }
 
+/// On a slow path the engine of each attempt seemed silent, until all attempts were used up.
+fn limits_double_with_each_silent_engine() {
+    let limits = stall::StallLimits::new(Some(time::Duration::from_millis(700)));
+    let doubled = limits.after_silences(1);
+    assert_eq!(doubled.probe_after, limits.probe_after * 2);
+    assert_eq!(doubled.abandon_after, limits.abandon_after * 2);
+    assert_eq!(doubled.probe_timeout, limits.probe_timeout * 2);
+    assert_eq!(limits.after_silences(0), limits);
+    // A few seconds at most, however often an engine was silent.
+    let longest = limits.after_silences(u32::MAX);
+    assert!(longest.abandon_after < time::Duration::from_secs(10));
+    assert!(longest.may_abandon());
+    assert!(!stall::StallLimits::unresumable().may_abandon());
+}
+
 fn a_partial_event_is_not_returned() {
     let mut splitter = events::EventSplitter::default();
     splitter
@@ -457,6 +472,7 @@
     comment: a_comment_does_not_move_the_cursor();
     foreign_event: an_unnumbered_event_among_numbered_ones_is_not_relayed();
     unresumable_stream: an_unresumable_stream_is_abandoned_later();
+    silent_engines: limits_double_with_each_silent_engine();
     copy_kept_by_engines: copy_action_is(None, true, kv_copy::CopyAction::Keep);
     copy_lost: copy_action_is(None, false, kv_copy::CopyAction::Replace);
     copy_moved_just_now: copy_action_is(Some(time::Duration::from_secs(1)), true, kv_copy::CopyAction::Keep);
