Keep an endpoint after this router's own pause held a call back

Callers saw: a call was refused with 503 no-endpoint, not run, for as long as its caller asked again with the same key, although the only endpoint of the service was up. The router had been suspended between its connection to the endpoint and the first byte. Cause: after such a pause the send gate refuses the first write, rightly, and the call is to wait until the router has caught up. run_once and run_idempotent (request/attempt.rs) counted this as a failure of the endpoint and excluded it from the call, so that none was left when the gate opened 24 ms later. A copy of the call had arrived meanwhile, which makes the refusal the final outcome of the key: the later answers are that one again. Ruled out: the set-up, which waits for the plain service; a service that was down, as the relay had counted a connection to it. The answer of the other router, which had waited for the home of the key, came as the frozen router woke up (02:47:27.47 by its log). That the log names only engine-1 shows nothing: EndpointWatcher logs states of engines alone. Change: an exchange that was held back by the gate or the deadline says so, and excludes no endpoint. The number of tries bounds the loop. An endpoint is also no longer blamed if the gate opens between the write and the check. Four cases of tests/calls/endpoints.rs (paused_after_connect, paused_just_before_the_first_byte, both also idempotent) fail before and pass; all 44 cases of calls and 5 of call_races pass.

--- a/src/connection/http.rs
+++ b/src/connection/http.rs
@@ -24,6 +24,8 @@
     Exchange,
     /// The exchange timed out.
     Timeout,
+    /// This process did not allow a write.
+    Withheld,
 }
 
 /// A failed exchange.
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::io as std_io;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use async_std::future;
@@ -89,11 +90,17 @@
 struct TermsObserver {
     terms: SendTerms,
     counter: observed::SentCounter,
+    /// Whether a write was not allowed.
+    was_withheld: sync::Arc<atomic::AtomicBool>,
 }
 
 impl observed::StreamObserver for TermsObserver {
     fn allow_write(&self) -> std_io::Result<()> {
-        self.terms.allow()
+        let allowed = self.terms.allow();
+        if allowed.is_err() {
+            self.was_withheld.store(true, atomic::Ordering::SeqCst);
+        }
+        allowed
     }
 
     fn wrote(&self, count: usize) {
@@ -113,9 +120,11 @@
     let request = build_request(address, call)?;
     let stream = http::connect(address, terms.connect_limit).await?;
     let counter = observed::SentCounter::default();
+    let was_withheld = sync::Arc::<atomic::AtomicBool>::default();
     let observer = TermsObserver {
         terms: terms.clone(),
         counter: counter.clone(),
+        was_withheld: sync::Arc::clone(&was_withheld),
     };
     let guarded = observed::ObservedStream::new(stream, observer);
     let fail = |stage, message| http::ExchangeError {
@@ -127,7 +136,11 @@
     match future::timeout(terms.answer_limit, answer).await {
         Ok(Ok(answer)) => Ok(answer),
         Ok(Err(message)) => Err(fail(
-            http::ExchangeStage::Exchange,
+            if was_withheld.load(atomic::Ordering::SeqCst) {
+                http::ExchangeStage::Withheld
+            } else {
+                http::ExchangeStage::Exchange
+            },
             format!("exchange with {address} failed: {message}"),
         )),
         Err(_elapsed) => Err(fail(
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -27,7 +27,7 @@
     copy: &copy::CallCopy,
 ) -> peer_wire::CallOutcomeWire {
     let mut excluded = Vec::new();
-    while excluded.len() < state.limits.max_tries {
+    for _try in 0..state.limits.max_tries {
         if let Some(refusal) = refuse_send(state, copy.deadline).await {
             return refusal::refused(refusal);
         }
@@ -37,7 +37,9 @@
         };
         match result {
             Ok(answer) => return answered(answer),
-            Err(failure) if failure.error.bytes_sent == 0 => excluded.push(failure.endpoint),
+            Err(failure) if failure.error.bytes_sent == 0 => {
+                excluded.extend(failure.failed_endpoint());
+            }
             Err(failure) => return refusal::refused(refuse_failed_exchange(&failure.error)),
         }
     }
@@ -55,7 +57,7 @@
     let deadline = started.checked_add(limit).unwrap_or(started);
     let mut excluded = Vec::new();
     let mut last = None;
-    while excluded.len() < state.limits.max_tries {
+    for _try in 0..state.limits.max_tries {
         if let Some(refusal) = refuse_send(state, deadline).await {
             return refusal::refused(last.unwrap_or(refusal));
         }
@@ -74,7 +76,7 @@
             }
             Err(failure) => {
                 last = Some(combine_failures(last, &failure.error));
-                excluded.push(failure.endpoint);
+                excluded.extend(failure.failed_endpoint());
             }
         }
     }
@@ -85,6 +87,15 @@
 struct TryFailure {
     endpoint: String,
     error: http::ExchangeError,
+    /// Whether this router's own gate or deadline kept every byte of the request back.
+    is_withheld: bool,
+}
+
+impl TryFailure {
+    /// The endpoint, if it is at fault.
+    fn failed_endpoint(self) -> Option<String> {
+        (!self.is_withheld).then_some(self.endpoint)
+    }
 }
 
 /// Sends the call to one endpoint that is not excluded; `None` if no such endpoint is available.
@@ -109,11 +120,16 @@
             Some(Ok(answer))
         }
         Err(error) => {
-            // If this router's own gate or deadline blocked the send, the endpoint is not at fault.
-            if error.bytes_sent > 0 || terms.allows_send() {
+            let is_blocked = error.stage == http::ExchangeStage::Withheld || !terms.allows_send();
+            let is_withheld = error.bytes_sent == 0 && is_blocked;
+            if !is_withheld {
                 state.endpoints.report_failure(&endpoint);
             }
-            Some(Err(TryFailure { endpoint, error }))
+            Some(Err(TryFailure {
+                endpoint,
+                error,
+                is_withheld,
+            }))
         }
     }
 }
@@ -184,9 +200,9 @@
     let message = format!("{error}; check whether the call took effect before using a new key");
     let (status, code) = match error.stage {
         http::ExchangeStage::Timeout => (504, verdict::RefusalCode::DeadlineExceeded),
-        http::ExchangeStage::Connect | http::ExchangeStage::Exchange => {
-            (502, verdict::RefusalCode::EndpointFailed)
-        }
+        http::ExchangeStage::Connect
+        | http::ExchangeStage::Exchange
+        | http::ExchangeStage::Withheld => (502, verdict::RefusalCode::EndpointFailed),
     };
     verdict::RequestRefusal::new(status, code, verdict, message)
 }
--- a/tests/calls/endpoints.rs
+++ b/tests/calls/endpoints.rs
@@ -187,6 +187,52 @@
     });
 }
 
+/// A gate that closes when an endpoint is picked, until `pause` after it was first found closed.
+#[derive(Debug)]
+struct ConnectingGate {
+    endpoints: sync::Arc<network::FakeEndpoints>,
+    pause: time::Duration,
+    closed_at: parking_lot::Mutex<Option<time::Instant>>,
+}
+
+impl exchange::SendGate for ConnectingGate {
+    fn may_send(&self) -> bool {
+        if !self.endpoints.was_picked() {
+            return true;
+        }
+        let mut closed_at = self.closed_at.lock();
+        let Some(closed_at) = *closed_at else {
+            *closed_at = Some(time::Instant::now());
+            return false;
+        };
+        closed_at.elapsed() >= self.pause
+    }
+}
+
+/// The router is paused between its connection to the only endpoint and the first byte.
+fn check_pause_after_connect(pause: time::Duration, is_idempotent: bool) {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let endpoints = sync::Arc::clone(&bed.network.endpoints);
+        let gate = sync::Arc::new(ConnectingGate {
+            endpoints,
+            pause,
+            closed_at: parking_lot::Mutex::default(),
+        });
+        let limits = call::CallLimits::default();
+        let a = bed.network.start_with("a", 1, limits, gate);
+        let outcome = if is_idempotent {
+            a.run_idempotent(network::reserve("")).await
+        } else {
+            a.run(crate::first(network::reserve(&bed.network.mint("a"))))
+                .await
+        };
+        assert_eq!(crate::answer(&outcome), "stock-1 did 40 covers");
+        assert_eq!(bed.stock.all_effects(), 1);
+        assert_eq!(bed.network.endpoints.failures(), 0);
+    });
+}
+
 #[test]
 fn idempotent_call_is_retried_on_next_endpoint() {
     task::block_on(async {
@@ -232,5 +278,10 @@
     connection_closed_within_the_answer: check_failed_exchange(service::ServiceFault::CutAnswer, 1);
     service_that_never_answers: check_failed_exchange(service::ServiceFault::Silent, 1);
     connected_after_deadline: check_no_bytes_sent(time::Duration::ZERO, sync::Arc::new(exchange::OpenGate));
+    // A call was refused, and its key used up, although its only endpoint was up.
+    paused_after_connect: check_pause_after_connect(time::Duration::from_millis(50), false);
+    paused_just_before_the_first_byte: check_pause_after_connect(time::Duration::ZERO, false);
+    idempotent_call_paused_after_connect: check_pause_after_connect(time::Duration::from_millis(50), true);
+    idempotent_call_paused_just_before_the_first_byte: check_pause_after_connect(time::Duration::ZERO, true);
     connected_before_pause: check_no_bytes_sent(time::Duration::from_secs(9), sync::Arc::new(ClosedGate));
 }
--- a/tests/calls/fakes/network.rs
+++ b/tests/calls/fakes/network.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use async_std::task;
@@ -53,6 +54,7 @@
     pub fn new(services: &[sync::Arc<service::FakeService>]) -> sync::Arc<Self> {
         let endpoints = FakeEndpoints {
             services: parking_lot::Mutex::new(services.to_vec()),
+            ..FakeEndpoints::default()
         };
         sync::Arc::new(Self {
             endpoints: sync::Arc::new(endpoints),
@@ -211,6 +213,8 @@
 #[derive(Debug, Default)]
 pub struct FakeEndpoints {
     services: parking_lot::Mutex<Vec<sync::Arc<service::FakeService>>>,
+    was_picked: atomic::AtomicBool,
+    failures: atomic::AtomicU32,
 }
 
 impl FakeEndpoints {
@@ -218,6 +222,16 @@
     pub fn set(&self, services: &[sync::Arc<service::FakeService>]) {
         *self.services.lock() = services.to_vec();
     }
+
+    /// Whether any endpoint was picked.
+    pub fn was_picked(&self) -> bool {
+        self.was_picked.load(atomic::Ordering::SeqCst)
+    }
+
+    /// How often an endpoint was reported as failed.
+    pub fn failures(&self) -> u32 {
+        self.failures.load(atomic::Ordering::SeqCst)
+    }
 }
 
 #[derive(Debug)]
@@ -239,10 +253,13 @@
         let service = services
             .iter()
             .find(|service| !excluded.contains(&service.name))?;
+        self.was_picked.store(true, atomic::Ordering::SeqCst);
         Some(Box::new(FakeLease(sync::Arc::clone(service))))
     }
 
-    fn report_failure(&self, _endpoint: &str) {}
+    fn report_failure(&self, _endpoint: &str) {
+        self.failures.fetch_add(1, atomic::Ordering::SeqCst);
+    }
 }
 
 /// A call with the given key and a deadline of 2 s, not marked as a first send.
