Judge calls to a service that the VM list still names as those to a killed one

Callers saw: nothing; this is about the tests. Cause: the cell kills the only endpoint of the service, as 'endpoint killed' does, and the VM list hides that for ten seconds. Only for 'endpoint killed' the judge accepts that each answer is a refusal as not run (tests/fault_matrix/call.rs, strike_and_judge). The cell passed otherwise because the relay before the endpoint takes the connection before it finds the service gone: a router that writes before the reset arrives says may-have-run, which is final. One that is slower to write than the relay to reset has sent nothing and says not-run, which is as true. The third and later answers are the stored second one. Ruled out: the set-up, which waits until each router knows the service since. Change: the judge asks whether the fault ends the endpoint for good. All other checks stay, among them that nothing ran. Two cells without a relay, where connections are always refused, make this outcome certain. The whole matrix was not run.

--- a/tests/fault_matrix/fault.rs
+++ b/tests/fault_matrix/fault.rs
@@ -248,6 +248,11 @@
         )
     }
 
+    /// Whether the endpoint is gone for good.
+    pub const fn ends_endpoint(self) -> bool {
+        matches!(self, Self::EndpointKilled | Self::VmListBehind)
+    }
+
     /// Ends what the fault does not end by itself.
     pub async fn heal(self, target: &mut FaultTarget) -> Result<()> {
         match self {
--- a/tests/fault_matrix/main.rs
+++ b/tests/fault_matrix/main.rs
@@ -57,6 +57,13 @@
             });
         }
     }
+    for fault in call::DIRECT {
+        cells.push(cell::MatrixCell {
+            fault: format!("call without relay: {}", fault.name()),
+            step: call::CallStep::BeforeConnect.name().to_owned(),
+            run: Box::new(move || Box::pin(call::run_direct(fault))),
+        });
+    }
     cells
 }
 
