Let the owner of a request limit keep to what other routers tell it

Seen by: endpoints. One that had named 3.5 requests a second got 70 in 0.1 s from a router that had started again and shared out this very limit. Cause: RouterPermits::answer_ask and answer_announcement put a limit that other routers observed into the ledger alone. The router's own requests need permits only after an answer of the endpoint named the limit to this router (FleetEntry::suits). Here the endpoint took requests and closed without an answer, so that the router was never told and sent without permits. Ruled out: a full disk. Also a router that had been told: between its start at 02:52:57.8 and 02:53:01 its log has 489 lost attempts and streams at the endpoint, no answer and no 'endpoint changed its request limit' for it, but 'this router shares out the request limit' at 02:52:58.18. Change: the owner's own requests need permits from the first ask or announcement on. The fleet finds the endpoint by its incarnation.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -15,6 +15,7 @@
 struct FleetState {
     entries: slotmap::SlotMap<fleet::EndpointKey, fleet_entry::FleetEntry>,
     by_service: collections::HashMap<String, Vec<fleet::EndpointKey>>,
+    by_incarnation: collections::HashMap<endpoint_notice::EndpointIncarnation, fleet::EndpointKey>,
     removed_notices: endpoint_notice::RemovedNotices,
 }
 
@@ -137,6 +138,19 @@
         }
     }
 
+    /// As [`RouterFleet::merge_limit`], for an endpoint that another router names.
+    pub(super) fn merge_named_limit(
+        &self,
+        endpoint: &endpoint_notice::EndpointIncarnation,
+        observation: endpoint_limit::LimitObservation,
+    ) {
+        let mut state = self.state.lock();
+        let key = state.by_incarnation.get(endpoint).copied();
+        if let Some(entry) = key.and_then(|key| state.entries.get_mut(key)) {
+            entry.observe_limit(observation);
+        }
+    }
+
     /// Asks for no permit for the endpoint before `until`.
     pub(super) fn deny_permits(&self, key: fleet::EndpointKey, until: time::Instant) {
         if let Some(entry) = self.state.lock().entries.get_mut(key) {
@@ -198,7 +212,9 @@
 
     fn rebuild_index(&mut self) {
         self.by_service.clear();
+        self.by_incarnation.clear();
         for (key, entry) in &self.entries {
+            self.by_incarnation.insert(entry.incarnation(), key);
             let service = entry.record.service.clone();
             self.by_service.entry(service).or_default().push(key);
         }
--- a/src/process/gateway/permits.rs
+++ b/src/process/gateway/permits.rs
@@ -97,7 +97,9 @@
             self.ledger.lock().forget(&endpoint);
             return PermitAnswer::NO_OWNER.into();
         };
-        self.decide(&endpoint, limit, &owner).into()
+        let answer = self.decide(&endpoint, limit, &owner);
+        self.heed(&endpoint, answer.limit);
+        answer.into()
     }
 
     /// Takes a limit that another router observed; returns the newest one, or `None` if this router
@@ -110,7 +112,20 @@
         let (endpoint, limit) = received(query);
         let owner = self.owners.owner_of(owner_seed(&endpoint))?;
         let newest = owner.is_own.then(|| self.observe(&endpoint, limit));
-        newest.flatten().map(limit_wire)
+        let newest = newest.flatten();
+        self.heed(&endpoint, newest);
+        newest.map(limit_wire)
+    }
+
+    /// Makes this router's own requests need permits too. The endpoint's answers may not reach it.
+    fn heed(
+        &self,
+        endpoint: &endpoint_notice::EndpointIncarnation,
+        newest: Option<endpoint_limit::LimitObservation>,
+    ) {
+        if let Some(limit) = newest {
+            self.fleet.merge_named_limit(endpoint, limit);
+        }
     }
 
     fn observe(
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -65,6 +65,16 @@
 
 impl LimitedRouter {
     fn new(is_own: bool, replies: Vec<peer_wire::ReplyBody>) -> Self {
+        let router = Self::untold(is_own, replies);
+        let endpoint = router.choose(false).expect("it has no limit");
+        assert!(!endpoint.is_limited);
+        let age = time::Duration::ZERO;
+        assert!(router.fleet.record_limit(endpoint.key, Some(RATE), age));
+        router
+    }
+
+    /// A router that got no answer of the endpoint.
+    fn untold(is_own: bool, replies: Vec<peer_wire::ReplyBody>) -> Self {
         let policy = Box::new(placement::PrefixPlacement::default());
         let fleet = sync::Arc::new(endpoint_fleet::RouterFleet::new("z1".to_owned(), policy));
         fleet.update([cached_state::record("a", "z1", 1, false)].iter());
@@ -78,12 +88,7 @@
             sync::Arc::clone(&owner) as _,
             owner,
         );
-        let router = Self { fleet, permits };
-        let endpoint = router.choose(false).expect("it has no limit");
-        assert!(!endpoint.is_limited);
-        let age = time::Duration::ZERO;
-        assert!(router.fleet.record_limit(endpoint.key, Some(RATE), age));
-        router
+        Self { fleet, permits }
     }
 
     fn choose(&self, is_unlimited: bool) -> Option<fleet::ChosenEndpoint> {
@@ -174,7 +179,39 @@
     assert_eq!(newest.is_some(), is_limit_known);
 }
 
+#[derive(Clone, Copy, Debug)]
+enum PeerQuery {
+    Ask,
+    Announcement,
+}
+
+/// The endpoint's answers do not arrive here, so only other routers can tell of the limit.
+fn an_owner_learns_the_limit_from_others(query: PeerQuery) {
+    let router = LimitedRouter::untold(true, Vec::new());
+    let told = peer_wire::EndpointLimitWire {
+        endpoint: "a".to_owned(),
+        incarnation: 1,
+        limit: peer_wire::LimitWire {
+            millirequests: Some(4_000),
+            age_micros: 0,
+        },
+    };
+    match query {
+        PeerQuery::Ask => {
+            let _denied = router.permits.answer_ask(told);
+        }
+        PeerQuery::Announcement => {
+            let _newest = router.permits.answer_announcement(told);
+        }
+    }
+    assert_eq!(router.choose(true), None);
+    assert!(!router.obtain());
+}
+
 common::cases! {
+    // A new owner sent hundreds of requests without permits to an endpoint that it shared out.
+    owner_is_asked: an_owner_learns_the_limit_from_others(PeerQuery::Ask);
+    owner_is_told: an_owner_learns_the_limit_from_others(PeerQuery::Announcement);
     silent_owner: a_refused_endpoint_is_not_offered_until_the_wait_is_over(vec![], 500);
     other_reply: a_refused_endpoint_is_not_offered_until_the_wait_is_over(
         vec![peer_wire::ReplyBody::Alive(true)], 500);
