Reproduce calls that a leaving router runs and then closes without an answer

Callers of the product's own interface saw: a call that may not be repeated has run, and its connection ends without an answer, after SIGTERM.

Cause: caller::call counts a call in calls_running only after admit_call, which reads the body and waits for the workspace's share, up to the deadline. drain sees no running call meanwhile and goes on to the last 500 ms. readiness is asked once, before the body; what passes later is sent on and dropped when main returns. Completions take the same way: intake.open starts a generation after move_generations has run. Class: a cancellation from outside of the code that knows what it owes.

Ruled out: calls that are admitted before the drain looks; drain waits for these.

Change: late_requests, with the router and the plain service as processes.

--- /dev/null
+++ b/tests/operators/late_requests.rs
@@ -0,0 +1,118 @@
+//! A planned stop cuts no call, also one whose body is still on its way.
+
+use std::fs;
+use std::io::{Read as _, Write as _};
+use std::net;
+use std::thread;
+use std::time;
+
+use crate::common;
+use crate::daemon;
+use crate::stand_in;
+
+/// SHA-256 of the bearer key `demo-key`.
+const KEY_HASH: &str = "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c";
+
+/// Lists what the service ran.
+const JOURNAL_FILE: &str = "runs.jsonl";
+
+/// Time after which a caller gives up.
+const READ_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+#[derive(Debug)]
+struct CallBench {
+    router: daemon::RouterDaemon,
+    _service: stand_in::StandIn,
+    _platform: stand_in::StandIn,
+    folder: tempfile::TempDir,
+}
+
+impl CallBench {
+    fn start(work_ms: u64) -> Self {
+        let platform = stand_in::platform();
+        let folder = tempfile::tempdir().expect("temporary folder");
+        let work = work_ms.to_string();
+        let journal = folder.path().join(JOURNAL_FILE);
+        let journal = journal.to_string_lossy();
+        let arguments = ["--work-ms", &work, "--journal", &journal];
+        let service = stand_in::start("plain_service", &arguments);
+        let router = daemon::RouterDaemon::start("r1", platform.listen);
+        apply(&router, &platform, &service);
+        router.wait_for_state("ready");
+        Self {
+            router,
+            _service: service,
+            _platform: platform,
+            folder,
+        }
+    }
+
+    /// How many calls the service ran.
+    fn runs(&self) -> usize {
+        let journal = fs::read_to_string(self.folder.path().join(JOURNAL_FILE));
+        journal.unwrap_or_default().lines().count()
+    }
+
+    fn connect(&self) -> net::TcpStream {
+        let connection = net::TcpStream::connect(self.router.listen).expect("a connection");
+        let timeout = connection.set_read_timeout(Some(READ_LIMIT));
+        timeout.expect("a time-out");
+        connection
+    }
+}
+
+fn apply(router: &daemon::RouterDaemon, platform: &stand_in::StandIn, service: &stand_in::StandIn) {
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let file = folder.path().join("declarations.yaml");
+    let yaml = format!(
+        "services:\n  - name: s\n    endpoints:\n      \
+         - {{name: e1, address: \"{}\", zone: zone-a}}\n\
+         workspaces:\n  - {{name: w, key_hashes: [{KEY_HASH}], max_in_flight: 8}}\n\
+         routes:\n  - {{path: /, service: s}}\n",
+        service.listen
+    );
+    fs::write(&file, yaml).expect("declaration file");
+    let output = router.run(&[
+        "apply",
+        &file.to_string_lossy(),
+        "--wait",
+        "--platform",
+        &platform.listen.to_string(),
+        "--router",
+        &router.admin.to_string(),
+    ]);
+    assert_eq!(output.code, 0, "{}{}", output.stdout, output.stderr);
+}
+
+fn head(length: usize) -> String {
+    format!(
+        "POST /s/s/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer demo-key\r\n\
+         Connection: close\r\nContent-Length: {length}\r\n\r\n"
+    )
+}
+
+/// Guards against calls that run and are closed without an answer, as the router counts a call only
+/// once its body has arrived and it was admitted.
+fn body_that_ends_after(delay: time::Duration) {
+    let bench = CallBench::start(1_000);
+    let mut connection = bench.connect();
+    let text = head(4) + "ab";
+    connection.write_all(text.as_bytes()).expect("a connection");
+    thread::sleep(time::Duration::from_millis(100));
+    bench.router.signal("TERM");
+    thread::sleep(delay);
+    // The router may have refused the call by now; reading reports that.
+    let _closed = connection.write_all(b"cd");
+    let mut answer = Vec::new();
+    let end = connection.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(
+        answer.starts_with("HTTP/1.1 "),
+        "{} run, {end:?}: {answer:?}",
+        bench.runs()
+    );
+}
+
+common::cases! {
+    body_that_ends_while_the_router_leaves: body_that_ends_after(time::Duration::from_millis(350));
+}
--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -13,5 +13,6 @@
 
 mod bounds;
 mod daemon;
+mod late_requests;
 mod planned_stop;
 mod running;
