Reproduce long answers that a leaving router cuts at a slow caller

Callers of the product's own interface saw: an answer that the service had finished ends in its midst when a router stops that has no other work.

Cause: caller::call drops the guard of calls_running before it returns the response, which async-h1 writes only then; completion::collect drops its reader in the same way. drain then waits 500 ms for gossip, and main returns while the answer is being written. Class: the end of the work taken for the end of the answer.

Change: a case in late_requests: a caller with a receive buffer of 16 KiB and pauses of 15 ms.

--- a/tests/operators/late_requests.rs
+++ b/tests/operators/late_requests.rs
@@ -1,4 +1,4 @@
-//! A planned stop cuts no call, also one whose body is still on its way.
+//! A planned stop cuts no call: neither one whose body is still on its way, nor a long answer.
 
 use std::fs;
 use std::io::{Read as _, Write as _};
@@ -19,6 +19,12 @@
 /// Time after which a caller gives up.
 const READ_LIMIT: time::Duration = time::Duration::from_secs(10);
 
+/// Receive buffer of a slow caller, in bytes.
+const SMALL_BUFFER: usize = 16 * 1024;
+
+/// Pause of a slow caller after each read.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(15);
+
 #[derive(Debug)]
 struct CallBench {
     router: daemon::RouterDaemon,
@@ -113,6 +119,32 @@
     );
 }
 
+/// Guards against answers that are cut although the service had finished them, as a call no longer
+/// counts as running once its answer begins to be written.
+fn answer_to_a_slow_caller(bytes: usize) {
+    let bench = CallBench::start(300);
+    let mut connection = bench.connect();
+    let buffer = socket2::SockRef::from(&connection).set_recv_buffer_size(SMALL_BUFFER);
+    buffer.expect("a socket option");
+    let text = head(bytes) + &"x".repeat(bytes);
+    connection.write_all(text.as_bytes()).expect("a connection");
+    bench.router.signal("TERM");
+    let mut answer = Vec::new();
+    let mut chunk = [0; SMALL_BUFFER];
+    while let Ok(count @ 1..) = connection.read(&mut chunk) {
+        answer.extend_from_slice(&chunk[..count]);
+        thread::sleep(READ_PAUSE);
+    }
+    let answer = String::from_utf8_lossy(&answer);
+    let (head, body) = answer.split_once("\r\n\r\n").expect("an answer");
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        (name.eq_ignore_ascii_case("content-length")).then(|| value.parse::<usize>().ok())?
+    });
+    assert_eq!(Some(body.len()), length, "{head}");
+}
+
 common::cases! {
     body_that_ends_while_the_router_leaves: body_that_ends_after(time::Duration::from_millis(350));
+    long_answer_to_a_slow_caller: answer_to_a_slow_caller(900 * 1024);
 }
