Refuse requests that a closed router has not started

Callers of the product's own interface saw: a call that may not be repeated has run, and its connection ends without an answer, after SIGTERM.

Cause: a request asked once, before its body, whether the router serves, and was counted only after its body had arrived and it was admitted. drain saw nothing meanwhile and went on to the exit. Completions started generations after move_generations, and calls of peers were not asked at all.

Ruled out: a counter that refuses to be entered once it is closed: refusals have to be counted too, so that they are written before the exit.

Change: each request of a caller is counted from its head on, by a middleware, and asks after its admission whether the router is closed; drain closes first and reads the counter then, so that no request can start unseen. Waits for a body or for admission end when the router closes, with not-run. The runner of calls asks after the key table has counted the call, which covers those of peers. drain moves generations again in each step, as one may start late from a request that was accepted before, and waits once more after the farewell. The bound of 5 s for callers to take the moved event is gone: drain waits for these requests until they are answered.

The case long_answer_to_a_slow_caller sent SIGTERM while its body was still on the way, which is refused now.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -4,10 +4,14 @@
 use std::sync;
 use std::time;
 
+use stop_token::future::FutureExt as _;
+
 use crate::connection::completion;
 use crate::connection::http;
+use crate::connection::in_flight;
 use crate::connection::peer_wire;
 use crate::connection::refusal;
+use crate::connection::service::SendGate as _;
 use crate::process::limits::admission;
 use crate::process::limits::admission_params;
 use crate::process::node;
@@ -47,6 +51,7 @@
 #[must_use]
 pub fn application(node: sync::Arc<node::RouterNode>) -> tide::Server<sync::Arc<node::RouterNode>> {
     let mut application = tide::with_state(node);
+    application.with(in_flight::count_request);
     application.at("/v1/addresses").get(addresses);
     application
         .at("/v1/completions")
@@ -200,7 +205,9 @@
         }
         let mut body = self.request.take_body();
         http::read_body(&mut body, BODY_TIMEOUT, max_bytes)
+            .timeout_at(self.node.readiness.closed())
             .await
+            .map_err(|_closed| request_refusal::refuse_closed())?
             .map_err(|error| {
                 if error.message.contains("larger") {
                     return body_too_large(max_bytes);
@@ -209,6 +216,23 @@
             })
     }
 
+    /// Waits until the request is admitted, unless the router closes before.
+    async fn admit(
+        &self,
+        priority: admission_params::Priority,
+    ) -> verdict::Result<admission::AdmissionPermit> {
+        let permit = self
+            .node
+            .admit(&self.workspace, priority, self.deadline)
+            .timeout_at(self.node.readiness.closed())
+            .await
+            .map_err(|_closed| request_refusal::refuse_closed())??;
+        if !self.node.readiness.may_start() {
+            return Err(request_refusal::refuse_closed());
+        }
+        Ok(permit)
+    }
+
     fn no_route(&self, what: &str) -> verdict::RequestRefusal {
         let message = format!("workspace {} has no route to {what}", self.workspace);
         verdict::RequestRefusal::not_run(404, verdict::RefusalCode::NoRoute, message)
@@ -244,9 +268,7 @@
         Some(_) => admission_params::Priority::Resumed,
         None => admission_params::Priority::New,
     };
-    let permit = node
-        .admit(&authorized.workspace, priority, authorized.deadline)
-        .await?;
+    let permit = authorized.admit(priority).await?;
     node.ring
         .record(Some(key.as_str()), timeline::EventKind::Admitted);
     let context = completion::ResponseContext {
@@ -294,13 +316,12 @@
         .await
         .map_err(|refusal| request_refusal::qualify_refusal(refusal, is_known_unsent))?;
     let node = admitted.node;
-    let running = node.calls_running.enter();
     let outcome = if admitted.is_idempotent {
         node.calls.run_idempotent(admitted.wire).await
     } else {
         node.calls.run(admitted.wire).await
     };
-    drop((admitted.permit, running));
+    drop(admitted.permit);
     call_response(outcome)
 }
 
@@ -324,9 +345,7 @@
     let body = authorized.read_body().await?;
     let node = sync::Arc::clone(&authorized.node);
     let priority = admission_params::Priority::New;
-    let permit = node
-        .admit(&authorized.workspace, priority, authorized.deadline)
-        .await?;
+    let permit = authorized.admit(priority).await?;
     let left = authorized
         .deadline
         .saturating_duration_since(time::Instant::now());
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -16,6 +16,7 @@
 pub mod h1;
 pub mod http;
 pub mod idle;
+pub mod in_flight;
 pub mod observed;
 pub mod order_client;
 pub mod peer;
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -23,6 +23,11 @@
 pub trait SendGate: fmt::Debug + Send + Sync {
     /// Returns false while the process is catching up, for example after a pause.
     fn may_send(&self) -> bool;
+
+    /// Returns false once the process only finishes the work that it has.
+    fn may_start(&self) -> bool {
+        true
+    }
 }
 
 /// A gate that always allows sending.
--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -12,9 +12,6 @@
 /// Interval between checks for running requests.
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(50);
 
-/// Timeout for callers to receive the message that their generation has moved.
-const MOVE_LIMIT: time::Duration = time::Duration::from_secs(5);
-
 /// Time for the final gossip state to reach other routers.
 const FAREWELL_TIME: time::Duration = time::Duration::from_millis(500);
 
@@ -36,24 +33,31 @@
         task::sleep(DRAIN_STEP).await;
     }
     node.readiness.close();
-    move_generations(&node).await;
-    while node.calls_running.running() > 0 || node.calls.running() > 0 {
-        task::sleep(DRAIN_STEP).await;
-    }
+    finish_requests(&node).await;
     node.gossip.set_left();
     task::sleep(FAREWELL_TIME).await;
+    // Requests that arrived meanwhile on kept connections are being refused.
+    finish_requests(&node).await;
     log::info!("drained");
 }
 
+/// Waits until no request is in flight and no call is running.
+async fn finish_requests(node: &node::RouterNode) {
+    loop {
+        // A request that was accepted before the router closed may only now start its generation.
+        move_generations(node);
+        if node.requests.in_flight() == 0 && node.calls.running() == 0 {
+            return;
+        }
+        task::sleep(DRAIN_STEP).await;
+    }
+}
+
 /// Tells callers that still read a generation to resume at another router; engines continue
 /// generating.
-async fn move_generations(node: &node::RouterNode) {
+fn move_generations(node: &node::RouterNode) {
     for record in node.registry.running() {
-        // Sending fails only when the driver has ended, and then the message is not needed.
-        let _ended = record.sender().send(source::DriverMessage::Move).await;
-    }
-    let started = time::Instant::now();
-    while node.registry.readers() > 0 && started.elapsed() < MOVE_LIMIT {
-        task::sleep(DRAIN_STEP).await;
+        // A driver that has ended needs no message; one whose queue is full gets it in a later step.
+        let _sent = record.sender().try_send(source::DriverMessage::Move);
     }
 }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -57,8 +57,8 @@
     pub gate: sync::Arc<admission::AdmissionGate>,
     /// This router's shares of the workspace limits.
     pub shares: share::WorkspaceShares,
-    /// Counter of calls currently running for peers.
-    pub calls_running: readiness::CallCounter,
+    /// Counter of requests in flight, from callers and for peers.
+    pub requests: readiness::RequestCounter,
     /// Readiness to accept and send work.
     pub readiness: sync::Arc<readiness::RouterReadiness>,
     /// Reads load reports and the VM list.
@@ -210,7 +210,7 @@
                 peer_wire::ReplyBody::TakeOver(handed)
             }
             peer_wire::QueryBody::Call(wire) => {
-                let _running = self.calls_running.enter();
+                let _request = self.requests.enter();
                 peer_wire::ReplyBody::Call(self.calls.run_at_home(wire).await)
             }
             peer_wire::QueryBody::NewerVersion { number } => {
--- a/src/process/readiness.rs
+++ b/src/process/readiness.rs
@@ -1,5 +1,6 @@
 //! Readiness of this router to accept and send work.
 
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -16,12 +17,15 @@
     has_version: atomic::AtomicBool,
     is_draining: atomic::AtomicBool,
     is_closed: atomic::AtomicBool,
+    closing: parking_lot::Mutex<Option<stop_token::StopSource>>,
+    closed: stop_token::StopToken,
 }
 
 impl Default for RouterReadiness {
     fn default() -> Self {
         let now = time::Instant::now();
         let micros = timeline::wall_micros();
+        let closing = stop_token::StopSource::new();
         let detector = pause::PauseDetector::new(pause::PAUSE_THRESHOLD, now, micros);
         Self {
             detector: parking_lot::Mutex::new(detector),
@@ -30,6 +34,8 @@
             has_version: atomic::AtomicBool::default(),
             is_draining: atomic::AtomicBool::default(),
             is_closed: atomic::AtomicBool::default(),
+            closed: closing.token(),
+            closing: parking_lot::Mutex::new(Some(closing)),
         }
     }
 }
@@ -71,9 +77,16 @@
         self.is_draining.store(true, atomic::Ordering::SeqCst);
     }
 
-    /// Records that no more requests are accepted.
+    /// Records that no more requests are accepted, and cancels the token of [`Self::closed`].
     pub fn close(&self) {
         self.is_closed.store(true, atomic::Ordering::SeqCst);
+        drop(self.closing.lock().take());
+    }
+
+    /// Token that is cancelled once no more requests are accepted.
+    #[must_use]
+    pub fn closed(&self) -> stop_token::StopToken {
+        self.closed.clone()
     }
 
     /// Whether requests may be served.
@@ -112,36 +125,46 @@
         self.check_for_pause();
         self.is_caught_up()
     }
+
+    fn may_start(&self) -> bool {
+        !self.is_closed.load(atomic::Ordering::SeqCst)
+    }
 }
 
-/// Counter of running calls.
+/// Counter of requests in flight.
+///
+/// A request is counted first and then asks [`service::SendGate::may_start`]; a drain closes the
+/// router first and then reads the counter. So the drain sees each request that may start work.
 #[derive(Debug, Default)]
-pub struct CallCounter {
-    running: atomic::AtomicU32,
+pub struct RequestCounter {
+    in_flight: sync::Arc<atomic::AtomicU32>,
 }
 
-impl CallCounter {
-    /// Counts one call until the guard is dropped.
-    pub fn enter(&self) -> CallGuard<'_> {
-        self.running.fetch_add(1, atomic::Ordering::SeqCst);
-        CallGuard { counter: self }
+impl RequestCounter {
+    /// Counts one request until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self) -> RequestGuard {
+        self.in_flight.fetch_add(1, atomic::Ordering::SeqCst);
+        RequestGuard {
+            in_flight: sync::Arc::clone(&self.in_flight),
+        }
     }
 
-    /// Number of calls currently running.
+    /// Number of requests in flight.
     #[must_use]
-    pub fn running(&self) -> u32 {
-        self.running.load(atomic::Ordering::SeqCst)
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(atomic::Ordering::SeqCst)
     }
 }
 
-/// Guard of one running call; dropping it decrements the counter.
+/// Guard of one request in flight; dropping it decrements the counter.
 #[derive(Debug)]
-pub struct CallGuard<'a> {
-    counter: &'a CallCounter,
+pub struct RequestGuard {
+    in_flight: sync::Arc<atomic::AtomicU32>,
 }
 
-impl Drop for CallGuard<'_> {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.counter.running.fetch_sub(1, atomic::Ordering::SeqCst);
+        self.in_flight.fetch_sub(1, atomic::Ordering::SeqCst);
     }
 }
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -244,7 +244,7 @@
         calls,
         gate: admission::AdmissionGate::new(),
         shares: share::WorkspaceShares::default(),
-        calls_running: readiness::CallCounter::default(),
+        requests: readiness::RequestCounter::default(),
         readiness,
         watcher,
         drain_sender,
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -26,6 +26,10 @@
     state: &call::RunnerState,
     copy: &copy::CallCopy,
 ) -> peer_wire::CallOutcomeWire {
+    // The key table counts the call as running by now.
+    if !state.gate.may_start() {
+        return refusal::refused(refusal::refuse_closed());
+    }
     let mut excluded = Vec::new();
     for _try in 0..state.limits.max_tries {
         if let Some(refusal) = refuse_send(state, copy.deadline).await {
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -44,6 +44,13 @@
     )
 }
 
+/// Refusal when the router leaves and starts no more work.
+pub(crate) fn refuse_closed() -> verdict::RequestRefusal {
+    let message = "the router is leaving; use another address";
+    verdict::RequestRefusal::not_run(503, verdict::RefusalCode::NotReady, message)
+        .retry_after(RETRY_DELAY)
+}
+
 /// Refusal when the call was answered, but only its status is still stored.
 pub(crate) fn refuse_trimmed(status: u16) -> verdict::RequestRefusal {
     verdict::RequestRefusal::may_have_run(
--- a/tests/calls/endpoints.rs
+++ b/tests/calls/endpoints.rs
@@ -163,6 +163,35 @@
     });
 }
 
+/// A gate of a router that only finishes the calls that it has.
+#[derive(Debug)]
+struct LeavingGate;
+
+impl exchange::SendGate for LeavingGate {
+    fn may_send(&self) -> bool {
+        true
+    }
+
+    fn may_start(&self) -> bool {
+        false
+    }
+}
+
+#[test]
+fn closed_router_starts_no_call_of_a_peer() {
+    task::block_on(async {
+        let bed = crate::TestBed::start().await;
+        let limits = call::CallLimits::default();
+        let gate = sync::Arc::new(LeavingGate);
+        let a = bed.network.start_with("a", 1, limits, gate);
+        let key = bed.network.mint("a");
+        let outcome = a.run_at_home(network::reserve(&key)).await;
+        crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::NotReady);
+        network::settle().await;
+        assert_eq!(bed.stock.all_effects(), 0);
+    });
+}
+
 /// A gate that opens 100 ms after the given time.
 #[derive(Debug)]
 struct OpeningGate(time::Instant);
