Read the store again after a peer's older list undid a change

Nothing for callers. Cause: endpoint lists of two routers are ordered by when the store call that confirmed them was sent (FreshnessClock, peers.rs apply_peer_state). A call that waits for changes shows the store at its end: g1 sent one at 54.56 and got the change at 54.94, and its list counts as of 54.56. g3 had read everything at 54.77, before the change, so its older list counts as newer. Where there is no other zone, a reader asks any other router; when g1 asks g3, it takes g3's rows over its own. The registry keeps the endpoint as leaving, so that no line is logged, but g1's rows are those of g3 now, the digests agree, and g3 takes nothing. The feed does not repeat the change. How far shown: the times are of the logs, 54.56 from the age that g2 logged when it took the change from g1. g3 confirmed its configuration at 55.379 and 56.986 as g2 did, so it did ask others. That g1 asked g3 in between follows from the code and from what is ruled out; no log line shows it. Ruled out: a full disk, as the logs of the three routers have no incomplete line; queries that failed, as g3's configuration stayed fresh; the feed of g3, which followed g1 from 54.97 on; a lost change at the store, which g1 got. Change: an entry of a peer that is older than what the registry knows, of an earlier incarnation or no longer leaving, makes the next call to the store read everything. Evidence: cached_state::leaving_undone_by_a_peer and restart_undone_by_a_peer fail before and pass; two further cases show that newer entries cause no read; all 57 cases of cached_state and restored_store pass. Conclusion: an added or removed endpoint can be undone in the same way and is not recognised. Ordering lists by era and version of the store would end the class, with a change of the peer protocol.

--- a/src/process/gateway/endpoint_registry.rs
+++ b/src/process/gateway/endpoint_registry.rs
@@ -74,6 +74,8 @@
     stale_until: boot_clock::BootInstant,
     /// When the store is to be read again because it was restored.
     reread_at: Option<boot_clock::BootInstant>,
+    /// Whether the store is to be read again because a peer's list was older than what is known.
+    has_older_rows: bool,
     /// Whether a full list was received, from the store or from a peer.
     is_initialized: bool,
     lapse_grace: time::Duration,
@@ -92,6 +94,7 @@
             removed: collections::HashMap::new(),
             stale_until: boot_clock::BootInstant::default(),
             reread_at: None,
+            has_older_rows: false,
             is_initialized: false,
             lapse_grace,
         }
@@ -118,13 +121,13 @@
     }
 
     /// Whether the whole list has to be read once more, as stale entries were left out of the last
-    /// one; `true` once.
+    /// one, or a peer's older list was taken; `true` once.
     pub fn take_reread(&mut self, now: boot_clock::BootInstant) -> bool {
         let is_due = self.reread_at.is_some_and(|at| at <= now);
         if is_due {
             self.reread_at = None;
         }
-        is_due
+        std::mem::take(&mut self.has_older_rows) || is_due
     }
 
     /// Applies changes from the store; returns whether any record changed.
@@ -178,6 +181,9 @@
                 false
             }
         });
+        // A list is ordered by when its store call was sent, which can be before a change that the
+        // call returned. The rows are the peer's by now, and the feed does not repeat the change.
+        self.has_older_rows |= changes.iter().any(|change| self.is_older(change));
         for name in gone {
             is_changed |= self.drop_record(&name, now);
         }
@@ -292,6 +298,19 @@
         true
     }
 
+    /// Whether the entry of a known endpoint was written before what is known of it.
+    fn is_older(&self, change: &EntryChange) -> bool {
+        let EntryChange::Present(record) = change else {
+            return false;
+        };
+        let known = self.records.get(&record.name);
+        known.is_some_and(|known| {
+            let is_undone = known.is_leaving && !record.is_leaving;
+            known.incarnation > record.incarnation
+                || known.incarnation == record.incarnation && is_undone
+        })
+    }
+
     /// Whether a restored store or a peer that read it brings a removed endpoint back.
     fn is_stale(&self, change: &EntryChange, now: boot_clock::BootInstant) -> bool {
         let EntryChange::Present(record) = change else {
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -170,6 +170,20 @@
     assert!(registry.records().all(|record| record.is_leaving));
 }
 
+/// The store's feed does not repeat the change that the older list undid in the rows.
+fn a_peer_list_older_than_the_own_one_has_the_store_read_again(
+    known: endpoint_registry::EntryChange,
+    listed: endpoint_registry::EntryChange,
+    is_older: bool,
+) {
+    let mut registry = registry_with(vec![known]);
+    assert!(!registry.take_reread(at(100)));
+    let is_changed = apply_peer_report(&mut registry, vec![listed], &[], at(100));
+    assert_eq!(is_changed, !is_older);
+    assert_eq!(registry.take_reread(at(200)), is_older);
+    assert!(!registry.take_reread(at(300)));
+}
+
 /// One reader had removed an entry, while another kept it because its own connection to the store
 /// was disturbed. Their lists arrived alternately, and the endpoint reappeared again and again.
 /// Found by randomized test run hunt-a19b-31.
@@ -837,6 +851,11 @@
     entry_only_in_copy: an_entry_that_a_restored_store_brings_back_is_left_out();
     store_unreachable: no_entry_expires_while_the_store_is_unreachable();
     peer_list: a_peer_list_removes_endpoints_while_the_store_is_unreachable();
+    // An endpoint that had left got requests from a router until the end of a run.
+    leaving_undone_by_a_peer: a_peer_list_older_than_the_own_one_has_the_store_read_again(present("a", 1, true), present("a", 1, false), true);
+    restart_undone_by_a_peer: a_peer_list_older_than_the_own_one_has_the_store_read_again(present("a", 2, false), present("a", 1, false), true);
+    leaving_told_by_a_peer: a_peer_list_older_than_the_own_one_has_the_store_read_again(present("a", 1, false), present("a", 1, true), false);
+    restart_told_by_a_peer: a_peer_list_older_than_the_own_one_has_the_store_read_again(present("a", 1, true), present("a", 2, false), false);
     lapsed_at_a_peer: an_entry_lapsed_at_a_peer_does_not_restore_a_removed_one();
     lapsed_marks_by_part: a_lapsed_mark_is_cleared_only_in_the_reported_parts();
     first_list: a_first_list_adds_lapsed_entries();
