--- a/src/process/gateway/stop_schedule.rs
+++ b/src/process/gateway/stop_schedule.rs
@@ -8,8 +8,9 @@
 
 use crate::process::gateway::stream_duration;
 
-/// Time from the signal for which requests are accepted that are only likely to end in time. Below
-/// the time in which callers that looked up addresses before the signal still arrive.
+/// Time from the signal for which requests are accepted that are only likely to end in time.
+/// Operators put up with an aborted request that was sent within 3 s of the signal; the rest is a
+/// margin for a signal that is handled late.
 const LIKELY_ADMISSION_TIME: time::Duration = time::Duration::from_millis(2_500);
 
 /// Fraction of the grace period after which all new requests are refused.
