Log what a call without a complete answer shows about its endpoint

The line 'call lost' gives the cause, the time for which the call had run and how the endpoint reacts to a new connection: it answers a health check, closes the connection, or refuses it. For this, the health path of a service is read from the configuration. A lost call that may be repeated is sent again up to 0.1 s later, the timeout of the probe; nothing else changes.

--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -69,6 +69,7 @@
 #[derive(serde::Deserialize)]
 struct ServiceWire {
     name: String,
+    health_path: Option<String>,
     /// Capabilities of model engines; `None` for other services.
     engine: Option<EngineWire>,
 }
@@ -193,6 +194,8 @@
             name: wire.name,
             has_backups: wire.engine.as_ref().is_some_and(|engine| engine.backups),
             has_moves: wire.engine.is_some_and(|engine| engine.moves),
+            // Anything else cannot be the target of a request.
+            health_path: wire.health_path.filter(|path| is_target(path)),
         }
     }
 }
@@ -213,6 +216,10 @@
     }
 }
 
+fn is_target(path: &str) -> bool {
+    path.starts_with('/') && path.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn millis(value: f64) -> time::Duration {
     let duration = time::Duration::try_from_secs_f64(value / 1_000.0);
     duration.map_or(LONGEST_TIME, |duration| duration.min(LONGEST_TIME))
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -337,6 +337,7 @@
         metadata: terms,
         has_copies: profile.is_some_and(|profile| profile.has_backups),
         has_moves: profile.is_some_and(|profile| profile.has_moves),
+        health_path: profile.and_then(|profile| profile.health_path.clone()),
         priority: priority.unwrap_or(route.priority),
         workspace: workspace.map(|workspace| workspace.name),
         service,
--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -22,7 +22,7 @@
 /// Timeout for an engine's report, which occupies no slot there.
 pub const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
-/// Timeout for a probe of an engine that closed a connection; a few round trips within a region.
+/// Timeout for a probe of an endpoint that closed a connection; a few round trips within a region.
 const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// Maximum size of a response head.
@@ -251,6 +251,33 @@
     report(address, dialect, LIVENESS_TIMEOUT).await.is_some()
 }
 
+/// How an endpoint that closed a connection reacts to a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// It answers, or keeps the probe waiting as a busy endpoint does.
+    Alive,
+    /// It accepts the connection and closes it without an answer.
+    Closes,
+    /// It refuses the connection.
+    Refuses,
+}
+
+/// Probes the endpoint at `address` with a request for `path`, for at most [`LIVENESS_TIMEOUT`].
+pub async fn probe(address: std_net::SocketAddr, path: &str) -> ProbeResult {
+    let request = head::write_request(&control_head("GET", path, address), 0);
+    let exchange = async {
+        let Ok(mut attempt) = send(address, &request).await else {
+            return ProbeResult::Refuses;
+        };
+        match attempt.head().await {
+            Err(AttemptError::Closed) => ProbeResult::Closes,
+            _ => ProbeResult::Alive,
+        }
+    };
+    let probed = future::timeout(LIVENESS_TIMEOUT, exchange).await;
+    probed.unwrap_or(ProbeResult::Alive)
+}
+
 /// Request head of a control call, which is one to an engine that serves no caller's request.
 #[must_use]
 pub fn control_head(method: &str, target: &str, address: std_net::SocketAddr) -> head::RequestHead {
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -150,6 +150,7 @@
         .possible_runs
         .fetch_add(1, atomic::Ordering::Relaxed);
     context.counters.count("relay.attempt");
+    let sent_at = time::Instant::now();
     let sent = attempt::send(lease.endpoint.address, &bytes).await;
     let Ok(mut open) = sent else {
         tracker
@@ -166,9 +167,13 @@
         }
         Err(error) => Err(error),
     };
-    let Ok(response) = response else {
-        lease.observe(fleet::EndpointObservation::Failed);
-        return (retry::AttemptOutcome::Lost, None);
+    let response = match response {
+        Ok(response) => response,
+        Err(error) => {
+            lease.observe(fleet::EndpointObservation::Failed);
+            log_loss(context, request, lease, error, sent_at.elapsed()).await;
+            return (retry::AttemptOutcome::Lost, None);
+        }
     };
     let outcome = classify_response(context, request, &response);
     match outcome {
@@ -190,6 +195,30 @@
     }
 }
 
+/// Logs a call without a complete response, and whether its endpoint still answers.
+async fn log_loss(
+    context: &context::RelayContext,
+    request: &context::RelayRequest,
+    lease: &context::EndpointLease,
+    cause: attempt::AttemptError,
+    running: time::Duration,
+) {
+    let mut probed = None;
+    if cause == attempt::AttemptError::Closed {
+        let path = request.health_path.as_deref();
+        let path = path.unwrap_or_else(|| context.dialect.report_path());
+        probed = Some(attempt::probe(lease.endpoint.address, path).await);
+    }
+    log::info!(
+        request = request.metadata.id.as_str(),
+        endpoint = lease.endpoint.name.as_str(),
+        cause:? = cause,
+        probed:? = probed,
+        elapsed_ms = u64::try_from(running.as_millis()).unwrap_or(u64::MAX);
+        "call lost"
+    );
+}
+
 /// Returns what a response that states "not run" reveals about the endpoint.
 pub(super) fn refusal_observation(status: u16) -> fleet::EndpointObservation {
     if status == 421 {
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -66,6 +66,8 @@
     pub has_copies: bool,
     /// Whether engines of the service copy the KV cache of a running request on demand.
     pub has_moves: bool,
+    /// Path at which endpoints of the service answer health checks; `None` if it has none.
+    pub health_path: Option<String>,
     /// Workspace of the caller; `None` on routes that need no key.
     pub workspace: Option<String>,
     /// Priority; 0 is the highest.
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -76,6 +76,8 @@
     pub has_backups: bool,
     /// Whether its engines copy the KV cache of a running request on demand.
     pub has_moves: bool,
+    /// Path at which its endpoints answer health checks; `None` if it names none.
+    pub health_path: Option<String>,
 }
 
 /// A workspace as known to the gateway.
