Reproduce a request that crashes each endpoint that runs it

Callers send one request again and again at all routers, with the same path, caller and body. Each endpoint that begins to run it ends before it has sent a byte, resets all its connections and is back 0.4 s later. No more than three repeats may reach endpoints later than 3 s after the third crash.

Fake endpoints now crash on a request with a given path, body and workspace, and plain requests can take some time there.

--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -41,7 +41,7 @@
         let plan = |callers, pause_ms, shared_parts| load::LoadPlan {
             callers,
             pause: time::Duration::from_millis(pause_ms),
-            path: "/stream/1",
+            call: caller::CallText::plain("/stream/1"),
             shared_parts: Some(shared_parts),
         };
         Self {
@@ -146,7 +146,7 @@
     let plan = load::LoadPlan {
         callers: 2,
         pause: time::Duration::from_millis(30),
-        path: "/stream/1",
+        call: caller::CallText::plain("/stream/1"),
         shared_parts: Some(crash_judge::SOUND_PROMPT),
     };
     let load = load::SteadyLoad::start(&ips, plan);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod burst;
 mod cached_state;
 mod crash_evidence;
+mod crashing_calls;
 mod crashing_prompts;
 mod decisions;
 mod endless_responses;
--- a/tests/gateway/support/caller.rs
+++ b/tests/gateway/support/caller.rs
@@ -12,6 +12,9 @@
 /// Longest wait for the next bytes of an answer.
 const READ_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
+/// Chunks of a body that is sent in chunks.
+const CHUNK_COUNT: usize = 3;
+
 /// The text of a request with a body of two bytes.
 pub fn request(path: &str, id: &str, key: &str) -> String {
     prompt_request(path, id, key, None)
@@ -28,6 +31,52 @@
     )
 }
 
+/// A request with a body and a key of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct CallText {
+    pub path: &'static str,
+    pub key: &'static str,
+    pub body: &'static [u8],
+    /// Whether the body is sent in chunks instead of with its length.
+    pub is_chunked: bool,
+}
+
+impl CallText {
+    /// A request as [`request`] makes it.
+    pub const fn plain(path: &'static str) -> Self {
+        Self {
+            path,
+            key: "k",
+            body: b"hi",
+            is_chunked: false,
+        }
+    }
+
+    /// The bytes of the request, which names the parts of its prompt if it has any.
+    pub fn bytes(&self, id: &str, parts: Option<&str>) -> Vec<u8> {
+        let text = prompt_request(self.path, id, self.key, parts);
+        let framing = if self.is_chunked {
+            "Transfer-Encoding: chunked".to_owned()
+        } else {
+            format!("Content-Length: {}", self.body.len())
+        };
+        let text = text.replace("Content-Length: 2\r\n\r\nhi", &framing);
+        let mut bytes = format!("{text}\r\n\r\n").into_bytes();
+        if self.is_chunked {
+            for chunk in self
+                .body
+                .chunks(self.body.len().div_ceil(CHUNK_COUNT).max(1))
+            {
+                head::write_chunk(&mut bytes, chunk);
+            }
+            bytes.extend_from_slice(head::LAST_CHUNK);
+        } else {
+            bytes.extend_from_slice(self.body);
+        }
+        bytes
+    }
+}
+
 /// An answer as received.
 #[derive(Debug)]
 pub struct Answer {
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -9,7 +9,7 @@
 
 use kumquatpulley::connection::h1::{body, head};
 
-use crate::support::{run_log, stop_judge, timed_work};
+use crate::support::{deadly_calls, run_log, stop_judge, timed_work};
 
 /// A request that a fake has read.
 #[derive(Clone, Debug)]
@@ -161,10 +161,10 @@
 /// Delay that endpoints ask for in the mode `RetryAfter`.
 pub const RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
 
-/// Time until an endpoint that crashed because of a prompt is back.
+/// Time until an endpoint that crashed because of a request is back.
 const RESTART_TIME: time::Duration = time::Duration::from_millis(400);
 
-/// Time of the prefill of a prompt in which an endpoint looks for a deadly part.
+/// Time from the start of a run to the crash that its request causes.
 const PREFILL_TIME: time::Duration = time::Duration::from_millis(60);
 
 /// Time from the head of a response to the crash that its prompt causes.
@@ -198,10 +198,11 @@
     /// Ids of the requests whose answers named a limit.
     named_to: sync::Mutex<Vec<String>>,
     crashes: sync::Mutex<CrashState>,
+    calls: deadly_calls::CallState,
     runs: run_log::RunLog,
 }
 
-/// Crashes of an endpoint that were caused by a prompt.
+/// Crashes of an endpoint that were caused by a request.
 #[derive(Debug, Default)]
 struct CrashState {
     /// Part that crashes the endpoint when it begins to answer a prompt with it.
@@ -239,6 +240,7 @@
             limits: sync::Mutex::default(),
             named_to: sync::Mutex::default(),
             crashes: sync::Mutex::default(),
+            calls: deadly_calls::CallState::default(),
             runs: run_log::RunLog::default(),
         });
         let served = sync::Arc::clone(&state);
@@ -303,7 +305,12 @@
         crashes.deadly_part = part.map(str::to_owned);
     }
 
-    /// When the endpoint crashed because of a prompt, oldest first.
+    /// Requests under which the endpoint crashes without an answer, and how long others run.
+    pub fn calls(&self) -> &deadly_calls::CallState {
+        &self.state.calls
+    }
+
+    /// When the endpoint crashed because of a request, oldest first.
     pub fn crashes(&self) -> Vec<time::Instant> {
         let crashes = self.state.crashes.lock().expect("not poisoned");
         crashes.crashed_at.clone()
@@ -344,22 +351,22 @@
         self.crashes.lock().expect("not poisoned").crashed_at.len()
     }
 
-    /// Ends all streams and answers nothing for [`RESTART_TIME`].
-    fn crash(&self, stream: &net::TcpStream) {
+    /// Resets connections and answers nothing for [`RESTART_TIME`].
+    fn crash(&self, reset_connections: impl Fn()) {
         if self.is_dead.swap(true, atomic::Ordering::SeqCst) {
-            return reset(stream);
+            return reset_connections();
         }
         let mut crashes = self.crashes.lock().expect("not poisoned");
         crashes.crashed_at.push(time::Instant::now());
         drop(crashes);
-        reset(stream);
+        reset_connections();
         thread::sleep(RESTART_TIME);
         self.is_dead.store(false, atomic::Ordering::SeqCst);
     }
 }
 
 /// Resets the connection, as the end of a process does.
-fn reset(stream: &net::TcpStream) {
+pub fn reset(stream: &net::TcpStream) {
     let linger = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
     linger.expect("a socket option");
     // The peer may have closed already.
@@ -409,6 +416,7 @@
         .field("Kumquatpulley-Request-Id")
         .unwrap_or_default();
     let run = state.runs.add(&id);
+    let connection = state.calls.open(stream);
     let timing = timed_work::WorkTiming::parse(&request);
     let end = if let (EndpointMode::Healthy, Some(timing)) = (mode, timing) {
         let notices = notice_fields(state, mode, &id);
@@ -419,6 +427,7 @@
         }
         answer_in_mode(stream, state, &request, mode, &id)
     };
+    state.calls.close(connection);
     state.runs.end(run, end);
 }
 
@@ -438,6 +447,11 @@
              {notices}Content-Length: {length}\r\n\r\n"
         )
     };
+    if request.is_started && state.calls.is_deadly(request) {
+        thread::sleep(PREFILL_TIME);
+        state.crash(|| state.calls.reset_all());
+        return stop_judge::RunEnd::BrokenOff;
+    }
     match mode {
         EndpointMode::Full => {
             write(
@@ -493,6 +507,7 @@
             if mode == EndpointMode::Slow {
                 thread::sleep(SLOW_ANSWER);
             }
+            thread::sleep(state.calls.run_time());
             let text = plain_answer(id);
             if write(stream, &format!("{}{text}", sealed(id, text.len()))) {
                 stop_judge::RunEnd::Finished
@@ -604,7 +619,7 @@
     }
     if is_deadly {
         thread::sleep(CRASH_DELAY);
-        state.crash(stream);
+        state.crash(|| reset(stream));
         return stop_judge::RunEnd::BrokenOff;
     }
     let timing = timed_work::WorkTiming::parse(request);
--- a/tests/gateway/support/load.rs
+++ b/tests/gateway/support/load.rs
@@ -8,6 +8,8 @@
 
 use crate::support::{caller, limit_judge};
 
+static NEXT_LOAD: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+
 /// Requests that callers send.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadPlan {
@@ -15,7 +17,7 @@
     pub callers: u64,
     /// Pause of a caller between two requests.
     pub pause: time::Duration,
-    pub path: &'static str,
+    pub call: caller::CallText,
     /// Shared parts of each prompt, to which a part of its own is added; `None` sends no prompt.
     pub shared_parts: Option<&'static str>,
 }
@@ -26,14 +28,15 @@
         Self {
             callers: 4,
             pause: time::Duration::from_millis(80),
-            path,
+            call: caller::CallText::plain(path),
             shared_parts: None,
         }
     }
 
     fn caller_name(&self, gateway: net::IpAddr, number: u64) -> String {
         let parts = self.shared_parts.unwrap_or_default();
-        format!("{gateway}-{number}-{parts}")
+        let load = NEXT_LOAD.fetch_add(1, atomic::Ordering::SeqCst);
+        format!("{gateway}-{number}-{parts}-{load}")
     }
 }
 
@@ -48,6 +51,8 @@
     pub is_complete: bool,
     /// Whether a refusal said when to come back.
     pub has_retry_delay: bool,
+    /// Name of the reason in the body of a refusal.
+    pub code: Option<String>,
 }
 
 /// Callers that send requests until this is stopped.
@@ -96,8 +101,8 @@
         let prompt = plan
             .shared_parts
             .map(|parts| format!("{parts},{:x}:100", fastrand::u64(..)));
-        let request = caller::prompt_request(plan.path, &id, "k", prompt.as_deref());
-        let answer = caller::exchange((ip, 8227).into(), request.as_bytes());
+        let request = plan.call.bytes(&id, prompt.as_deref());
+        let answer = caller::exchange((ip, 8227).into(), &request);
         let answered = answer.as_ref().map(|_answer| time::Instant::now());
         requests.push(SentRequest {
             view: limit_judge::CallerView {
@@ -109,6 +114,7 @@
             elapsed: sent.elapsed(),
             status: answer.as_ref().map(|answer| answer.head.status),
             is_complete: answer.as_ref().is_some_and(|answer| answer.is_complete),
+            code: answer.as_ref().and_then(refusal_code),
             has_retry_delay: answer
                 .is_some_and(|answer| answer.head.headers.get("Retry-After").is_some()),
         });
@@ -116,3 +122,8 @@
     }
     requests
 }
+
+fn refusal_code(answer: &caller::Answer) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    body["error"]["code"].as_str().map(str::to_owned)
+}
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod crash_judge;
+pub mod deadly_calls;
 pub mod fake_store;
 pub mod fakes;
 pub mod fleet_caller;
