--- a/src/connection/caller_retry.rs
+++ b/src/connection/caller_retry.rs
@@ -36,7 +36,8 @@
         | verdict::RefusalCode::HomeUnreachable
         | verdict::RefusalCode::OutcomeForgotten
         | verdict::RefusalCode::KeyReused
-        | verdict::RefusalCode::PromptBlocked => RetryAdvice::Never,
+        | verdict::RefusalCode::PromptBlocked
+        | verdict::RefusalCode::RequestBlocked => RetryAdvice::Never,
         verdict::RefusalCode::NotReady
         | verdict::RefusalCode::NoEndpoint
         | verdict::RefusalCode::EndpointFailed => RetryAdvice::Elsewhere,
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::connection::{prompt_wire, store_view_wire};
+use crate::connection::{crash_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
 /// Encodes a duration for a message, in microseconds.
@@ -61,7 +61,7 @@
         above: u64,
         /// Digest of all the sender's endpoint rows; the reply holds part digests if it differs.
         digest: u64,
-        /// Digest of the prompts that are blocked at the sender; the reply holds them if it differs.
+        /// Digest of the requests that are blocked at the sender; the reply holds them if it differs.
         blocked: u64,
     },
     /// Asks for the endpoint rows that the sender lacks.
@@ -73,10 +73,10 @@
     SendPermit(EndpointLimitWire),
     /// Tells the owner of an endpoint that its request limit changed.
     EndpointLimit(EndpointLimitWire),
-    /// Tells that a prompt crashed its engine, and asks what the peer knows of its parts.
-    PromptCrash(prompt_wire::PromptCrashWire),
-    /// Tells that prompts are blocked.
-    BlockedPrompts(Vec<prompt_wire::BlockedPromptWire>),
+    /// Tells that a request crashed its endpoint, and asks what the peer knows of its features.
+    RequestCrash(crash_wire::RequestCrashWire),
+    /// Tells that requests are blocked.
+    BlockedRequests(Vec<crash_wire::BlockedRequestWire>),
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -160,10 +160,10 @@
     SendPermit(PermitReplyWire),
     /// Newest limit that the owner knows; `None` from a router that is not the owner.
     EndpointLimit(Option<LimitWire>),
-    /// What the peer knows of the parts of a prompt.
-    PromptEvidence(prompt_wire::PromptEvidenceWire),
-    /// The blocked prompts were taken.
-    BlockedPrompts,
+    /// What the peer knows of the features of a request.
+    CrashEvidence(crash_wire::CrashEvidenceWire),
+    /// The blocked requests were taken.
+    BlockedRequests,
 }
 
 /// A gossip message; the reply has the same type.
--- a/src/connection/store_view_wire.rs
+++ b/src/connection/store_view_wire.rs
@@ -1,6 +1,6 @@
 //! Bincode messages in which a router passes on what it knows of the platform's store.
 
-use crate::connection::prompt_wire;
+use crate::connection::crash_wire;
 
 /// A router's view of the platform's store.
 #[derive(Clone, Debug)]
@@ -21,8 +21,8 @@
     pub endpoint_era: u64,
     /// Digests of the sender's endpoint rows by part; empty when both sides have the same rows.
     pub digests: Vec<u64>,
-    /// All prompts blocked at the sender; empty when both sides have the same.
-    pub blocked: Vec<prompt_wire::BlockedPromptWire>,
+    /// All requests blocked at the sender; empty when both sides have the same.
+    pub blocked: Vec<crash_wire::BlockedRequestWire>,
 }
 
 /// Changes that bring some parts of the receiver's endpoint rows up to date.
--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -5,7 +5,7 @@
 
 use crate::connection::h1::head;
 use crate::platform::report_wire;
-use crate::request::relay::{attempt, dialect, prompt_part, report, request_rate};
+use crate::request::relay::{attempt, dialect, report, request_feature, request_rate};
 use crate::request::verdict;
 
 const REQUEST_ID: &str = "Kumquatpulley-Request-Id";
@@ -218,7 +218,7 @@
 }
 
 /// Parts of the prompt without the last one, at most [`MAX_SHARED_PARTS`].
-fn shared_parts(headers: &head::HeaderList) -> Vec<prompt_part::PromptPart> {
+fn shared_parts(headers: &head::HeaderList) -> Vec<request_feature::RequestFeature> {
     let text = headers.get(PROMPT_PARTS).unwrap_or_default();
     let Some((shared, _last)) = text.rsplit_once(',') else {
         return Vec::new();
@@ -228,7 +228,7 @@
         id.trim()
     });
     ids.filter(|id| !id.is_empty())
-        .map(prompt_part::PromptPart::parse)
+        .map(request_feature::RequestFeature::part)
         .collect()
 }
 
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -131,7 +131,7 @@
         rows::RowTopic::Config => "op",
         rows::RowTopic::Endpoints => "servers",
         rows::RowTopic::Routers => "routers",
-        rows::RowTopic::BlockedPrompts => "blocked_prompts",
+        rows::RowTopic::BlockedRequests => "blocked_prompts",
     }
 }
 
@@ -180,15 +180,15 @@
         std::str::from_utf8(value).ok().map(str::to_owned)
     }
 
-    fn blocked_prompt(&self, value: &[u8]) -> Option<block_list::BlockedPrompt> {
+    fn blocked_request(&self, value: &[u8]) -> Option<block_list::BlockedRequest> {
         let decoded = block_wire::decode(value);
         if let Err(error) = &decoded {
-            log::warn!(cause = error.to_string().as_str(); "cannot decode a blocked prompt");
+            log::warn!(cause = error.to_string().as_str(); "cannot decode a blocked request");
         }
         decoded.ok()
     }
 
-    fn encode_blocked_prompt(&self, entry: &block_list::BlockedPrompt) -> Vec<u8> {
+    fn encode_blocked_request(&self, entry: &block_list::BlockedRequest) -> Vec<u8> {
         block_wire::encode(entry)
     }
 }
--- a/src/process/gateway/block_list.rs
+++ b/src/process/gateway/block_list.rs
@@ -1,7 +1,7 @@
-//! The prompts that are blocked because they crash engines; the same at all routers.
+//! The requests that are blocked because they crash endpoints; the same at all routers.
 //!
 //! Entries are merged from peers and the store, and the later one of two wins, so their order does
-//! not matter. An entry is kept for some time after it expired: if the prompt still crashes engines,
+//! not matter. An entry is kept for some time after it expired: if the request still crashes endpoints,
 //! one crash blocks it again, for twice as long. The module takes the time as an argument, in
 //! milliseconds since the Unix epoch, as entries outlive a process.
 
@@ -10,9 +10,9 @@
 use xxhash_rust::xxh3;
 
 use crate::process::gateway::crash_ledger;
-use crate::request::relay::prompt_part;
+use crate::request::relay::request_feature;
 
-/// Time of the first block of a prompt; doubles with each further one.
+/// Time of the first block of a request; doubles with each further one.
 const FIRST_BLOCK: time::Duration = time::Duration::from_secs(10 * 60);
 
 /// Longest time of a block, and time for which an expired entry is kept.
@@ -21,68 +21,74 @@
 /// Maximum number of entries; those that expire first are dropped.
 const MAX_ENTRIES: usize = 256;
 
-/// Prompts with certain parts, and until when they are blocked.
+/// Requests with certain features, and until when they are blocked.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BlockedPrompt {
-    /// Parts that a prompt must have to be blocked, in ascending order.
-    pub parts: crash_ledger::SuspectParts,
+pub struct BlockedRequest {
+    /// Features that a request must have to be blocked, in ascending order.
+    pub features: crash_ledger::SuspectFeatures,
     /// End of the block, in milliseconds since the Unix epoch.
     pub until_ms: u64,
-    /// Number of times that the prompt was blocked.
+    /// Number of times that the request was blocked.
     pub count: u32,
 }
 
-impl BlockedPrompt {
-    /// Text that identifies the parts, the same at all routers.
+impl BlockedRequest {
+    /// Text that identifies the features, the same at all routers.
     #[must_use]
     pub fn key(&self) -> String {
-        format!("{:016x}", hash_parts(&self.parts))
+        format!("{:016x}", hash_features(&self.features))
     }
 
-    fn covers(&self, parts: &[prompt_part::PromptPart]) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
+    fn covers(&self, features: &[request_feature::RequestFeature]) -> bool {
+        self.features
+            .iter()
+            .all(|feature| features.contains(feature))
     }
 }
 
 /// All entries that this router knows.
 #[derive(Clone, Debug, Default)]
 pub struct BlockList {
-    entries: Vec<BlockedPrompt>,
+    entries: Vec<BlockedRequest>,
 }
 
 impl BlockList {
-    /// Time for which a prompt with these shared parts is blocked; `None` if it is not.
+    /// Time for which a request with these features is blocked; `None` if it is not.
     #[must_use]
     pub fn block_left(
         &self,
-        parts: &[prompt_part::PromptPart],
+        features: &[request_feature::RequestFeature],
         now_ms: u64,
     ) -> Option<time::Duration> {
         let entries = self.entries.iter();
-        let blocking = entries.filter(|entry| now_ms < entry.until_ms && entry.covers(parts));
+        let blocking = entries.filter(|entry| now_ms < entry.until_ms && entry.covers(features));
         let until = blocking.map(|entry| entry.until_ms).max()?;
         Some(time::Duration::from_millis(until - now_ms))
     }
 
-    /// Parts of expired entries for a prompt that crashed an engine again.
+    /// Features of expired entries for a request that crashed an endpoint again.
     #[must_use]
     pub fn expired_matches(
         &self,
-        parts: &[prompt_part::PromptPart],
+        features: &[request_feature::RequestFeature],
         now_ms: u64,
-    ) -> Vec<crash_ledger::SuspectParts> {
+    ) -> Vec<crash_ledger::SuspectFeatures> {
         let entries = self.entries.iter();
-        let expired = entries.filter(|entry| entry.until_ms <= now_ms && entry.covers(parts));
-        expired.map(|entry| entry.parts.clone()).collect()
+        let expired = entries.filter(|entry| entry.until_ms <= now_ms && entry.covers(features));
+        expired.map(|entry| entry.features.clone()).collect()
     }
 
-    /// Blocks prompts that have all of `parts`, which must be in ascending order; returns the entry.
-    pub fn block(&mut self, parts: crash_ledger::SuspectParts, now_ms: u64) -> BlockedPrompt {
-        let known = self.entries.iter().find(|entry| entry.parts == parts);
+    /// Blocks requests that have all of `features`, which must be in ascending order; returns the entry.
+    pub fn block(
+        &mut self,
+        features: crash_ledger::SuspectFeatures,
+        now_ms: u64,
+    ) -> BlockedRequest {
+        let known = self.entries.iter().find(|entry| entry.features == features);
         let count = known.map_or(0, |entry| entry.count);
         let time = FIRST_BLOCK.saturating_mul(2_u32.saturating_pow(count));
-        let entry = BlockedPrompt {
-            parts,
+        let entry = BlockedRequest {
+            features,
             until_ms: now_ms.saturating_add(millis(time.min(LONGEST_BLOCK))),
             count: count.saturating_add(1),
         };
@@ -92,16 +98,16 @@
 
     /// Adds an entry of a peer or of the store unless a later one is known; returns whether it
     /// changed the list.
-    pub fn merge(&mut self, mut entry: BlockedPrompt, now_ms: u64) -> bool {
+    pub fn merge(&mut self, mut entry: BlockedRequest, now_ms: u64) -> bool {
         self.drop_old(now_ms);
-        // A wrong clock must not block a prompt for good.
+        // A wrong clock must not block a request for good.
         let latest = now_ms.saturating_add(millis(LONGEST_BLOCK));
         entry.until_ms = entry.until_ms.min(latest);
-        if entry.parts.is_empty() || is_old(&entry, now_ms) {
+        if entry.features.is_empty() || is_old(&entry, now_ms) {
             return false;
         }
         let known = self.entries.iter_mut();
-        let mut same = known.filter(|known| known.parts == entry.parts);
+        let mut same = known.filter(|known| known.features == entry.features);
         if let Some(known) = same.next() {
             let is_later = known.until_ms < entry.until_ms;
             if is_later {
@@ -122,7 +128,7 @@
 
     /// All entries, expired ones included.
     #[must_use]
-    pub fn entries(&self) -> &[BlockedPrompt] {
+    pub fn entries(&self) -> &[BlockedRequest] {
         &self.entries
     }
 
@@ -130,7 +136,10 @@
     #[must_use]
     pub fn digest(&self) -> u64 {
         let hashes = self.entries.iter().map(|entry| {
-            xxh3::xxh3_64_with_seed(&entry.until_ms.to_be_bytes(), hash_parts(&entry.parts))
+            xxh3::xxh3_64_with_seed(
+                &entry.until_ms.to_be_bytes(),
+                hash_features(&entry.features),
+            )
         });
         hashes.fold(0, |digest, hash| digest ^ hash)
     }
@@ -140,12 +149,15 @@
     }
 }
 
-fn is_old(entry: &BlockedPrompt, now_ms: u64) -> bool {
+fn is_old(entry: &BlockedRequest, now_ms: u64) -> bool {
     entry.until_ms.saturating_add(millis(LONGEST_BLOCK)) <= now_ms
 }
 
-fn hash_parts(parts: &[prompt_part::PromptPart]) -> u64 {
-    let bytes: Vec<u8> = parts.iter().flat_map(|part| part.0.to_be_bytes()).collect();
+fn hash_features(features: &[request_feature::RequestFeature]) -> u64 {
+    let bytes: Vec<u8> = features
+        .iter()
+        .flat_map(|feature| feature.0.to_be_bytes())
+        .collect();
     xxh3::xxh3_64(&bytes)
 }
 
--- a/src/process/gateway/counter_names.rs
+++ b/src/process/gateway/counter_names.rs
@@ -38,5 +38,6 @@
         verdict::RefusalCode::NotReady => "refused.not_ready",
         verdict::RefusalCode::KeyReused => "refused.key_reused",
         verdict::RefusalCode::PromptBlocked => "refused.prompt_blocked",
+        verdict::RefusalCode::RequestBlocked => "refused.request_blocked",
     }
 }
--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -4,49 +4,56 @@
 use std::collections;
 use std::time;
 
-use crate::connection::{peer_wire, prompt_wire};
-use crate::process::gateway::{block_list, boot_clock, crash_ledger};
+use crate::connection::{crash_wire, peer_wire};
+use crate::process::gateway::{block_list, boot_clock, crash_ledger, feature_success};
 use crate::process::members::member_ring;
-use crate::request::relay::prompt_part;
+use crate::request::relay::request_feature;
 
-/// Routers that are told of all crashes of a part, so that one of them is there when others fail.
-const COLLECTORS_PER_PART: usize = 3;
+/// Routers that are told of all crashes of a feature, so that one of them is there when others fail.
+const COLLECTORS_PER_FEATURE: usize = 3;
 
-impl From<block_list::BlockedPrompt> for prompt_wire::BlockedPromptWire {
-    fn from(entry: block_list::BlockedPrompt) -> Self {
+impl From<block_list::BlockedRequest> for crash_wire::BlockedRequestWire {
+    fn from(entry: block_list::BlockedRequest) -> Self {
         Self {
-            parts: entry.parts.into_iter().map(|part| part.0).collect(),
+            features: entry
+                .features
+                .into_iter()
+                .map(|feature| feature.0)
+                .collect(),
             until_ms: entry.until_ms,
             count: entry.count,
         }
     }
 }
 
-impl From<prompt_wire::BlockedPromptWire> for block_list::BlockedPrompt {
-    fn from(wire: prompt_wire::BlockedPromptWire) -> Self {
-        let parts = wire.parts.into_iter().map(prompt_part::PromptPart);
+impl From<crash_wire::BlockedRequestWire> for block_list::BlockedRequest {
+    fn from(wire: crash_wire::BlockedRequestWire) -> Self {
+        let features = wire
+            .features
+            .into_iter()
+            .map(request_feature::RequestFeature);
         Self {
-            parts: parts.collect(),
+            features: features.collect(),
             until_ms: wire.until_ms,
             count: wire.count,
         }
     }
 }
 
-/// Splits `peers` into the collectors of `parts` and the others. Collectors are chosen by rendezvous
+/// Splits `peers` into the collectors of `features` and the others. Collectors are chosen by rendezvous
 /// hashing, so they are the same at all routers with the same members.
 pub(super) fn split_collectors(
     peers: Vec<String>,
-    parts: &[prompt_part::PromptPart],
+    features: &[request_feature::RequestFeature],
 ) -> (Vec<String>, Vec<String>) {
     let mut chosen = collections::HashSet::new();
-    for part in parts {
+    for feature in features {
         let mut order: Vec<(u64, &String)> = peers
             .iter()
-            .map(|peer| (member_ring::owner_score(peer, part.0), peer))
+            .map(|peer| (member_ring::owner_score(peer, feature.0), peer))
             .collect();
         order.sort_unstable();
-        let first = order.into_iter().take(COLLECTORS_PER_PART);
+        let first = order.into_iter().take(COLLECTORS_PER_FEATURE);
         chosen.extend(first.map(|(_weight, peer)| peer.clone()));
     }
     peers.into_iter().partition(|peer| chosen.contains(peer))
@@ -56,11 +63,11 @@
 pub(super) fn sent_crash(
     crash: &crash_ledger::CrashRecord,
     now: boot_clock::BootInstant,
-) -> prompt_wire::PromptCrashWire {
-    prompt_wire::PromptCrashWire {
+) -> crash_wire::RequestCrashWire {
+    crash_wire::RequestCrashWire {
         request: crash.request,
         endpoint: crash.endpoint,
-        parts: crash.parts.iter().map(|part| part.0).collect(),
+        features: crash.features.iter().map(|feature| feature.0).collect(),
         age_micros: peer_wire::micros(now.since(crash.crashed_at)),
         running_micros: peer_wire::micros(crash.crashed_at.since(crash.sent_at)),
     }
@@ -70,20 +77,20 @@
 pub(super) fn sent_evidence(
     evidence: &crash_ledger::CrashEvidence,
     now: boot_clock::BootInstant,
-) -> prompt_wire::PromptEvidenceWire {
+) -> crash_wire::CrashEvidenceWire {
     let crashes = evidence.crashes.iter();
     let successes = evidence.successes.iter();
-    prompt_wire::PromptEvidenceWire {
+    crash_wire::CrashEvidenceWire {
         crashes: crashes.map(|crash| sent_crash(crash, now)).collect(),
         successes: successes
-            .map(|success| (success.part.0, peer_wire::micros(now.since(success.at))))
+            .map(|success| (success.feature.0, peer_wire::micros(now.since(success.at))))
             .collect(),
     }
 }
 
 /// Decodes evidence whose ages were right at `now`.
 pub(super) fn received_evidence(
-    wire: &prompt_wire::PromptEvidenceWire,
+    wire: &crash_wire::CrashEvidenceWire,
     now: boot_clock::BootInstant,
 ) -> crash_ledger::CrashEvidence {
     let crashes = wire.crashes.iter();
@@ -91,8 +98,8 @@
     crash_ledger::CrashEvidence {
         crashes: crashes.map(|crash| received_crash(crash, now)).collect(),
         successes: successes
-            .map(|(part, age_micros)| crash_ledger::PartSuccess {
-                part: prompt_part::PromptPart(*part),
+            .map(|(feature, age_micros)| feature_success::FeatureSuccess {
+                feature: request_feature::RequestFeature(*feature),
                 at: now.before(time::Duration::from_micros(*age_micros)),
             })
             .collect(),
@@ -101,18 +108,18 @@
 
 /// Decodes a crash whose age was right at `now`.
 pub(super) fn received_crash(
-    wire: &prompt_wire::PromptCrashWire,
+    wire: &crash_wire::RequestCrashWire,
     now: boot_clock::BootInstant,
 ) -> crash_ledger::CrashRecord {
     let crashed_at = now.before(time::Duration::from_micros(wire.age_micros));
     crash_ledger::CrashRecord {
         request: wire.request,
         endpoint: wire.endpoint,
-        parts: wire
-            .parts
+        features: wire
+            .features
             .iter()
             .copied()
-            .map(prompt_part::PromptPart)
+            .map(request_feature::RequestFeature)
             .collect(),
         sent_at: crashed_at.before(time::Duration::from_micros(wire.running_micros)),
         crashed_at,
--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -1,15 +1,15 @@
-//! Finds the parts of prompts that crash engines, from the crashes that all routers report.
+//! Finds the features of requests that crash endpoints, from the crashes that all routers report.
 //!
-//! A crash also ends streams that are innocent, and an engine may crash for other reasons. A part is
-//! suspected only after several crashes of engines that had just begun to answer a prompt with it,
-//! and not while other prompts with the part are answered. The module does no I/O and takes the time
-//! as an argument.
+//! A crash also ends requests that are innocent, and an endpoint may crash for other reasons. A
+//! feature is suspected only after several crashes of endpoints that ran a request with it, and not
+//! while other requests with it are answered. The module does no I/O and takes the time as an
+//! argument.
 
 use std::collections;
 use std::time;
 
-use crate::process::gateway::boot_clock;
-use crate::request::relay::prompt_part;
+use crate::process::gateway::{boot_clock, feature_success};
+use crate::request::relay::request_feature;
 
 /// Time for which a crash counts.
 const CRASH_RETENTION: time::Duration = time::Duration::from_secs(10 * 60);
@@ -17,74 +17,80 @@
 /// Maximum number of crashes that are kept; the oldest is dropped first.
 const MAX_CRASHES: usize = 1_024;
 
-/// Time in which an engine does not crash twice, as its restart takes longer. Reports of one crash
+/// Time in which an endpoint does not crash twice, as its restart takes longer. Reports of one crash
 /// may differ by the time that they take between routers.
 const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
 
-/// Half of the maximum number of parts whose successes are kept.
-const SUCCESS_GENERATION: usize = 4_096;
-
-/// Engines that must have crashed before a part is suspected, as a single one may be broken.
+/// Endpoints that must have crashed before a feature is suspected, as a single one may be broken.
 const MIN_ENDPOINTS: usize = 2;
 
-/// Crashes of engines after which a part is suspected if no prompt with it was ever
-/// answered. They must come from at least [`MIN_REQUESTS`] requests, as one request can meet several
-/// failing engines by chance.
+/// Crashes after which a feature is suspected if no request with it was ever answered. They must
+/// come from at least [`MIN_REQUESTS`] requests, as one request can meet several failing endpoints by
+/// chance.
 const MIN_CRASHES: usize = 3;
 const MIN_REQUESTS: usize = 2;
 
-/// Consecutive attempts, each sent after the crash before it, after which a part is suspected in any
-/// case. Many engines that crash at once for another reason count as one.
+/// Consecutive attempts, each sent after the crash before it, after which a part of a prompt is
+/// suspected in any case. Many engines that crash at once for another reason count as one.
 const MIN_CONSECUTIVE: usize = 3;
 
+/// Consecutive attempts after which a whole request that was once answered is suspected. Sound
+/// requests that come often are in flight at many crashes.
+const MIN_CONSECUTIVE_WORKED: usize = 5;
+
+/// Part of all crashes in the meantime that a whole request that was once answered must have been
+/// in flight at.
+const MIN_SHARE_WORKED: f64 = 0.8;
+
+/// Crashes after which a whole request that was never answered is suspected although another one
+/// was in flight at all of them.
+const MAX_TIED_CRASHES: usize = 5;
+
 /// Crashes after which a part is suspected although likelier parts explain some of them. Crashes
 /// with the same likelier part count as one.
 const MIN_SEPARATE: usize = 4;
 
-/// An engine that crashed when it began to answer a prompt.
+/// Age up to which crashes are told to peers whatever requests were lost in them.
+const RECENT_TIME: time::Duration = time::Duration::from_secs(30);
+
+/// Maximum number of crashes in one reply to a peer.
+const MAX_TOLD_CRASHES: usize = 256;
+
+/// An endpoint that crashed while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRecord {
     /// Hash of the request identifier.
     pub request: u64,
-    /// Hash of the engine's name.
+    /// Hash of the endpoint's name.
     pub endpoint: u64,
-    /// Shared parts of the prompt.
-    pub parts: Vec<prompt_part::PromptPart>,
-    /// When the request was sent to the engine.
+    /// Features of the request that may have caused the crash.
+    pub features: Vec<request_feature::RequestFeature>,
+    /// When the request was sent to the endpoint.
     pub sent_at: boot_clock::BootInstant,
-    /// When the engine crashed.
+    /// When the endpoint crashed.
     pub crashed_at: boot_clock::BootInstant,
 }
 
-/// When a prompt with a part was last answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PartSuccess {
-    /// The part.
-    pub part: prompt_part::PromptPart,
-    /// When an engine had answered a prompt with it.
-    pub at: boot_clock::BootInstant,
-}
-
-/// What a router knows about some parts of prompts.
+/// What a router knows about some features of requests.
 #[derive(Clone, Debug)]
 pub struct CrashEvidence {
-    /// Crashes of prompts that have one of the parts.
+    /// Crashes of requests that have one of the features, and those that bear on these.
     pub crashes: Vec<CrashRecord>,
-    /// Last successes of the parts of these prompts.
-    pub successes: Vec<PartSuccess>,
+    /// Last successes of the features of these requests.
+    pub successes: Vec<feature_success::FeatureSuccess>,
 }
 
-/// Parts that crash engines when a prompt has all of them, in ascending order.
+/// Features that crash endpoints when a request has all of them, in ascending order.
 ///
-/// Parts that always occur together cannot be told apart, so they are suspected together. Prompts
-/// that have only some of them are still sent, which shows which part it is.
-pub type SuspectParts = Vec<prompt_part::PromptPart>;
+/// Features that always occur together cannot be told apart, so they are suspected together. Requests
+/// that have only some of them are still sent, which shows which feature it is.
+pub type SuspectFeatures = Vec<request_feature::RequestFeature>;
 
-/// Crashes that routers reported, and prompts that engines answered.
+/// Crashes that routers reported, and requests that endpoints answered.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     crashes: collections::VecDeque<CrashRecord>,
-    successes: SuccessTable,
+    successes: feature_success::SuccessTable,
 }
 
 impl CrashLedger {
@@ -101,27 +107,52 @@
         }
     }
 
-    /// Records that an engine answered a prompt with this part.
-    pub fn record_success(&mut self, success: PartSuccess) {
+    /// Records that an endpoint answered a request with this feature.
+    pub fn record_success(&mut self, success: feature_success::FeatureSuccess) {
         self.successes.record(success);
     }
 
-    /// Crashes of prompts that have one of `parts`.
+    /// Crashes of requests that have one of `features`.
     #[must_use]
-    pub fn crashes_of(&self, parts: &[prompt_part::PromptPart]) -> Vec<CrashRecord> {
-        let has_one = |crash: &&CrashRecord| crash.parts.iter().any(|part| parts.contains(part));
+    pub fn crashes_of(&self, features: &[request_feature::RequestFeature]) -> Vec<CrashRecord> {
+        let has_one = |crash: &&CrashRecord| has_any(crash, features);
         self.crashes.iter().filter(has_one).cloned().collect()
     }
 
-    /// Crashes of prompts that have one of `parts`, and the successes of all parts of these prompts.
+    /// What tells whether one of `features` crashes endpoints: crashes of requests with them, the other
+    /// requests that were lost in these and their crashes, all recent crashes, and the successes of the
+    /// features of all these requests.
     #[must_use]
-    pub fn evidence_about(&self, parts: &[prompt_part::PromptPart]) -> CrashEvidence {
-        let crashes = self.crashes_of(parts);
-        let lost = crashes.iter().flat_map(|crash| crash.parts.iter());
-        let parts: collections::BTreeSet<_> = parts.iter().chain(lost).copied().collect();
-        let successes = parts.into_iter().filter_map(|part| {
-            let at = self.successes.last(part)?;
-            Some(PartSuccess { part, at })
+    pub fn evidence_about(
+        &self,
+        features: &[request_feature::RequestFeature],
+        now: boot_clock::BootInstant,
+    ) -> CrashEvidence {
+        let own: Vec<&CrashRecord> = self
+            .crashes
+            .iter()
+            .filter(|crash| has_any(crash, features))
+            .collect();
+        let beside = self
+            .crashes
+            .iter()
+            .filter(|lost| own.iter().any(|crash| is_same_crash(crash, lost)));
+        let lost = beside.flat_map(|crash| crash.features.iter());
+        let related: collections::HashSet<_> = features.iter().chain(lost).copied().collect();
+        let bears = |crash: &&CrashRecord| {
+            now.since(crash.crashed_at) <= RECENT_TIME
+                || crash
+                    .features
+                    .iter()
+                    .any(|feature| related.contains(feature))
+        };
+        let newest = self.crashes.iter().rev().filter(bears);
+        let crashes: Vec<CrashRecord> = newest.take(MAX_TOLD_CRASHES).cloned().collect();
+        let told = crashes.iter().flat_map(|crash| crash.features.iter());
+        let told: collections::BTreeSet<_> = features.iter().chain(told).copied().collect();
+        let successes = told.into_iter().filter_map(|feature| {
+            let at = self.successes.last(feature)?;
+            Some(feature_success::FeatureSuccess { feature, at })
         });
         CrashEvidence {
             successes: successes.collect(),
@@ -129,48 +160,152 @@
         }
     }
 
-    /// Returns the suspects among `parts`, the shared parts of a prompt that has just crashed an
-    /// engine.
+    /// Returns the suspects among `features`, those of a request that has just crashed an endpoint.
     #[must_use]
-    pub fn suspects(&self, parts: &[prompt_part::PromptPart]) -> Vec<SuspectParts> {
-        let mut suspects: Vec<SuspectParts> = parts
+    pub fn suspects(&self, features: &[request_feature::RequestFeature]) -> Vec<SuspectFeatures> {
+        let mut suspects: Vec<SuspectFeatures> = features
             .iter()
-            .filter_map(|part| self.suspect(*part))
+            .filter_map(|feature| self.suspect(*feature))
             .collect();
         suspects.sort_unstable();
         suspects.dedup();
         suspects
     }
 
-    /// Returns `part` and the parts that it cannot be told apart from, if it is suspected.
-    fn suspect(&self, part: prompt_part::PromptPart) -> Option<SuspectParts> {
-        let success = self.successes.last(part);
-        let is_counted =
-            |crash: &&CrashRecord| crash.parts.contains(&part) && Some(crash.crashed_at) > success;
+    /// Returns `feature` and those that it cannot be told apart from, if it is suspected.
+    fn suspect(&self, feature: request_feature::RequestFeature) -> Option<SuspectFeatures> {
+        let success = self.successes.last(feature);
+        let is_counted = |crash: &&CrashRecord| {
+            crash.features.contains(&feature) && Some(crash.crashed_at) > success
+        };
         let mut crashes: Vec<&CrashRecord> = self.crashes.iter().filter(is_counted).collect();
         crashes.sort_unstable_by_key(|crash| crash.crashed_at);
-        let is_new = success.is_none();
-        let distinct = distinct_crashes(&crashes);
-        let has_enough = consecutive(&distinct) >= MIN_CONSECUTIVE
-            || (is_new
-                && distinct.len() >= MIN_CRASHES
-                && count(&crashes, |crash| crash.request) >= MIN_REQUESTS);
-        if !has_enough
-            || count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS
-            || self.is_explained(&distinct, success)
-        {
+        if count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
+            return None;
+        }
+        let is_suspect = if feature.is_whole() {
+            self.is_whole_suspect(feature, &crashes)
+        } else {
+            self.is_part_suspect(&crashes, success)
+        };
+        if !is_suspect {
             return None;
         }
-        let mut common = crashes.first()?.parts.clone();
+        let mut common = crashes.first()?.features.clone();
         common.retain(|other| {
-            let is_common = crashes.iter().all(|crash| crash.parts.contains(other));
-            *other == part || (is_common && self.successes.last(*other) == success)
+            let is_common = crashes.iter().all(|crash| crash.features.contains(other));
+            *other == feature || (is_common && self.successes.last(*other) == success)
         });
         common.sort_unstable();
         common.dedup();
         Some(common)
     }
 
+    /// Whether a part of prompts that last worked at `success` is suspected after `crashes`.
+    fn is_part_suspect(
+        &self,
+        crashes: &[&CrashRecord],
+        success: Option<boot_clock::BootInstant>,
+    ) -> bool {
+        let distinct = distinct_crashes(crashes);
+        let has_enough =
+            consecutive(&distinct) >= MIN_CONSECUTIVE || is_enough_for_new(crashes, success);
+        has_enough
+            && !self.is_repeated_request(crashes, success)
+            && !self.is_explained(&distinct, success)
+    }
+
+    /// Whether a whole request is suspected after `crashes`, those since it last worked.
+    fn is_whole_suspect(
+        &self,
+        whole: request_feature::RequestFeature,
+        crashes: &[&CrashRecord],
+    ) -> bool {
+        let success = self.successes.last(whole);
+        let distinct = distinct_crashes(crashes);
+        if count(crashes, |crash| crash.request) < MIN_REQUESTS {
+            return false;
+        }
+        if success.is_none() {
+            return distinct.len() >= MIN_CRASHES
+                && (distinct.len() >= MAX_TIED_CRASHES || !self.is_overshadowed(whole, &distinct));
+        }
+        consecutive(&distinct) >= MIN_CONSECUTIVE_WORKED
+            && self.share_since(&distinct) >= MIN_SHARE_WORKED
+            && !self.is_overshadowed(whole, &distinct)
+    }
+
+    /// Whether all `crashes` are of one repeated request, which is likelier at fault than a part that
+    /// last worked at `success`.
+    fn is_repeated_request(
+        &self,
+        crashes: &[&CrashRecord],
+        success: Option<boot_clock::BootInstant>,
+    ) -> bool {
+        let first = crashes.iter().flat_map(|crash| &crash.features);
+        let mut wholes = first.filter(|feature| feature.is_whole());
+        wholes.any(|whole| {
+            self.successes.last(*whole) < success
+                && crashes.iter().all(|crash| crash.features.contains(whole))
+        })
+    }
+
+    /// Whether another whole request, which worked no more recently than `whole`, was lost in all of
+    /// `crashes` and in as many altogether.
+    fn is_overshadowed(
+        &self,
+        whole: request_feature::RequestFeature,
+        crashes: &[&CrashRecord],
+    ) -> bool {
+        let success = self.successes.last(whole);
+        let Some(first) = crashes.first() else {
+            return false;
+        };
+        let rivals = self.lost_in(first).flat_map(|lost| &lost.features);
+        let rivals: collections::HashSet<_> = rivals
+            .filter(|rival| {
+                **rival != whole && rival.is_whole() && self.successes.last(**rival) <= success
+            })
+            .collect();
+        rivals.into_iter().any(|rival| {
+            let has_rival = |crash: &&CrashRecord| {
+                self.lost_in(crash)
+                    .any(|lost| lost.features.contains(rival))
+            };
+            let own = self.crashes.iter();
+            let mut own: Vec<&CrashRecord> =
+                own.filter(|crash| crash.features.contains(rival)).collect();
+            own.sort_unstable_by_key(|crash| crash.crashed_at);
+            crashes.iter().all(has_rival) && distinct_crashes(&own).len() >= crashes.len()
+        })
+    }
+
+    /// Part that `crashes`, distinct and in order of time, are of all since the first of them.
+    fn share_since(&self, crashes: &[&CrashRecord]) -> f64 {
+        let Some(first) = crashes.first() else {
+            return 0.0;
+        };
+        let mut all: Vec<&CrashRecord> = self
+            .crashes
+            .iter()
+            .filter(|crash| first.crashed_at <= crash.crashed_at)
+            .collect();
+        all.sort_unstable_by_key(|crash| crash.crashed_at);
+        let total = distinct_crashes(&all).len().max(1);
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "there are at most 1,024 crashes"
+        )]
+        let share = crashes.len() as f64 / total as f64;
+        share
+    }
+
+    /// Records of all requests that were lost in `crash`.
+    fn lost_in<'a>(&'a self, crash: &'a CrashRecord) -> impl Iterator<Item = &'a CrashRecord> {
+        let records = self.crashes.iter();
+        records.filter(move |lost| is_same_crash(lost, crash))
+    }
+
     /// Whether `crashes` are too few to suspect a part that last worked at `success`, as likelier parts
     /// explain them.
     fn is_explained(
@@ -193,18 +328,29 @@
         &self,
         crash: &CrashRecord,
         success: Option<boot_clock::BootInstant>,
-    ) -> collections::HashSet<prompt_part::PromptPart> {
-        let lost = self
-            .crashes
-            .iter()
-            .filter(|lost| is_same_crash(lost, crash));
-        let parts = lost.flat_map(|lost| lost.parts.iter().copied());
+    ) -> collections::HashSet<request_feature::RequestFeature> {
+        let parts = self
+            .lost_in(crash)
+            .flat_map(|lost| lost.features.iter().copied())
+            .filter(|feature| !feature.is_whole());
         parts
             .filter(|part| self.successes.last(*part) < success)
             .collect()
     }
 }
 
+fn has_any(crash: &CrashRecord, features: &[request_feature::RequestFeature]) -> bool {
+    let mut own = crash.features.iter();
+    own.any(|feature| features.contains(feature))
+}
+
+/// Whether `crashes` are enough to suspect a feature that was never answered.
+fn is_enough_for_new(crashes: &[&CrashRecord], success: Option<boot_clock::BootInstant>) -> bool {
+    success.is_none()
+        && distinct_crashes(crashes).len() >= MIN_CRASHES
+        && count(crashes, |crash| crash.request) >= MIN_REQUESTS
+}
+
 fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
     let (earlier, later) = (
         one.crashed_at.min(other.crashed_at),
@@ -242,26 +388,3 @@
     }
     count
 }
-
-/// Last successes of the parts seen most recently, in two generations: when the newer one is full,
-/// it replaces the older one.
-#[derive(Debug, Default)]
-struct SuccessTable {
-    newer: collections::HashMap<prompt_part::PromptPart, boot_clock::BootInstant>,
-    older: collections::HashMap<prompt_part::PromptPart, boot_clock::BootInstant>,
-}
-
-impl SuccessTable {
-    fn record(&mut self, success: PartSuccess) {
-        if self.newer.len() >= SUCCESS_GENERATION {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        let last = self.newer.entry(success.part).or_insert(success.at);
-        *last = success.at.max(*last);
-    }
-
-    fn last(&self, part: prompt_part::PromptPart) -> Option<boot_clock::BootInstant> {
-        let newer = self.newer.get(&part).copied();
-        newer.max(self.older.get(&part).copied())
-    }
-}
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -8,13 +8,13 @@
 use crate::connection::peer;
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
-    freshness, permits, prompt_guard, readers, request_check, rows, settings, stop, stop_schedule,
+    freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
     stream_duration, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
 use crate::process::view;
-use crate::request::relay::{buffered, context, dialect, stream};
+use crate::request::relay::{buffered, context, dialect, request_feature, stream};
 use crate::request::verdict;
 use crate::version::traffic;
 
@@ -74,8 +74,8 @@
     pub codec: sync::Arc<dyn rows::RowCodec>,
     /// Permits for requests to endpoints that limit their rate.
     pub permits: sync::Arc<permits::RouterPermits>,
-    /// Prompts that are blocked because they crash engines.
-    pub prompts: sync::Arc<prompt_guard::RouterPromptGuard>,
+    /// Requests that are blocked because they crash endpoints.
+    pub guard: sync::Arc<request_guard::RouterRequestGuard>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
@@ -331,6 +331,7 @@
             caller_timeout.min(route.timeout)
         });
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let features = features(&head, &body, &terms, workspace.as_ref());
     Some(context::RelayRequest {
         head,
         body,
@@ -338,6 +339,7 @@
         has_copies: profile.is_some_and(|profile| profile.has_backups),
         has_moves: profile.is_some_and(|profile| profile.has_moves),
         health_path: profile.and_then(|profile| profile.health_path.clone()),
+        features,
         priority: priority.unwrap_or(route.priority),
         workspace: workspace.map(|workspace| workspace.name),
         service,
@@ -346,3 +348,23 @@
         deadline: arrived + timeout,
     })
 }
+
+/// What a request has in common with others. Endpoints see the workspace in place of its key, so all
+/// keys of a workspace are one caller.
+fn features(
+    head: &head::RequestHead,
+    body: &[u8],
+    terms: &dialect::RequestMetadata,
+    workspace: Option<&traffic::WorkspaceProfile>,
+) -> Vec<request_feature::RequestFeature> {
+    let workspace = workspace.map(|workspace| workspace.name.as_str());
+    let whole = request_feature::RequestFeature::whole(&request_feature::RequestContent {
+        caller: workspace.or(terms.key.as_deref()),
+        method: &head.method,
+        host: &terms.host,
+        target: &head.target,
+        body,
+    });
+    let parts = terms.shared_parts.iter().copied();
+    std::iter::once(whole).chain(parts).collect()
+}
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -92,12 +92,12 @@
                 peer_wire::QueryBody::EndpointLimit(query) => {
                     peer_wire::ReplyBody::EndpointLimit(self.permits.answer_announcement(query))
                 }
-                peer_wire::QueryBody::PromptCrash(crash) => {
-                    peer_wire::ReplyBody::PromptEvidence(self.prompts.answer_crash(&crash))
+                peer_wire::QueryBody::RequestCrash(crash) => {
+                    peer_wire::ReplyBody::CrashEvidence(self.guard.answer_crash(&crash))
                 }
-                peer_wire::QueryBody::BlockedPrompts(blocked) => {
-                    self.prompts.merge_blocks(blocked, "peer");
-                    peer_wire::ReplyBody::BlockedPrompts
+                peer_wire::QueryBody::BlockedRequests(blocked) => {
+                    self.guard.merge_blocks(blocked, "peer");
+                    peer_wire::ReplyBody::BlockedRequests
                 }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
@@ -109,7 +109,7 @@
 impl node::GatewayNode {
     /// This router's cached state for a peer; `None` while it has no configuration or no
     /// endpoints. The configuration row is included if newer than `above`, the part digests if
-    /// they differ from `digest`, and the blocked prompts if they differ from `blocked`.
+    /// they differ from `digest`, and the blocked requests if they differ from `blocked`.
     fn state_for_peer(
         &self,
         above: u64,
@@ -133,10 +133,10 @@
             endpoint_age_micros: peer_wire::micros(endpoint_age),
             endpoint_era: self.endpoint_era.lock().unwrap_or_default(),
             digests: if is_same { Vec::new() } else { own.to_vec() },
-            blocked: if self.prompts.digest() == blocked {
+            blocked: if self.guard.digest() == blocked {
                 Vec::new()
             } else {
-                self.prompts.blocks_for_peer()
+                self.guard.blocks_for_peer()
             },
         })
     }
@@ -174,13 +174,13 @@
         let query = peer_wire::QueryBody::StoreView {
             above,
             digest,
-            blocked: self.prompts.digest(),
+            blocked: self.guard.digest(),
         };
         let reply = self.link.ask(address, query, ANSWER_TIMEOUT).await;
         let Ok(peer_wire::ReplyBody::StoreView(Some(mut state))) = reply else {
             return;
         };
-        self.prompts
+        self.guard
             .merge_blocks(std::mem::take(&mut state.blocked), "peer");
         if let Some(age) = state.answer_age_micros {
             let answered_at = asked_at.before(time::Duration::from_micros(age));
--- a/src/process/gateway/prompt_guard.rs
+++ b/src/process/gateway/request_guard.rs
@@ -1,9 +1,9 @@
-//! Blocks prompts that crash engines, together with the other routers.
+//! Blocks requests that crash endpoints, together with the other routers.
 //!
-//! A router that sees a crash tells a few others, chosen by the prompt's parts, so that these hear of
-//! all crashes of a part. Their replies hold what they know. If the part is suspected then, all
-//! other routers are asked too, as one of them may have seen the part work. A router decides with
-//! the evidence of those that it reaches, and with its own if it reaches none.
+//! A router that sees a crash tells a few others, chosen by the request's features, so that these hear
+//! of all crashes of a feature. Their replies hold what they know. If a feature is suspected then, all
+//! other routers are asked too, as one of them may have seen a request with it work. A router decides
+//! with the evidence of those that it reaches, and with its own if it reaches none.
 //!
 //! A block is told to all routers. Those that miss it find it in their next query to a peer, and
 //! routers that start when no other one runs find it in the store.
@@ -16,12 +16,14 @@
 use futures::future;
 use xxhash_rust::xxh3;
 
-use crate::connection::{peer, peer_wire, prompt_wire};
-use crate::process::gateway::{block_list, boot_clock, crash_exchange, crash_ledger, rows};
+use crate::connection::{crash_wire, peer, peer_wire};
+use crate::process::gateway::{
+    block_list, boot_clock, crash_exchange, crash_ledger, feature_success, rows,
+};
 use crate::process::members::gossip;
 use crate::process::telemetry::timeline;
 use crate::process::view;
-use crate::request::relay::{prompt_guard, prompt_part};
+use crate::request::relay::{request_feature, request_guard};
 
 /// Timeout for the replies of other routers; a few round trips within a region.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(150);
@@ -38,7 +40,7 @@
 
 /// Crashes and blocks that this router knows.
 #[derive(Debug)]
-pub struct RouterPromptGuard {
+pub struct RouterRequestGuard {
     gossip: sync::Arc<gossip::GossipNode>,
     link: sync::Arc<dyn peer::PeerLink>,
     store: sync::Arc<dyn rows::RowStore>,
@@ -48,7 +50,7 @@
     blocks: parking_lot::Mutex<block_list::BlockList>,
 }
 
-impl RouterPromptGuard {
+impl RouterRequestGuard {
     /// Creates a guard that knows no crash and no block.
     #[must_use]
     pub fn new(
@@ -69,31 +71,31 @@
         }
     }
 
-    /// Takes the crash that another router reports; returns what this one knows of the prompt's
-    /// parts.
+    /// Takes the crash that another router reports; returns what this one knows of the
+    /// request's features.
     #[must_use]
     pub fn answer_crash(
         &self,
-        wire: &prompt_wire::PromptCrashWire,
-    ) -> prompt_wire::PromptEvidenceWire {
+        wire: &crash_wire::RequestCrashWire,
+    ) -> crash_wire::CrashEvidenceWire {
         let now = boot_clock::BootInstant::now();
         let crash = crash_exchange::received_crash(wire, now);
         let mut ledger = self.ledger.lock();
-        let evidence = ledger.evidence_about(&crash.parts);
+        let evidence = ledger.evidence_about(&crash.features, now);
         ledger.record_crash(crash, now);
         drop(ledger);
         crash_exchange::sent_evidence(&evidence, now)
     }
 
     /// Takes blocks that another router told.
-    pub fn merge_blocks(&self, blocks: Vec<prompt_wire::BlockedPromptWire>, source: &str) {
-        let entries = blocks.into_iter().map(block_list::BlockedPrompt::from);
+    pub fn merge_blocks(&self, blocks: Vec<crash_wire::BlockedRequestWire>, source: &str) {
+        let entries = blocks.into_iter().map(block_list::BlockedRequest::from);
         self.merge_entries(entries, source);
     }
 
     /// Takes blocks that the store holds.
     pub fn merge_rows<'a>(&self, values: impl Iterator<Item = &'a [u8]>) {
-        let entries = values.filter_map(|value| self.codec.blocked_prompt(value));
+        let entries = values.filter_map(|value| self.codec.blocked_request(value));
         self.merge_entries(entries, "store");
     }
 
@@ -102,17 +104,17 @@
         for entry in self.missing_from(stored) {
             if let Err(error) = self.put(&entry).await {
                 let cause = error.to_string();
-                log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; the next full read retries");
+                log::warn!(cause = cause.as_str(); "cannot write a blocked request; the next full read retries");
             }
         }
     }
 
-    fn missing_from(&self, stored: &[rows::RowChange]) -> Vec<block_list::BlockedPrompt> {
+    fn missing_from(&self, stored: &[rows::RowChange]) -> Vec<block_list::BlockedRequest> {
         let blocks = self.blocks.lock();
-        let is_missing = |entry: &&block_list::BlockedPrompt| {
+        let is_missing = |entry: &&block_list::BlockedRequest| {
             let row = stored.iter().find(|row| row.key == entry.key());
             let value = row.and_then(|row| row.value.as_deref());
-            value != Some(self.codec.encode_blocked_prompt(entry).as_slice())
+            value != Some(self.codec.encode_blocked_request(entry).as_slice())
         };
         blocks
             .entries()
@@ -130,37 +132,40 @@
 
     /// All blocks, for a peer.
     #[must_use]
-    pub fn blocks_for_peer(&self) -> Vec<prompt_wire::BlockedPromptWire> {
+    pub fn blocks_for_peer(&self) -> Vec<crash_wire::BlockedRequestWire> {
         let blocks = self.blocks.lock();
         let entries = blocks.entries().iter().cloned();
-        entries.map(prompt_wire::BlockedPromptWire::from).collect()
+        entries.map(crash_wire::BlockedRequestWire::from).collect()
     }
 
     fn merge_entries(
         &self,
-        entries: impl Iterator<Item = block_list::BlockedPrompt>,
+        entries: impl Iterator<Item = block_list::BlockedRequest>,
         source: &str,
     ) {
         let now_ms = wall_millis();
         for entry in entries {
-            let parts = prompt_part::join(&entry.parts);
+            let features = request_feature::join(&entry.features);
             let until_ms = entry.until_ms;
             if self.blocks.lock().merge(entry, now_ms) {
                 let left_ms = until_ms.saturating_sub(now_ms);
-                log::info!(parts = parts.as_str(), left_ms, source; "prompt blocked elsewhere");
+                log::info!(features = features.as_str(), left_ms, source; "request blocked elsewhere");
             }
         }
     }
 
     /// Tells routers of a crash and adds what they know to the ledger; returns how many replied.
     ///
-    /// Asks the collectors of the prompt's parts, and all others if a part is suspected then and the
-    /// prompt is not blocked yet.
+    /// Asks the collectors of the request's features, and all others if a feature is suspected then and
+    /// the request is not blocked yet.
     async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
-        let (collectors, others) = crash_exchange::split_collectors(self.peers(), &crash.parts);
+        let (collectors, others) = crash_exchange::split_collectors(self.peers(), &crash.features);
         let count = self.ask_peers(crash, &collectors).await;
-        let is_blocked = self.blocks.lock().block_left(&crash.parts, wall_millis());
-        if is_blocked.is_some() || self.ledger.lock().suspects(&crash.parts).is_empty() {
+        let is_blocked = self
+            .blocks
+            .lock()
+            .block_left(&crash.features, wall_millis());
+        if is_blocked.is_some() || self.ledger.lock().suspects(&crash.features).is_empty() {
             return count;
         }
         count + self.ask_peers(crash, &others).await
@@ -171,14 +176,14 @@
         let asked_at = boot_clock::BootInstant::now();
         let wire = crash_exchange::sent_crash(crash, asked_at);
         let asks = peers.iter().map(|address| {
-            let query = peer_wire::QueryBody::PromptCrash(wire.clone());
+            let query = peer_wire::QueryBody::RequestCrash(wire.clone());
             self.link.ask(address, query, ASK_TIMEOUT)
         });
         let replies = future::join_all(asks).await;
         let mut ledger = self.ledger.lock();
         let mut count = 0;
         for reply in replies {
-            let Ok(peer_wire::ReplyBody::PromptEvidence(evidence)) = reply else {
+            let Ok(peer_wire::ReplyBody::CrashEvidence(evidence)) = reply else {
                 continue;
             };
             count += 1;
@@ -193,19 +198,19 @@
         count
     }
 
-    /// Blocks what the evidence shows about the shared parts of a prompt that crashed an engine.
+    /// Blocks what the evidence shows about the features of a request that crashed its endpoint.
     fn block_suspects(
         &self,
         request: &str,
-        parts: &[prompt_part::PromptPart],
-    ) -> Vec<block_list::BlockedPrompt> {
+        features: &[request_feature::RequestFeature],
+    ) -> Vec<block_list::BlockedRequest> {
         let now_ms = wall_millis();
         let ledger = self.ledger.lock();
-        let mut suspects = ledger.suspects(parts);
-        let crashes = ledger.crashes_of(parts).len();
+        let mut suspects = ledger.suspects(features);
+        let crashes = ledger.crashes_of(features).len();
         drop(ledger);
         let mut blocks = self.blocks.lock();
-        suspects.extend(blocks.expired_matches(parts, now_ms));
+        suspects.extend(blocks.expired_matches(features, now_ms));
         let mut blocked = Vec::new();
         for suspect in suspects {
             if blocks.block_left(&suspect, now_ms).is_some() {
@@ -214,55 +219,55 @@
             let entry = blocks.block(suspect, now_ms);
             log::warn!(
                 request,
-                parts = prompt_part::join(&entry.parts).as_str(),
+                features = request_feature::join(&entry.features).as_str(),
                 crashes,
                 count = entry.count,
                 left_ms = entry.until_ms.saturating_sub(now_ms);
-                "prompt blocked; engines crash on it"
+                "request blocked; endpoints crash on it"
             );
-            self.counters.count("relay.prompt_blocked");
+            self.counters.count("relay.request_blocked");
             blocked.push(entry);
         }
         blocked
     }
 
-    async fn announce(&self, blocked: &[block_list::BlockedPrompt]) {
+    async fn announce(&self, blocked: &[block_list::BlockedRequest]) {
         let peers = self.peers();
         let tells = peers.iter().map(|address| self.tell(address, blocked));
         future::join_all(tells).await;
     }
 
-    async fn tell(&self, address: &str, blocked: &[block_list::BlockedPrompt]) {
-        let wires: Vec<prompt_wire::BlockedPromptWire> =
+    async fn tell(&self, address: &str, blocked: &[block_list::BlockedRequest]) {
+        let wires: Vec<crash_wire::BlockedRequestWire> =
             blocked.iter().cloned().map(Into::into).collect();
         for _tell in 0..MAX_TELLS {
-            let query = peer_wire::QueryBody::BlockedPrompts(wires.clone());
+            let query = peer_wire::QueryBody::BlockedRequests(wires.clone());
             if self.link.ask(address, query, ASK_TIMEOUT).await.is_ok() {
                 return;
             }
         }
-        log::info!(peer = address; "peer not told of a blocked prompt; it learns it in its next query");
+        log::info!(peer = address; "peer not told of a blocked request; it learns it in its next query");
     }
 
     /// Writes a block to the store; gives up when the store stays away for long.
-    async fn write(&self, entry: &block_list::BlockedPrompt) {
+    async fn write(&self, entry: &block_list::BlockedRequest) {
         for _write in 0..MAX_WRITES {
             match self.put(entry).await {
                 Ok(()) => return,
                 Err(error) => {
                     let cause = error.to_string();
-                    log::warn!(cause = cause.as_str(); "cannot write a blocked prompt; retrying");
+                    log::warn!(cause = cause.as_str(); "cannot write a blocked request; retrying");
                 }
             }
             task::sleep(WRITE_RETRY.mul_f64(0.5 + fastrand::f64())).await;
         }
         let key = entry.key();
-        log::error!(key = key.as_str(); "blocked prompt not written; a restart of all routers forgets it");
+        log::error!(key = key.as_str(); "blocked request not written; a restart of all routers forgets it");
     }
 
-    async fn put(&self, entry: &block_list::BlockedPrompt) -> rows::Result<()> {
-        let (key, value) = (entry.key(), self.codec.encode_blocked_prompt(entry));
-        let topic = rows::RowTopic::BlockedPrompts;
+    async fn put(&self, entry: &block_list::BlockedRequest) -> rows::Result<()> {
+        let (key, value) = (entry.key(), self.codec.encode_blocked_request(entry));
+        let topic = rows::RowTopic::BlockedRequests;
         self.store.put(topic, &key, &value).await
     }
 
@@ -279,22 +284,23 @@
     }
 }
 
-impl prompt_guard::PromptGuard for RouterPromptGuard {
-    fn block_left(&self, parts: &[prompt_part::PromptPart]) -> Option<time::Duration> {
-        self.blocks.lock().block_left(parts, wall_millis())
+impl request_guard::RequestGuard for RouterRequestGuard {
+    fn block_left(&self, features: &[request_feature::RequestFeature]) -> Option<time::Duration> {
+        self.blocks.lock().block_left(features, wall_millis())
     }
 
-    fn record_success(&self, parts: &[prompt_part::PromptPart]) {
+    fn record_success(&self, features: &[request_feature::RequestFeature]) {
         let at = boot_clock::BootInstant::now();
         let mut ledger = self.ledger.lock();
-        for part in parts {
-            ledger.record_success(crash_ledger::PartSuccess { part: *part, at });
+        for feature in features {
+            let feature = *feature;
+            ledger.record_success(feature_success::FeatureSuccess { feature, at });
         }
     }
 
     fn report_crash(
         self: sync::Arc<Self>,
-        crash: prompt_guard::PromptCrash<'_>,
+        crash: request_guard::RequestCrash<'_>,
     ) -> future::BoxFuture<'_, ()> {
         async move {
             let guard = self;
@@ -302,23 +308,23 @@
             let record = crash_ledger::CrashRecord {
                 request: xxh3::xxh3_64(crash.request.as_bytes()),
                 endpoint: xxh3::xxh3_64(crash.endpoint.as_bytes()),
-                parts: crash.parts.to_vec(),
+                features: crash.features.to_vec(),
                 sent_at: crashed_at.before(crash.running),
                 crashed_at,
             };
-            guard.counters.count("relay.prompt_crash");
+            guard.counters.count("relay.request_crash");
             guard.ledger.lock().record_crash(record.clone(), crashed_at);
             let replies = guard.gather_evidence(&record).await;
             let elapsed = boot_clock::BootInstant::now().since(crashed_at);
             log::info!(
                 request = crash.request,
                 endpoint = crash.endpoint,
-                parts = prompt_part::join(crash.parts).as_str(),
+                features = request_feature::join(crash.features).as_str(),
                 replies,
                 elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-                "engine crashed on a prompt"
+                "endpoint crashed on a request"
             );
-            let blocked = guard.block_suspects(crash.request, crash.parts);
+            let blocked = guard.block_suspects(crash.request, crash.features);
             if blocked.is_empty() {
                 return;
             }
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -42,8 +42,8 @@
     Endpoints,
     /// Peer addresses of the routers.
     Routers,
-    /// Prompts that are blocked because they crash engines.
-    BlockedPrompts,
+    /// Requests that are blocked because they crash endpoints.
+    BlockedRequests,
 }
 
 /// A row that was added or changed, or the removal of a row.
@@ -100,9 +100,9 @@
     /// Decodes a router's peer address; `None` if the content is not valid.
     fn peer_address(&self, value: &[u8]) -> Option<String>;
 
-    /// Decodes a blocked prompt; `None` if the content is not valid.
-    fn blocked_prompt(&self, value: &[u8]) -> Option<block_list::BlockedPrompt>;
+    /// Decodes a blocked request; `None` if the content is not valid.
+    fn blocked_request(&self, value: &[u8]) -> Option<block_list::BlockedRequest>;
 
-    /// Encodes a blocked prompt.
-    fn encode_blocked_prompt(&self, entry: &block_list::BlockedPrompt) -> Vec<u8>;
+    /// Encodes a blocked request.
+    fn encode_blocked_request(&self, entry: &block_list::BlockedRequest) -> Vec<u8>;
 }
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -15,7 +15,7 @@
 use crate::process::endpoints::placement;
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
-    peers, permits, prompt_guard, readers, reload, rows, settings, stop, store_watch,
+    peers, permits, readers, reload, request_guard, rows, settings, stop, store_watch,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -187,7 +187,7 @@
         sync::Arc::clone(&link),
         sync::Arc::clone(&metrics) as _,
     ));
-    let prompts = sync::Arc::new(prompt_guard::RouterPromptGuard::new(
+    let guard = sync::Arc::new(request_guard::RouterRequestGuard::new(
         sync::Arc::clone(&gossip),
         sync::Arc::clone(&link),
         sync::Arc::clone(&adapters.store),
@@ -202,7 +202,7 @@
         dialect: sync::Arc::clone(&adapters.requests),
         budget: sync::Arc::new(budget),
         permits: sync::Arc::clone(&permits) as _,
-        prompts: sync::Arc::clone(&prompts) as _,
+        guard: sync::Arc::clone(&guard) as _,
         counters: sync::Arc::clone(&metrics) as _,
         aborting,
     };
@@ -230,7 +230,7 @@
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
         permits,
-        prompts,
+        guard,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
@@ -288,7 +288,7 @@
         sync::Arc::clone(node),
         token(),
     ));
-    task::spawn(store_watch::watch_blocked_prompts(
+    task::spawn(store_watch::watch_blocked_requests(
         sync::Arc::clone(node),
         token(),
     ));
--- a/src/process/gateway/store_role.rs
+++ b/src/process/gateway/store_role.rs
@@ -59,7 +59,7 @@
         let index = match topic {
             rows::RowTopic::Config => 0,
             rows::RowTopic::Endpoints => 1,
-            rows::RowTopic::Routers | rows::RowTopic::BlockedPrompts => return,
+            rows::RowTopic::Routers | rows::RowTopic::BlockedRequests => return,
         };
         self.store_answered_at.lock()[index] = boot_clock::BootInstant::now();
     }
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -12,7 +12,7 @@
 /// below that age even if one call fails.
 const KEY_AGE_DIVISOR: u32 = 4;
 
-/// Long-poll timeout for blocked prompts. Changes are rare, and peers tell of them too.
+/// Long-poll timeout for blocked requests. Changes are rare, and peers tell of them too.
 const BLOCKED_PROMPT_WAIT: time::Duration = time::Duration::from_secs(10);
 
 /// Pause after each answer, so that a burst of changes is read in batches. Changes have to take
@@ -113,22 +113,22 @@
     node.publish_endpoints(is_changed);
 }
 
-/// Watches the blocked prompts until `token` is cancelled. Writes those that the store lacks when it
+/// Watches the blocked requests until `token` is cancelled. Writes those that the store lacks when it
 /// was away.
-pub async fn watch_blocked_prompts(
+pub async fn watch_blocked_requests(
     node: sync::Arc<node::GatewayNode>,
     token: stop_token::StopToken,
 ) {
     let watching = watch(
         &node,
-        rows::RowTopic::BlockedPrompts,
+        rows::RowTopic::BlockedRequests,
         BLOCKED_PROMPT_WAIT,
         |batch, _asked_at, is_full| {
             let values = batch.rows.iter().filter_map(|row| row.value.as_deref());
-            node.prompts.merge_rows(values);
+            node.guard.merge_rows(values);
             if is_full && node.is_reader() {
-                let prompts = sync::Arc::clone(&node.prompts);
-                task::spawn(async move { prompts.add_missing_rows(&batch.rows).await });
+                let guard = sync::Arc::clone(&node.guard);
+                task::spawn(async move { guard.add_missing_rows(&batch.rows).await });
             }
         },
     );
@@ -145,8 +145,8 @@
     let mut is_unreachable = false;
     let mut backoff = readers::StoreBackoff::default();
     loop {
-        // Blocked prompts are rare, so routers other than readers learn of them from peers only.
-        let may_watch = topic != rows::RowTopic::BlockedPrompts || node.is_reader();
+        // Blocked requests are rare, so routers other than readers learn of them from peers only.
+        let may_watch = topic != rows::RowTopic::BlockedRequests || node.is_reader();
         if !may_watch || !node.is_watching_store() {
             after = None;
             task::sleep(ROLE_CHECK_INTERVAL).await;
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -7,7 +7,9 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::h1::sink;
-use crate::request::relay::{attempt, context, dialect, fleet, retry};
+use crate::request::relay::{
+    attempt, context, crash_report, dialect, fleet, request_feature, retry,
+};
 use crate::request::verdict;
 
 /// Attempts of one request, shared with the timeout around them.
@@ -65,6 +67,9 @@
     let mut excluded = Vec::new();
     let mut fallback = None;
     loop {
+        if let Some(refusal) = context.refuse_blocked(request, tracker.verdict()) {
+            return fallback.ok_or(refusal);
+        }
         let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
         let is_allowed = attempts == 0 || take_retry(context, request);
         let lease = if is_allowed {
@@ -76,6 +81,10 @@
             return fallback
                 .ok_or_else(|| context.refuse_unserved(&request.service, tracker.verdict()));
         };
+        // The request may have been blocked while it waited for a permit.
+        if let Some(refusal) = context.refuse_blocked(request, tracker.verdict()) {
+            return fallback.ok_or(refusal);
+        }
         excluded.push(lease.endpoint.key);
         let (outcome, response) = try_endpoint(context, request, &lease, tracker).await;
         let state = retry::RetryState {
@@ -171,7 +180,7 @@
         Ok(response) => response,
         Err(error) => {
             lease.observe(fleet::EndpointObservation::Failed);
-            log_loss(context, request, lease, error, sent_at.elapsed()).await;
+            examine_loss(context, request, lease, error, sent_at.elapsed()).await;
             return (retry::AttemptOutcome::Lost, None);
         }
     };
@@ -190,13 +199,14 @@
         }
         retry::AttemptOutcome::Answered(_) => {
             lease.observe(fleet::EndpointObservation::Answered);
+            context.guard.record_success(&request.features);
             (outcome, Some(response))
         }
     }
 }
 
-/// Logs a call without a complete response, and whether its endpoint still answers.
-async fn log_loss(
+/// Logs a call without a complete response, and reports the endpoint if it has crashed.
+async fn examine_loss(
     context: &context::RelayContext,
     request: &context::RelayRequest,
     lease: &context::EndpointLease,
@@ -212,11 +222,15 @@
     log::info!(
         request = request.metadata.id.as_str(),
         endpoint = lease.endpoint.name.as_str(),
+        features = request_feature::join(&request.features).as_str(),
         cause:? = cause,
         probed:? = probed,
         elapsed_ms = u64::try_from(running.as_millis()).unwrap_or(u64::MAX);
         "call lost"
     );
+    if probed.is_some_and(|probed| crash_report::is_crash(probed, running)) {
+        crash_report::report(context, request, lease, &request.features, running).await;
+    }
 }
 
 /// Returns what a response that states "not run" reveals about the endpoint.
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -5,7 +5,9 @@
 
 use crate::connection::h1::head;
 use crate::process::view;
-use crate::request::relay::{dialect, fleet, permit, prompt_guard, response_memory};
+use crate::request::relay::{
+    dialect, fleet, permit, request_feature, request_guard, response_memory,
+};
 use crate::request::verdict;
 use crate::version::traffic;
 
@@ -37,8 +39,8 @@
     pub dialect: sync::Arc<dyn dialect::RequestDialect>,
     /// Permits for requests to endpoints that limit their rate.
     pub permits: sync::Arc<dyn permit::PermitSource>,
-    /// Keeps prompts from engines that would crash on them.
-    pub prompts: sync::Arc<dyn prompt_guard::PromptGuard>,
+    /// Keeps requests from endpoints that would crash on them.
+    pub guard: sync::Arc<dyn request_guard::RequestGuard>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Receives counts and durations.
@@ -68,6 +70,9 @@
     pub has_moves: bool,
     /// Path at which endpoints of the service answer health checks; `None` if it has none.
     pub health_path: Option<String>,
+    /// What the request has in common with others: the fingerprint of the whole request, then the
+    /// shared parts of its prompt.
+    pub features: Vec<request_feature::RequestFeature>,
     /// Workspace of the caller; `None` on routes that need no key.
     pub workspace: Option<String>,
     /// Priority; 0 is the highest.
@@ -161,9 +166,12 @@
 /// asks, as a caller notices longer delays.
 const MAX_ASKING_TIME: time::Duration = time::Duration::from_millis(20);
 
-const BLOCKED_MESSAGE: &str =
+const BLOCKED_PROMPT_MESSAGE: &str =
     "engines crash on a part of this prompt; change the prompt, or ask the operators about it";
 
+const BLOCKED_REQUEST_MESSAGE: &str =
+    "endpoints crash on this request; change it, or ask the operators about it";
+
 /// Maximum random addition to a pause, as a fraction of it, so that callers do not all retry at
 /// once.
 const RETRY_JITTER: f64 = 0.25;
@@ -248,16 +256,22 @@
         refuse_unserved(verdict, delay.unwrap_or(NO_ENDPOINT_DELAY))
     }
 
-    /// Refusal for a request whose prompt is blocked; `None` if it may be sent.
+    /// Refusal for a request that is blocked; `None` if it may be sent.
     #[must_use]
     pub fn refuse_blocked(
         &self,
         request: &RelayRequest,
         verdict: verdict::RunVerdict,
     ) -> Option<verdict::RequestRefusal> {
-        let parts = &request.metadata.shared_parts;
-        let delay = self.prompts.block_left(parts)?;
-        let (code, message) = (verdict::RefusalCode::PromptBlocked, BLOCKED_MESSAGE);
+        let delay = self.guard.block_left(&request.features)?;
+        let (code, message) = if request.metadata.shared_parts.is_empty() {
+            (
+                verdict::RefusalCode::RequestBlocked,
+                BLOCKED_REQUEST_MESSAGE,
+            )
+        } else {
+            (verdict::RefusalCode::PromptBlocked, BLOCKED_PROMPT_MESSAGE)
+        };
         Some(match verdict {
             verdict::RunVerdict::NotRun => {
                 verdict::RequestRefusal::not_run(503, code, message).retry_after(delay)
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use crate::connection::h1::head;
-use crate::request::relay::{attempt, prompt_part, report, request_rate};
+use crate::request::relay::{attempt, report, request_feature, request_rate};
 use crate::request::verdict;
 
 /// Request metadata from the caller's headers.
@@ -25,7 +25,7 @@
     pub tokens: u64,
     /// Leading parts of the prompt that other requests may have too; without the last part, which
     /// belongs to this request or its session.
-    pub shared_parts: Vec<prompt_part::PromptPart>,
+    pub shared_parts: Vec<request_feature::RequestFeature>,
 }
 
 /// Where an engine finds the KV copy of a running request.
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -7,14 +7,15 @@
 pub mod attempt;
 pub mod buffered;
 pub mod context;
+mod crash_report;
 pub mod dialect;
 pub mod events;
 pub mod fleet;
 pub mod kv_copy;
 pub mod permit;
-pub mod prompt_guard;
-pub mod prompt_part;
 pub mod report;
+pub mod request_feature;
+pub mod request_guard;
 pub mod request_rate;
 pub mod response_memory;
 pub mod retry;
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -7,8 +7,8 @@
 
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
-    attempt, buffered, context, dialect, events, fleet, kv_copy, prompt_guard, prompt_part, retry,
-    selection, stall, stream_end, stream_loss, stream_reader,
+    attempt, buffered, context, dialect, events, fleet, kv_copy, request_feature, request_guard,
+    retry, selection, stall, stream_end, stream_loss, stream_reader,
 };
 use crate::request::verdict;
 
@@ -83,7 +83,7 @@
                 let verdict = self.verdict(false);
                 return self.give_up(self.refuse_unserved(verdict));
             };
-            // The prompt may have been blocked while it waited for an engine.
+            // The request may have been blocked while it waited for an engine.
             if let Some(refusal) = self.refuse_blocked() {
                 return self.give_up(refusal);
             }
@@ -172,7 +172,7 @@
             endpoint = lease.endpoint.name.as_str(),
             copy = holder.as_ref().map_or("", |holder| holder.name.as_str()),
             from_copy = source.is_some(),
-            parts = prompt_part::join(&self.request.metadata.shared_parts).as_str(),
+            features = request_feature::join(&self.request.features).as_str(),
             last_event:? = self.cursor.last();
             "stream attempt"
         );
@@ -246,7 +246,8 @@
             let mut fault = None;
             while let Some(event) = splitter.next_event() {
                 self.progress.events += u64::from(!event.is_comment);
-                if !event.is_comment && self.progress.events == prompt_guard::MAX_CRASH_EVENTS + 1 {
+                if !event.is_comment && self.progress.events == request_guard::MAX_CRASH_EVENTS + 1
+                {
                     self.record_success();
                 }
                 if !event.is_comment && std::mem::take(&mut is_first) {
--- a/src/request/relay/stream_loss.rs
+++ b/src/request/relay/stream_loss.rs
@@ -1,9 +1,10 @@
-//! What a lost stream shows about its prompt: whether the engine crashed on it.
+//! What a lost stream shows about its request: whether the engine crashed on it.
 
-use std::sync;
 use std::time;
 
-use crate::request::relay::{attempt, context, prompt_guard, stream};
+use crate::request::relay::{
+    attempt, context, crash_report, request_feature, request_guard, stream,
+};
 use crate::request::verdict;
 
 /// Result of reading a stream.
@@ -57,40 +58,41 @@
             .refuse_blocked(self.request, self.verdict(false))
     }
 
-    /// Reports an engine that crashed when it began to answer. One that only closed the connection
-    /// still answers a probe.
+    /// Reports an engine that crashed when it began to answer, or before. One that only closed the
+    /// connection still answers a probe.
     pub(super) async fn report_crash(&self, lease: &context::EndpointLease, cause: LossCause) {
-        let parts = self.request.metadata.shared_parts.as_slice();
         let progress = &self.progress;
-        if cause != LossCause::Closed
-            || !progress.has_head
-            || progress.events > prompt_guard::MAX_CRASH_EVENTS
-            || parts.is_empty()
-        {
+        if cause != LossCause::Closed || progress.events > request_guard::MAX_CRASH_EVENTS {
             return;
         }
         let running = progress.sent_at.elapsed();
-        if attempt::is_alive(lease.endpoint.address, self.context.dialect.as_ref()).await {
-            return;
-        }
-        let crash = prompt_guard::PromptCrash {
-            request: &self.request.metadata.id,
-            endpoint: &lease.endpoint.name,
-            parts,
-            running,
+        let (address, dialect) = (lease.endpoint.address, self.context.dialect.as_ref());
+        let has_crashed = if progress.has_head {
+            !attempt::is_alive(address, dialect).await
+        } else {
+            let probed = attempt::probe(address, dialect.report_path()).await;
+            crash_report::is_crash(probed, running)
         };
-        sync::Arc::clone(&self.context.prompts)
-            .report_crash(crash)
-            .await;
+        if has_crashed {
+            let (context, request) = (self.context, self.request);
+            crash_report::report(context, request, lease, self.suspects(), running).await;
+        }
     }
 
-    /// Records that the prompt has not crashed its engine: once the stream has got beyond its first
+    /// Features that a crash of the engine may show. It reads a prompt before it sends the head, so a
+    /// loss without a head says nothing about the parts, which many prompts share.
+    fn suspects(&self) -> &[request_feature::RequestFeature] {
+        let features = self.request.features.as_slice();
+        if self.progress.has_head {
+            return features;
+        }
+        features.get(..1).unwrap_or_default()
+    }
+
+    /// Records that the request has not crashed its engine: once the stream has got beyond its first
     /// events, and at its end.
     pub(super) fn record_success(&self) {
-        let parts = &self.request.metadata.shared_parts;
-        if !parts.is_empty() {
-            self.context.prompts.record_success(parts);
-        }
+        self.context.guard.record_success(&self.request.features);
     }
 
     pub(super) fn log_loss(&self, lease: &context::EndpointLease, cause: LossCause) {
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -83,6 +83,8 @@
     KeyReused,
     /// Engines crash on a part of the prompt.
     PromptBlocked,
+    /// Endpoints crash on this request.
+    RequestBlocked,
 }
 
 /// Error response to a request that was not served.
--- a/tests/gateway/crash_evidence.rs
+++ b/tests/gateway/crash_evidence.rs
@@ -5,8 +5,8 @@
 
 use kumquatpulley::platform::store_wire;
 use kumquatpulley::process::gateway::rows::RowCodec as _;
-use kumquatpulley::process::gateway::{block_list, boot_clock, crash_ledger};
-use kumquatpulley::request::relay::prompt_part;
+use kumquatpulley::process::gateway::{block_list, boot_clock, crash_ledger, feature_success};
+use kumquatpulley::request::relay::request_feature;
 use proptest::prelude::*;
 
 use crate::common;
@@ -20,8 +20,11 @@
     boot_clock::BootInstant(time::Duration::from_millis(millis))
 }
 
-fn parts(ids: &[u64]) -> Vec<prompt_part::PromptPart> {
-    ids.iter().copied().map(prompt_part::PromptPart).collect()
+fn features(ids: &[u64]) -> Vec<request_feature::RequestFeature> {
+    ids.iter()
+        .copied()
+        .map(request_feature::RequestFeature)
+        .collect()
 }
 
 /// A crash at `millis` of a request that was sent one prefill earlier.
@@ -29,7 +32,7 @@
     crash_ledger::CrashRecord {
         request,
         endpoint,
-        parts: parts(ids),
+        features: features(ids),
         sent_at: at(millis - PREFILL_MS),
         crashed_at: at(millis),
     }
@@ -44,15 +47,15 @@
 }
 
 fn succeed(ledger: &mut crash_ledger::CrashLedger, id: u64, millis: u64) {
-    let part = prompt_part::PromptPart(id);
-    ledger.record_success(crash_ledger::PartSuccess {
-        part,
+    let feature = request_feature::RequestFeature(id);
+    ledger.record_success(feature_success::FeatureSuccess {
+        feature,
         at: at(millis),
     });
 }
 
 fn suspects(ledger: &crash_ledger::CrashLedger, ids: &[u64]) -> Vec<Vec<u64>> {
-    let suspects = ledger.suspects(&parts(ids)).into_iter();
+    let suspects = ledger.suspects(&features(ids)).into_iter();
     suspects
         .map(|set| set.into_iter().map(|part| part.0).collect())
         .collect()
@@ -250,14 +253,14 @@
     let mut ledger = ledger(&[crash(1, 10, &[5, 7], 8_000)]);
     succeed(&mut ledger, 5, 8_500);
     succeed(&mut ledger, 6, 8_600);
-    let evidence = ledger.evidence_about(&parts(&[7]));
+    let evidence = ledger.evidence_about(&features(&[7]), at(9_000));
     assert_eq!(evidence.crashes.len(), 1);
     let known: Vec<_> = evidence
         .successes
         .iter()
-        .map(|success| success.part)
+        .map(|success| success.feature)
         .collect();
-    assert_eq!(known, parts(&[5]));
+    assert_eq!(known, features(&[5]));
 }
 
 /// Both parts worked, the shared one more recently, as other prompts have it too.
@@ -274,9 +277,9 @@
 
 fn a_block_ends_and_one_more_crash_doubles_it() {
     let mut list = block_list::BlockList::default();
-    list.block(parts(&[5, 7]), 1_000);
+    list.block(features(&[5, 7]), 1_000);
     let left = |list: &block_list::BlockList, ids: &[u64], now| {
-        list.block_left(&parts(ids), now)
+        list.block_left(&features(ids), now)
             .map(|left| left.as_millis())
     };
     assert_eq!(
@@ -286,10 +289,13 @@
     assert_eq!(left(&list, &[7], 2_000), None);
     let expired = 1_000 + FIRST_BLOCK_MS;
     assert_eq!(left(&list, &[5, 7], expired), None);
-    assert_eq!(list.expired_matches(&parts(&[5, 7]), expired - 1).len(), 0);
-    let again = list.expired_matches(&parts(&[7, 5, 1]), expired);
-    assert_eq!(again, [parts(&[5, 7])]);
-    let entry = list.block(parts(&[5, 7]), expired);
+    assert_eq!(
+        list.expired_matches(&features(&[5, 7]), expired - 1).len(),
+        0
+    );
+    let again = list.expired_matches(&features(&[7, 5, 1]), expired);
+    assert_eq!(again, [features(&[5, 7])]);
+    let entry = list.block(features(&[5, 7]), expired);
     assert_eq!(entry.until_ms, expired + 2 * FIRST_BLOCK_MS);
 }
 
@@ -297,8 +303,8 @@
 fn a_block_from_elsewhere_is_limited() {
     let day_ms = 24 * 60 * 60 * 1_000;
     let mut list = block_list::BlockList::default();
-    let entry = |ids, until_ms| block_list::BlockedPrompt {
-        parts: parts(ids),
+    let entry = |ids, until_ms| block_list::BlockedRequest {
+        features: features(ids),
         until_ms,
         count: 1,
     };
@@ -309,15 +315,15 @@
 }
 
 fn a_stored_block_is_read_as_written() {
-    let entry = block_list::BlockedPrompt {
-        parts: parts(&[0x5c1e_07a2, u64::MAX]),
+    let entry = block_list::BlockedRequest {
+        features: features(&[0x5c1e_07a2, u64::MAX]),
         until_ms: 1_765_000_000_000,
         count: 3,
     };
     let codec = store_wire::StoreCodec;
-    let value = codec.encode_blocked_prompt(&entry);
-    assert_eq!(codec.blocked_prompt(&value), Some(entry));
-    assert_eq!(codec.blocked_prompt(b"{\"parts\":7}"), None);
+    let value = codec.encode_blocked_request(&entry);
+    assert_eq!(codec.blocked_request(&value), Some(entry));
+    assert_eq!(codec.blocked_request(b"{\"parts\":7}"), None);
 }
 
 common::cases! {
@@ -351,7 +357,7 @@
         let merged = |order: &[(u64, u64)]| {
             let mut list = block_list::BlockList::default();
             for (part, until_ms) in order {
-                let entry = block_list::BlockedPrompt { parts: parts(&[*part]), until_ms: *until_ms, count: 1 };
+                let entry = block_list::BlockedRequest { features: features(&[*part]), until_ms: *until_ms, count: 1 };
                 list.merge(entry, 1_000);
             }
             list.digest()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod permit_replays;
 mod permits;
 mod planned_stops;
+mod repeated_requests;
 mod restored_store;
 mod silent_engines;
 mod soak;
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -161,7 +161,7 @@
 
 fn blocked_prompt_is_ignored(value: &str) {
     assert_eq!(
-        store_wire::StoreCodec.blocked_prompt(value.as_bytes()),
+        store_wire::StoreCodec.blocked_request(value.as_bytes()),
         None
     );
 }
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -8,7 +8,7 @@
 use kumquatpulley::process::gateway::block_list;
 use kumquatpulley::process::gateway::rows::RowCodec as _;
 use kumquatpulley::process::telemetry::timeline;
-use kumquatpulley::request::relay::prompt_part;
+use kumquatpulley::request::relay::request_feature;
 
 use crate::common;
 use crate::support::system::System;
@@ -220,12 +220,12 @@
     let copy = system.store.copy();
     let hour_ms = 3_600_000;
     let until_ms = timeline::wall_micros() / 1_000 + hour_ms;
-    let entry = block_list::BlockedPrompt {
-        parts: vec![prompt_part::PromptPart(7)],
+    let entry = block_list::BlockedRequest {
+        features: vec![request_feature::RequestFeature(7)],
         until_ms,
         count: 1,
     };
-    let value = store_wire::StoreCodec.encode_blocked_prompt(&entry);
+    let value = store_wire::StoreCodec.encode_blocked_request(&entry);
     system.store.put("blocked_prompts", &entry.key(), &value);
     thread::sleep(SETTLE_TIME);
     system.store.restore(&copy, &[]);
