Apply the newest limits to connections that were idle during a change

Callers saw a whole request without an answer on a connection that the newest configuration allows them to keep, and 413 for a body that it allows.

Cause: a connection read its limits before it waited for the next request, and kept them for this wait and for the request after it.

Change: the limits of a request are read when its first byte is there, and the idle timeout is looked up again before it ends a connection. A shorter timeout does not end a wait that has begun; closing later than allowed harms nobody.

--- a/src/process/gateway/caller_server.rs
+++ b/src/process/gateway/caller_server.rs
@@ -89,15 +89,16 @@
     }
     let mut wire = wire::BufferedWire::new(stream);
     loop {
-        let limits = node.limits();
         if wire.buffered().is_empty() {
-            let beginning = begins_request(&mut wire, limits.idle_timeout);
+            let beginning = begins_request(&mut wire, node);
             if beginning.timeout_at(closing.clone()).await != Ok(true) {
                 return;
             }
         }
         // Counted before the request is complete, so that the process does not exit in between.
         let _in_flight = node.start_request();
+        // The configuration may have changed while the connection was idle.
+        let limits = node.limits();
         match read_request(&mut wire, node, &limits).await {
             Ok(request) => match answer(&mut wire, node, request).await {
                 ConnectionStep::Reuse => {}
@@ -139,10 +140,19 @@
     ConnectionStep::Linger
 }
 
-/// Whether the caller sends a byte of a request within `idle_timeout`.
-async fn begins_request(wire: &mut wire::BufferedWire, idle_timeout: time::Duration) -> bool {
-    let filled = future::timeout(idle_timeout, wire.fill()).await;
-    matches!(filled, Ok(Ok(1..)))
+/// Whether the caller sends a byte of a request before the connection has been idle for as long as
+/// the newest configuration allows.
+async fn begins_request(wire: &mut wire::BufferedWire, node: &node::GatewayNode) -> bool {
+    let began = time::Instant::now();
+    loop {
+        let left = node.limits().idle_timeout.saturating_sub(began.elapsed());
+        if let Ok(filled) = future::timeout(left, wire.fill()).await {
+            return matches!(filled, Ok(1..));
+        }
+        if began.elapsed() >= node.limits().idle_timeout {
+            return false;
+        }
+    }
 }
 
 async fn read_request(
