Reproduce streams that end unanswered as their engine is silent for a while

Callers saw 502, which says that the request may have run, 0.7 s after a stream was sent that may run once only. Its engine was sound and silent for 1.5 s, on all connections, before the head or before the first event.

Cause: before the first event a probe whose report does not come in 0.2 s counts as the loss of the stream, also if no other engine may run it. A stream that has begun has stayed with its last engine since silence ends none of these.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod permits;
 mod planned_stops;
 mod restored_store;
+mod silent_calls;
 mod silent_engines;
 mod soak;
 mod stop_replays;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod planned_stop;
 pub mod router;
 pub mod run_log;
+pub mod silent_endpoint;
 pub mod stop_caller;
 pub mod stop_judge;
 pub mod stop_series;
