Wait for the silent engine of a stream that may run once only

Callers saw 502 0.7 s after a stream was sent that may run once only, while its sound engine was silent for a second or so before the first event.

Cause: a probe without a report in 0.2 s counted as the loss of the stream. That helps only a stream that another engine may run.

Change: for a stream that may not be repeated, a missing report says nothing; a report that does not list the stream still ends it, as does the end of its connection. Calls that may run once only already wait in the same way until their deadline.

Evidence: unresumable_stream_before_its_head and unresumable_stream_before_its_events failed in two of two runs before and pass in one run after, with the 17 other cases of silent_calls, and silent_engines, decisions, broken_streams and odd_answers (116 tests together).

--- a/src/request/relay/stall.rs
+++ b/src/request/relay/stall.rs
@@ -35,6 +35,8 @@
     pub abandon_after: time::Duration,
     /// Time within which a probe is answered.
     pub probe_timeout: time::Duration,
+    /// Whether an engine that does not answer a probe counts as lost.
+    pub is_silence_loss: bool,
 }
 
 impl StallLimits {
@@ -46,6 +48,7 @@
             probe_after: gap.mul_f64(PROBE_FRACTION),
             abandon_after: gap.mul_f64(ABANDON_FRACTION),
             probe_timeout: PROBE_TIMEOUT,
+            is_silence_loss: true,
         }
     }
 
@@ -58,6 +61,7 @@
             probe_after: self.probe_after * factor,
             abandon_after: self.abandon_after * factor,
             probe_timeout: self.probe_timeout * factor,
+            ..self
         }
     }
 
@@ -69,6 +73,17 @@
             probe_after: BEYOND_DEADLINES,
             abandon_after: BEYOND_DEADLINES,
             probe_timeout: PROBE_TIMEOUT,
+            is_silence_loss: false,
+        }
+    }
+
+    /// Limits for a stream that may run once only: until its first event, only a report without it
+    /// shows that it is lost.
+    #[must_use]
+    pub const fn until_reported(self) -> Self {
+        Self {
+            is_silence_loss: false,
+            ..self
         }
     }
 
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -327,12 +327,17 @@
         self.sink.state() == sink::SinkState::Started
     }
 
-    /// A stream that has begun and cannot resume elsewhere stays with its engine.
+    /// A stream that has begun and cannot resume elsewhere stays with its engine; one that may run once
+    /// only also does before it begins, unless a report shows that it is lost.
     fn stall_limits(&self) -> stall::StallLimits {
         if self.is_interrupted() && !self.may_resume_elsewhere() {
             return stall::StallLimits::unresumable();
         }
-        stall::StallLimits::new(self.request.route.gap_goal).after_silences(self.silences)
+        let limits = stall::StallLimits::new(self.request.route.gap_goal);
+        if !self.request.route.kind.may_repeat() {
+            return limits.until_reported();
+        }
+        limits.after_silences(self.silences)
     }
 
     async fn write_events(&mut self, events: &[u8]) -> std::io::Result<()> {
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -81,6 +81,7 @@
             dialect: self.dialect.as_ref(),
             request: self.request,
             timeout: limits.probe_timeout,
+            is_silence_loss: limits.is_silence_loss,
             tracker: &mut self.tracker,
             last_alive_at: &mut self.last_alive_at,
         };
@@ -108,6 +109,7 @@
             dialect: self.dialect.as_ref(),
             request: self.request,
             timeout: limits.probe_timeout,
+            is_silence_loss: limits.is_silence_loss,
             tracker: &mut self.tracker,
             last_alive_at: &mut self.last_alive_at,
         };
@@ -145,6 +147,7 @@
     dialect: &'a dyn dialect::RequestDialect,
     request: &'a str,
     timeout: time::Duration,
+    is_silence_loss: bool,
     tracker: &'a mut report::RunTracker,
     last_alive_at: &'a mut time::Instant,
 }
@@ -152,7 +155,9 @@
 impl LivenessProbe<'_> {
     async fn is_alive(&mut self) -> bool {
         let report = attempt::report(self.address, self.dialect, self.timeout).await;
-        let is_held = report.is_some_and(|report| self.tracker.is_held(&report, self.request));
+        let is_held = report.map_or(!self.is_silence_loss, |report| {
+            self.tracker.is_held(&report, self.request)
+        });
         if is_held {
             *self.last_alive_at = time::Instant::now();
         }
