Guard the end of streams that their engine's reports do not list

A stream that may run once only waits for a silent engine. This test shows that it still ends before its deadline, with 502, when reports show that the engine has lost it.

--- a/tests/gateway/silent_calls.rs
+++ b/tests/gateway/silent_calls.rs
@@ -82,7 +82,17 @@
     }
 }
 
+/// Guards against streams that wait until their deadline although reports show that they are lost.
+fn a_lost_stream_ends_before_its_deadline() {
+    let (system, silent) = start(AnswerPart::Whole, OtherEndpoint::Absent, false);
+    let answer = System::send(system.ip(), "/stream/1", "r1").expect("an answer");
+    // 504 would be the end of the deadline.
+    assert_eq!(answer.head.status, 502, "{}", system.logs());
+    assert_eq!(silent.received().len(), 1, "{}", system.logs());
+}
+
 common::cases! {
+    lost_stream: a_lost_stream_ends_before_its_deadline();
     safe_call_before_its_head: a_call_is_answered_after("/safe/1", AnswerPart::Head);
     safe_call_in_its_head: a_call_is_answered_after("/safe/1", AnswerPart::RestOfHead);
     safe_call_before_its_body: a_call_is_answered_after("/safe/1", AnswerPart::Body);
--- a/tests/gateway/support/silent_endpoint.rs
+++ b/tests/gateway/support/silent_endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint that sends nothing for a while, on no connection, and then goes on.
 
-use std::io::Write as _;
+use std::io::{Read as _, Write as _};
 use std::net;
 use std::sync;
 use std::thread;
@@ -28,6 +28,8 @@
     RestOfBody,
     /// The fifth event of a stream.
     LaterEvent,
+    /// Every part: the answer is lost, and reports list no request.
+    Whole,
 }
 
 #[derive(Debug, Default)]
@@ -99,7 +101,8 @@
         };
         self.wait();
         if request.head.target == "/report" {
-            let report = serde_json::json!({"queued": 0, "active": 1, "kv_used": 0,
+            let active = u8::from(part != AnswerPart::Whole);
+            let report = serde_json::json!({"queued": 0, "active": active, "kv_used": 0,
                 "kv_total": 88_000, "runs": []});
             fakes::write_json(stream, 200, &report);
             return Ok(());
@@ -112,6 +115,10 @@
         state.received.push(request.clone());
         let is_first = state.received.len() == 1;
         drop(state);
+        if part == AnswerPart::Whole {
+            // Until the gateway closes the connection.
+            return stream.read(&mut [0_u8; 1]).map(drop);
+        }
         let pause_before = |reached: AnswerPart| {
             if is_first && reached == part {
                 self.fall_silent();
