--- a/tests/gateway/changed_configuration.rs
+++ b/tests/gateway/changed_configuration.rs
@@ -191,7 +191,7 @@
             let mut stream = open_kept_connection(&system);
             let offset = EDGE_STEP * number;
             thread::spawn(move || {
-                thread::sleep(OLD_IDLE_TIMEOUT - EDGE_TIME + offset);
+                thread::sleep(OLD_IDLE_TIMEOUT.saturating_sub(EDGE_TIME) + offset);
                 let request = caller::request("/once/1", &format!("edge{number}"), "k");
                 stream.write_all(request.as_bytes()).ok()?;
                 caller::read_answer(&mut stream)
