Log the idle timeout of the version in force

A connection that was idle during a change of the configuration could be closed by the older limits, and nothing in the logs told which were in force.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -158,12 +158,13 @@
             return Some(number);
         }
         let routes = version.route_count();
+        let idle_timeout_ms = whole_millis(version.limits().idle_timeout);
         state.version = Some(sync::Arc::new(version));
         state.row = Some((key.to_owned(), value.to_vec()));
         // What confirmed the version before says nothing about this one.
         state.clock = freshness::FreshnessClock::default();
         drop(state);
-        log::info!(version = number, routes, source; "version in force");
+        log::info!(version = number, routes, idle_timeout_ms, source; "version in force");
         let kind = timeline::EventKind::VersionInForce { number };
         self.ring.record(None, kind);
         self.gossip.set_config(number);
