Check that no answer that ends early reaches a caller as whole

Operators of a similar system report a runner that stopped in the middle of its answer's head, after which callers got a 200 with an empty or short body, framed as whole. None of this was found here: the head parser needs the blank line, and a body with a length or in chunks is complete only at its last byte.

The test cuts answers at every byte, with real processes, for safe, unsafe and stream routes, with a length, with chunks and without either, closed and reset, also after an interim head, with line feeds alone and for streams that cannot be resumed. Ten cases with a sound second endpoint show that safe calls and streams go on there. A property test does the same for arbitrary fields and bodies without processes, and two cases for the client of plain services.

--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -9,6 +9,7 @@
 mod claims;
 #[path = "../common/mod.rs"]
 mod common;
+mod cut_answers;
 mod endpoints;
 mod fakes;
 mod home;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod cached_state;
 mod crash_evidence;
 mod crashing_prompts;
+mod cut_answers;
 mod decisions;
 mod endless_responses;
 mod endpoint_limits;
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -143,6 +143,8 @@
     ForeignEvents(u64),
     /// Runs the request and answers with this text, in which `{id}` stands for its id.
     AnswersWith(&'static str),
+    /// As `AnswersWith`, and resets the connection [`RESET_DELAY`] after the text.
+    AnswersAndResets(&'static str),
     /// Works, and after this event of a stream sends nothing for [`PREEMPTION_TIME`].
     PausesAfter(u64),
     /// As `PausesAfter`, and its reports take [`LATE_REPORT`].
@@ -173,6 +175,9 @@
 /// Time for which a stream that ends early stays open after its last byte.
 const CLOSE_DELAY: time::Duration = time::Duration::from_millis(100);
 
+/// Time in which the text of an answer arrives before its connection is reset.
+const RESET_DELAY: time::Duration = time::Duration::from_millis(10);
+
 /// Silence of an engine that has preempted a stream.
 const PREEMPTION_TIME: time::Duration = time::Duration::from_millis(1_500);
 
@@ -358,10 +363,15 @@
     }
 }
 
-/// Resets the connection, as the end of a process does.
-fn reset(stream: &net::TcpStream) {
+/// Has the connection reset when the stream is dropped, without an orderly end before it.
+pub fn reset_at_close(stream: &net::TcpStream) {
     let linger = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
     linger.expect("a socket option");
+}
+
+/// Resets the connection, as the end of a process does.
+fn reset(stream: &net::TcpStream) {
+    reset_at_close(stream);
     // The peer may have closed already.
     let _closed = stream.shutdown(net::Shutdown::Both);
 }
@@ -476,6 +486,12 @@
             write(stream, &text.replace("{id}", id));
             stop_judge::RunEnd::Finished
         }
+        EndpointMode::AnswersAndResets(text) => {
+            write(stream, &text.replace("{id}", id));
+            thread::sleep(RESET_DELAY);
+            reset_at_close(stream);
+            stop_judge::RunEnd::BrokenOff
+        }
         EndpointMode::DropsAnswer => stop_judge::RunEnd::BrokenOff,
         EndpointMode::Truncates => {
             write(stream, &format!("{}hel", sealed(id, 5)));
