Take no answer for whole whose request could not be written

A caller could get a 200 with an empty or short body, framed as whole, when an endpoint crashed after the begin of an answer without a length, while the gateway was still sending it the request. The failed write takes the error of the reset from the socket, its result was ignored, and the next read saw an orderly end, which completes such an answer.

An attempt remembers whether its request was written; if it was not, only a length or a last chunk completes the answer. Answers with either are read as before, so an early refusal of a large request still reaches the caller.

--- a/src/request/relay/attempt.rs
+++ b/src/request/relay/attempt.rs
@@ -76,6 +76,9 @@
 #[derive(Debug)]
 pub struct OpenAttempt {
     wire: wire::BufferedWire,
+    /// Whether the whole request was written. A write that fails takes the error of a reset, and
+    /// the next read then sees an orderly end.
+    is_written: bool,
 }
 
 /// A complete response.
@@ -103,8 +106,8 @@
     let mut wire = wire::BufferedWire::new(stream);
     // An endpoint may respond early and stop reading the request, so the response is read even
     // when the write fails.
-    let _write_result = wire.write_all(request).await;
-    Ok(OpenAttempt { wire })
+    let is_written = wire.write_all(request).await.is_ok();
+    Ok(OpenAttempt { wire, is_written })
 }
 
 impl OpenAttempt {
@@ -198,7 +201,7 @@
     ///
     /// # Errors
     /// [`AttemptError::Broken`] when the body is malformed, [`AttemptError::Closed`] when it ends
-    /// early.
+    /// early or may have been reset.
     pub async fn read_body(
         &mut self,
         decoder: &mut body::BodyDecoder,
@@ -214,7 +217,7 @@
             return Ok(true);
         }
         if self.fill().await? == 0 {
-            if decoder.ends_with_connection() {
+            if decoder.ends_with_connection() && self.is_written {
                 return Ok(false);
             }
             return Err(AttemptError::Closed);
--- a/tests/gateway/cut_answers.rs
+++ b/tests/gateway/cut_answers.rs
@@ -1,6 +1,13 @@
 //! Answers that end before their last byte never reach a caller as whole successes.
 
+use std::io::{Read as _, Write as _};
+use std::net;
+use std::thread;
+use std::time;
+
+use async_std::task;
 use kumquatpulley::connection::h1::{body, head};
+use kumquatpulley::request::relay::{attempt, response_memory};
 use proptest::prelude::*;
 
 use crate::common;
@@ -231,6 +238,34 @@
     }
 }
 
+/// Bytes of a request that no socket buffers hold.
+const LARGE_REQUEST: usize = 32 * 1024 * 1024;
+
+/// Guards against an answer without a length that counts as whole although its endpoint crashed:
+/// a failed write takes the error of the reset, and the next read then sees an orderly end.
+#[test]
+fn an_answer_that_is_reset_while_the_request_is_sent_is_not_whole() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let endpoint = thread::spawn(move || {
+        let (mut stream, _peer) = listener.accept().expect("a connection");
+        stream.read_exact(&mut [0_u8; 1024]).expect("a request");
+        let text = b"HTTP/1.1 200 OK\r\nKumquatpulley-Runner-Seal: s\r\n\r\nhel";
+        stream.write_all(text).expect("sent");
+        thread::sleep(time::Duration::from_millis(100));
+        fakes::reset_at_close(&stream);
+    });
+    let read = task::block_on(async {
+        let mut open = attempt::send(address, &vec![b'x'; LARGE_REQUEST]).await?;
+        let head = open.head().await?;
+        let memory = response_memory::ResponseMemory::new(1024);
+        open.read_whole("POST", head, &memory).await
+    });
+    endpoint.join().expect("no panic");
+    let read = read.map(|response| response.body);
+    assert_eq!(read, Err(attempt::AttemptError::Closed));
+}
+
 common::cases! {
     once_closed: every_cut("/once/1", ConnectionEnd::Orderly);
     once_reset: every_cut("/once/1", ConnectionEnd::Reset);
