Refuse a call whose body is shorter than its Content-Length

A caller of the own interface that closed its connection, or half of it, in the middle of a body had its call run with the part that had arrived, also with none of it; one that still waited for the answer got a 200. The library reads a body until its length or the end of the connection, and reports neither as an error; the length was only compared with the limit.

Found while looking for the cause of answers with short bodies elsewhere. The length that the head declares is compared with what was read, as the client of services already does for answers.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -200,11 +200,12 @@
 impl AuthorizedRequest {
     async fn read_body(&mut self) -> verdict::Result<Vec<u8>> {
         let max_bytes = self.node.settings.max_body_bytes;
-        if self.request.len().is_some_and(|length| length > max_bytes) {
+        let length = self.request.len();
+        if length.is_some_and(|length| length > max_bytes) {
             return Err(body_too_large(max_bytes));
         }
         let mut body = self.request.take_body();
-        http::read_body(&mut body, BODY_TIMEOUT, max_bytes)
+        let body = http::read_body(&mut body, BODY_TIMEOUT, max_bytes)
             .timeout_at(self.node.readiness.closed())
             .await
             .map_err(|_closed| request_refusal::refuse_closed())?
@@ -213,7 +214,13 @@
                     return body_too_large(max_bytes);
                 }
                 bad_request(error.message)
-            })
+            })?;
+        // `http_types` takes the end of the connection for that of the body.
+        if length.is_some_and(|length| length != body.len()) {
+            let message = "the body is shorter than its Content-Length; send all of it";
+            return Err(bad_request(message.to_owned()));
+        }
+        Ok(body)
     }
 
     /// Waits until the request is admitted, unless the router closes before.
--- a/tests/operators/late_requests.rs
+++ b/tests/operators/late_requests.rs
@@ -18,7 +18,7 @@
 const NO_ENGINE: &str = "127.0.0.1:9";
 
 /// Path of calls to the service.
-const CALL_PATH: &str = "/s/s/orders";
+pub const CALL_PATH: &str = "/s/s/orders";
 
 /// Lists what the service ran.
 const JOURNAL_FILE: &str = "runs.jsonl";
@@ -33,7 +33,7 @@
 const READ_PAUSE: time::Duration = time::Duration::from_millis(15);
 
 #[derive(Debug)]
-struct CallBench {
+pub struct CallBench {
     router: daemon::RouterDaemon,
     _service: stand_in::StandIn,
     _platform: stand_in::StandIn,
@@ -41,7 +41,7 @@
 }
 
 impl CallBench {
-    fn start(work_ms: u64) -> Self {
+    pub fn start(work_ms: u64) -> Self {
         let platform = stand_in::platform();
         let folder = tempfile::tempdir().expect("temporary folder");
         let work = work_ms.to_string();
@@ -61,7 +61,7 @@
     }
 
     /// How many calls the service ran.
-    fn runs(&self) -> usize {
+    pub fn runs(&self) -> usize {
         let journal = fs::read_to_string(self.folder.path().join(JOURNAL_FILE));
         journal.unwrap_or_default().lines().count()
     }
@@ -75,7 +75,7 @@
         }
     }
 
-    fn connect(&self) -> net::TcpStream {
+    pub fn connect(&self) -> net::TcpStream {
         let connection = net::TcpStream::connect(self.router.listen).expect("a connection");
         let timeout = connection.set_read_timeout(Some(READ_LIMIT));
         timeout.expect("a time-out");
@@ -108,7 +108,7 @@
     assert_eq!(output.code, 0, "{}{}", output.stdout, output.stderr);
 }
 
-fn head(path: &str, length: usize) -> String {
+pub fn head(path: &str, length: usize) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer demo-key\r\n\
          Connection: close\r\nContent-Length: {length}\r\n\r\n"
--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -12,6 +12,7 @@
 mod stand_in;
 
 mod bounds;
+mod cut_requests;
 mod daemon;
 mod late_requests;
 mod planned_stop;
