--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crash_evidence;
 mod crashing_calls;
 mod crashing_prompts;
+mod cut_answers;
 mod decisions;
 mod endless_responses;
 mod endpoint_limits;
