Test which requests are known to crash endpoints, and which are not

Beside it sound requests have to be served: a hot key of which several runs are lost in each crash, requests that differ in their body alone, and those of another workspace. Another key of the same workspace sends the same request.

A system can start with a configuration of its own, and fakes keep only the first 16 KiB of received bodies.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod restored_store;
 mod silent_engines;
 mod soak;
+mod sound_calls;
 mod stop_replays;
 mod stop_rules;
 mod stray_refusals;
--- /dev/null
+++ b/tests/gateway/sound_calls.rs
@@ -0,0 +1,98 @@
+//! Sound requests are not taken for one that crashes endpoints: neither those that run beside it,
+//! nor those that are like it.
+
+use std::thread;
+use std::time;
+
+use crate::common;
+use crate::support::system::System;
+use crate::support::{call_load, caller, deadly_calls, load};
+
+/// Time of load in which the request is learned: the contact time, and as much for the crashes.
+const LEARNING_TIME: time::Duration = time::Duration::from_secs(7);
+
+/// Time of load in which sound requests have to be served.
+const CALM_TIME: time::Duration = time::Duration::from_secs(5);
+
+const DEADLY_PATH: &str = "/safe/deadly";
+
+/// Many callers that send the same request, several of which are in flight at any time.
+const fn hot_plan(path: &'static str) -> load::LoadPlan {
+    load::LoadPlan {
+        callers: 3,
+        pause: time::Duration::from_millis(15),
+        call: caller::CallText::plain(path),
+        shared_parts: None,
+    }
+}
+
+const HOT_PLANS: [load::LoadPlan; 2] = [hot_plan("/safe/hot"), hot_plan("/once/hot")];
+
+/// A system with a second key `k2` of its workspace `w`, and with a workspace `w2` with the key `o`.
+fn start_with_workspaces() -> System {
+    let one = r#""api_keys":["k","k2"]}"#;
+    let two = r#""api_keys":["k","k2"]},{"name":"w2","api_keys":["o"]}"#;
+    let config = System::config(1, r#""k","k2""#).replace(one, two);
+    System::start_configured(3, &config)
+}
+
+/// Lets the load go on, and checks that sound requests are served.
+fn check_calm_time(load: call_load::CallLoad) -> call_load::CallResult {
+    let calm = time::Instant::now();
+    thread::sleep(CALM_TIME);
+    let result = load.finish(calm);
+    result.check_sound();
+    result
+}
+
+/// A request of which several are lost in each crash is served again and again in between.
+fn a_hot_key_is_served_beside_a_request_that_crashes_endpoints() {
+    let deadly = deadly_calls::DeadlyCall::of_path(DEADLY_PATH);
+    let mut load = call_load::CallLoad::start(System::start(3), deadly, &HOT_PLANS);
+    load.send_deadly(caller::CallText::plain(DEADLY_PATH));
+    thread::sleep(LEARNING_TIME);
+    check_calm_time(load).check_deadly();
+}
+
+fn requests_with_another_body_are_served() {
+    let call = caller::CallText::plain(DEADLY_PATH);
+    let deadly = deadly_calls::DeadlyCall {
+        body: Some(call.body),
+        ..deadly_calls::DeadlyCall::of_path(call.path)
+    };
+    let other = load::LoadPlan {
+        call: caller::CallText {
+            body: b"ho",
+            ..call
+        },
+        ..load::LoadPlan::plain(call.path)
+    };
+    let mut load = call_load::CallLoad::start(System::start(3), deadly, &[other]);
+    load.send_deadly(call);
+    thread::sleep(LEARNING_TIME);
+    check_calm_time(load).check_deadly();
+}
+
+/// A workspace is one caller, whichever of its keys it uses.
+fn requests_of_another_workspace_are_served() {
+    let call = caller::CallText::plain(DEADLY_PATH);
+    let deadly = deadly_calls::DeadlyCall {
+        workspace: Some("w"),
+        ..deadly_calls::DeadlyCall::of_path(call.path)
+    };
+    let other = load::LoadPlan {
+        call: caller::CallText { key: "o", ..call },
+        ..load::LoadPlan::plain(call.path)
+    };
+    let mut load = call_load::CallLoad::start(start_with_workspaces(), deadly, &[other]);
+    load.send_deadly(call);
+    thread::sleep(LEARNING_TIME);
+    load.send_deadly(caller::CallText { key: "k2", ..call });
+    check_calm_time(load).check_deadly();
+}
+
+common::cases! {
+    hot_key: a_hot_key_is_served_beside_a_request_that_crashes_endpoints();
+    other_body: requests_with_another_body_are_served();
+    other_workspace: requests_of_another_workspace_are_served();
+}
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -149,6 +149,9 @@
     PausesWithLateReports(u64),
 }
 
+/// Bytes that are kept of the body of each received request.
+const MAX_KEPT_BODY_BYTES: usize = 16 * 1024;
+
 /// Number of events in each stream.
 pub const EVENT_COUNT: u64 = 12;
 
@@ -407,11 +410,9 @@
         mode,
         EndpointMode::Full | EndpointMode::Replaced | EndpointMode::RetryAfter
     );
-    state
-        .received
-        .lock()
-        .expect("not poisoned")
-        .push(request.clone());
+    let mut kept = request.clone();
+    kept.body.truncate(MAX_KEPT_BODY_BYTES);
+    state.received.lock().expect("not poisoned").push(kept);
     let id = request
         .field("Kumquatpulley-Request-Id")
         .unwrap_or_default();
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -40,6 +40,15 @@
     }
 
     pub fn start_with_grace(gateways: u8, grace: time::Duration) -> Self {
+        Self::start_system(gateways, grace, &Self::config(1, r#""k""#))
+    }
+
+    /// Starts gateways with this configuration.
+    pub fn start_configured(gateways: u8, config: &str) -> Self {
+        Self::start_system(gateways, router::USUAL_GRACE, config)
+    }
+
+    fn start_system(gateways: u8, grace: time::Duration, config: &str) -> Self {
         let net = router::loopback_net();
         let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
         let store = fake_store::FakeStore::new(ip(250));
@@ -52,7 +61,7 @@
             gateways: Vec::new(),
             grace,
         };
-        system.put_config(1, r#""k""#);
+        system.store.put("op", "config", config.as_bytes());
         system
             .store
             .put("servers", "e1", &system.first.entry("m", "z1", "ready"));
@@ -126,6 +135,14 @@
         files.collect::<Vec<String>>().join("\n")
     }
 
+    pub const fn endpoints(&self) -> [&fakes::FakeEndpoint; 2] {
+        [&self.first, &self.second]
+    }
+
+    pub fn gateway_ips(&self) -> Vec<net::IpAddr> {
+        self.gateways.iter().map(|gateway| gateway.ip).collect()
+    }
+
     pub fn ip(&self) -> net::IpAddr {
         self.gateways[0].ip
     }
