Test that requests are not blocked while endpoints crash for other reasons

A block of requests that crash endpoints must not take sound ones for guilty. In one case the two endpoints end in turn, ten times 0.6 s apart, while a hot key has several runs in flight at each and a rare request goes on beside it. In the other both endpoints close all connections without an answer for 2 s, three times; the rare request is sent for the first time then.

--- a/tests/gateway/sound_calls.rs
+++ b/tests/gateway/sound_calls.rs
@@ -1,5 +1,5 @@
 //! Sound requests are not taken for one that crashes endpoints: neither those that run beside it,
-//! nor those that are like it.
+//! nor those that are like it, nor any while endpoints end for other reasons.
 
 use std::thread;
 use std::time;
@@ -14,6 +14,9 @@
 /// Time of load in which sound requests have to be served.
 const CALM_TIME: time::Duration = time::Duration::from_secs(5);
 
+/// Time after the last fault until calm time.
+const RECOVERY_TIME: time::Duration = time::Duration::from_secs(3);
+
 const DEADLY_PATH: &str = "/safe/deadly";
 
 /// Many callers that send the same request, several of which are in flight at any time.
@@ -26,6 +29,14 @@
     }
 }
 
+/// A request that comes as seldom as one that crashes endpoints.
+const RARE_PLAN: load::LoadPlan = load::LoadPlan {
+    callers: 1,
+    pause: time::Duration::from_millis(300),
+    call: caller::CallText::plain("/safe/rare"),
+    shared_parts: None,
+};
+
 const HOT_PLANS: [load::LoadPlan; 2] = [hot_plan("/safe/hot"), hot_plan("/once/hot")];
 
 /// A system with a second key `k2` of its workspace `w`, and with a workspace `w2` with the key `o`.
@@ -91,8 +102,48 @@
     check_calm_time(load).check_deadly();
 }
 
+/// Endpoints crash in turn, and each crash ends several runs of the same request.
+fn requests_are_not_blocked_while_endpoints_crash_for_other_reasons() {
+    let mut load = call_load::CallLoad::start_sound(System::start(3), &HOT_PLANS);
+    thread::sleep(time::Duration::from_secs(1));
+    load.send_sound(RARE_PLAN);
+    for turn in 0..10 {
+        let endpoint = load.system.endpoints()[turn % 2];
+        endpoint.stop_answering();
+        thread::sleep(time::Duration::from_millis(400));
+        endpoint.revive();
+        thread::sleep(time::Duration::from_millis(200));
+    }
+    thread::sleep(RECOVERY_TIME);
+    check_calm_time(load);
+}
+
+/// Connections to both endpoints are closed without an answer for a while, again and again. One
+/// request is sent for the first time then.
+fn requests_are_not_blocked_while_all_endpoints_are_away() {
+    let mut load = call_load::CallLoad::start_sound(System::start(3), &HOT_PLANS);
+    thread::sleep(time::Duration::from_secs(1));
+    for turn in 0..3 {
+        for endpoint in load.system.endpoints() {
+            endpoint.stop_answering();
+        }
+        if turn == 0 {
+            load.send_sound(RARE_PLAN);
+        }
+        thread::sleep(time::Duration::from_secs(2));
+        for endpoint in load.system.endpoints() {
+            endpoint.revive();
+        }
+        thread::sleep(time::Duration::from_secs(1));
+    }
+    thread::sleep(RECOVERY_TIME);
+    check_calm_time(load);
+}
+
 common::cases! {
     hot_key: a_hot_key_is_served_beside_a_request_that_crashes_endpoints();
     other_body: requests_with_another_body_are_served();
     other_workspace: requests_of_another_workspace_are_served();
+    other_crashes: requests_are_not_blocked_while_endpoints_crash_for_other_reasons();
+    all_away: requests_are_not_blocked_while_all_endpoints_are_away();
 }
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -319,6 +319,12 @@
         crashes.crashed_at.clone()
     }
 
+    /// Resets all connections, and closes new ones without an answer until [`FakeEndpoint::revive`].
+    pub fn stop_answering(&self) {
+        self.state.is_dead.store(true, atomic::Ordering::SeqCst);
+        self.state.calls.reset_all();
+    }
+
     /// Makes an endpoint that stopped answering work again.
     pub fn revive(&self) {
         self.state.is_dead.store(false, atomic::Ordering::SeqCst);
