Test requests that crash endpoints whose successors have new names

A process that replaces one that has ended is another endpoint, with a name of its own at the same address. A request that crashes each of them has to be known as well, also where there is one endpoint at a time. Messages of failed checks state the slowest answers, so that a pause of the machine is visible.

--- a/tests/gateway/crashing_calls.rs
+++ b/tests/gateway/crashing_calls.rs
@@ -136,12 +136,33 @@
     check_calm_time(load);
 }
 
+/// Each endpoint that ends is replaced at its address by one with another name.
+fn a_crashing_request_is_kept_from_replaced_endpoints() {
+    let load = start_load("/safe/deadly", "/safe/1");
+    load.replace_crashed(LEARNING_TIME);
+    check_calm_time(load);
+}
+
+/// There is one endpoint at a time, which is replaced when it ends.
+fn a_crashing_request_is_kept_from_the_only_endpoint() {
+    let system = System::start(3);
+    system.store.remove("servers", &system.second.name);
+    let deadly = deadly_calls::DeadlyCall::of_path("/safe/deadly");
+    let sound = [load::LoadPlan::plain("/safe/1")];
+    let mut load = call_load::CallLoad::start(system, deadly, &sound);
+    load.send_deadly(caller::CallText::plain("/safe/deadly"));
+    load.replace_crashed(LEARNING_TIME);
+    check_calm_time(load);
+}
+
 common::cases! {
     safe: a_request_that_crashes_endpoints_is_kept_from_them("/safe/deadly", "/safe/1");
     once: a_request_that_crashes_endpoints_is_kept_from_them("/once/deadly", "/once/1");
     stream: a_request_that_crashes_endpoints_is_kept_from_them("/stream/deadly", "/stream/1");
     chunked: a_body_in_chunks_is_known();
     large: a_large_body_is_known();
+    replaced: a_crashing_request_is_kept_from_replaced_endpoints();
+    only_endpoint: a_crashing_request_is_kept_from_the_only_endpoint();
     restart_of_all: a_crashing_request_is_known_after_a_restart_of_all();
     restarts: a_crashing_request_is_known_after_restarts();
     store_away: a_crashing_request_is_learned_without_the_store();
--- a/tests/gateway/support/call_load.rs
+++ b/tests/gateway/support/call_load.rs
@@ -106,6 +106,28 @@
         crashes()[CRASHES_TO_LEARN - 1]
     }
 
+    /// Gives an endpoint in the store that crashes a new name, as a process that replaces another one
+    /// has, until `time` has passed.
+    pub fn replace_crashed(&self, time: time::Duration) {
+        let until = time::Instant::now() + time;
+        let mut replaced = [0; 2];
+        while time::Instant::now() < until {
+            let endpoints = self.system.endpoints().into_iter().zip(["z1", "z2"]);
+            for ((endpoint, zone), replaced) in endpoints.zip(&mut replaced) {
+                let crashes = endpoint.crashes().len();
+                let names = (life_name(endpoint, *replaced), life_name(endpoint, crashes));
+                let store = &self.system.store;
+                if crashes > *replaced && store.keys("servers").contains(&names.0) {
+                    endpoint.rename(&names.1);
+                    store.remove("servers", &names.0);
+                    store.put("servers", &names.1, &endpoint.entry("m", zone, "ready"));
+                    *replaced = crashes;
+                }
+            }
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
     /// Makes the store unavailable to all gateways for `time`.
     pub fn take_store_away(&mut self, time: time::Duration) {
         self.set_store_unavailable(true);
@@ -150,6 +172,14 @@
     }
 }
 
+/// Name of an endpoint after a number of crashes.
+fn life_name(endpoint: &fakes::FakeEndpoint, crashes: usize) -> String {
+    if crashes == 0 {
+        return endpoint.name.clone();
+    }
+    format!("{}-{crashes}", endpoint.name)
+}
+
 /// What callers saw, and when calm time began.
 pub struct CallResult {
     sound: Vec<load::SentRequest>,
@@ -257,9 +287,15 @@
             counts
         };
         let crashes = crash_judge::crashes(&self.system.endpoints()).len();
+        let slowest = |requests: &[load::SentRequest]| {
+            let calm = requests.iter().filter(|request| self.is_calm(request));
+            calm.map(|request| request.elapsed).max()
+        };
         write!(
             f,
-            "{crashes} crashes; statuses before and in calm time: sound {:?}, {:?}; crashing {:?}, {:?}",
+            "slowest answers in calm time: sound {:?}, crashing {:?}; {crashes} crashes; statuses before and in calm time: sound {:?}, {:?}; crashing {:?}, {:?}",
+            slowest(&self.sound),
+            slowest(&self.deadly),
             statuses(&self.sound, false),
             statuses(&self.sound, true),
             statuses(&self.deadly, false),
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -190,7 +190,8 @@
 
 #[derive(Debug)]
 struct EndpointState {
-    name: String,
+    /// Name of the current process; a new one may have another.
+    name: sync::Mutex<String>,
     mode: sync::Mutex<EndpointMode>,
     received: sync::Mutex<Vec<ReceivedRequest>>,
     is_dead: atomic::AtomicBool,
@@ -234,7 +235,7 @@
         let listener = net::TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("bound");
         let state = sync::Arc::new(EndpointState {
-            name: name.to_owned(),
+            name: sync::Mutex::new(name.to_owned()),
             mode: sync::Mutex::new(EndpointMode::Healthy),
             received: sync::Mutex::default(),
             is_dead: atomic::AtomicBool::default(),
@@ -319,6 +320,11 @@
         crashes.crashed_at.clone()
     }
 
+    /// Refuses requests to any other name from now on.
+    pub fn rename(&self, name: &str) {
+        name.clone_into(&mut self.state.name.lock().expect("not poisoned"));
+    }
+
     /// Resets all connections, and closes new ones without an answer until [`FakeEndpoint::revive`].
     pub fn stop_answering(&self) {
         self.state.is_dead.store(true, atomic::Ordering::SeqCst);
@@ -407,7 +413,8 @@
         return answer_copy_call(stream, state, request);
     }
     let expected = request.field("Kumquatpulley-Expect-Runner");
-    let mode = if expected.as_deref() == Some(state.name.as_str()) {
+    let name = state.name.lock().expect("not poisoned").clone();
+    let mode = if expected.as_deref() == Some(name.as_str()) {
         mode
     } else {
         EndpointMode::Replaced
