--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -151,6 +151,9 @@
     PausesWithLateReports(u64),
 }
 
+/// Bytes that are kept of the body of each received request.
+const MAX_KEPT_BODY_BYTES: usize = 16 * 1024;
+
 /// Number of events in each stream.
 pub const EVENT_COUNT: u64 = 12;
 
@@ -192,7 +195,8 @@
 
 #[derive(Debug)]
 struct EndpointState {
-    name: String,
+    /// Name of the current process; a new one may have another.
+    name: sync::Mutex<String>,
     mode: sync::Mutex<EndpointMode>,
     received: sync::Mutex<Vec<ReceivedRequest>>,
     is_dead: atomic::AtomicBool,
@@ -236,7 +240,7 @@
         let listener = net::TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("bound");
         let state = sync::Arc::new(EndpointState {
-            name: name.to_owned(),
+            name: sync::Mutex::new(name.to_owned()),
             mode: sync::Mutex::new(EndpointMode::Healthy),
             received: sync::Mutex::default(),
             is_dead: atomic::AtomicBool::default(),
@@ -321,6 +325,17 @@
         crashes.crashed_at.clone()
     }
 
+    /// Refuses requests to any other name from now on.
+    pub fn rename(&self, name: &str) {
+        name.clone_into(&mut self.state.name.lock().expect("not poisoned"));
+    }
+
+    /// Resets all connections, and closes new ones without an answer until [`FakeEndpoint::revive`].
+    pub fn stop_answering(&self) {
+        self.state.is_dead.store(true, atomic::Ordering::SeqCst);
+        self.state.calls.reset_all();
+    }
+
     /// Makes an endpoint that stopped answering work again.
     pub fn revive(&self) {
         self.state.is_dead.store(false, atomic::Ordering::SeqCst);
@@ -408,7 +423,8 @@
         return answer_copy_call(stream, state, request);
     }
     let expected = request.field("Kumquatpulley-Expect-Runner");
-    let mode = if expected.as_deref() == Some(state.name.as_str()) {
+    let name = state.name.lock().expect("not poisoned").clone();
+    let mode = if expected.as_deref() == Some(name.as_str()) {
         mode
     } else {
         EndpointMode::Replaced
@@ -417,11 +433,9 @@
         mode,
         EndpointMode::Full | EndpointMode::Replaced | EndpointMode::RetryAfter
     );
-    state
-        .received
-        .lock()
-        .expect("not poisoned")
-        .push(request.clone());
+    let mut kept = request.clone();
+    kept.body.truncate(MAX_KEPT_BODY_BYTES);
+    state.received.lock().expect("not poisoned").push(kept);
     let id = request
         .field("Kumquatpulley-Request-Id")
         .unwrap_or_default();
