Reproduce streams that end as their engine is silent in the last attempt

A stream that may be repeated, on a route that allows one attempt, gets 502 0.7 s after it was sent when its sound engine is silent for 1.5 s before the head or before the first event. No other engine may run it then, just as with streams that may run once only.

--- a/tests/gateway/silent_calls.rs
+++ b/tests/gateway/silent_calls.rs
@@ -19,6 +19,16 @@
 
 /// Starts an endpoint that falls silent, alone in the service of all routes or beside a sound one.
 fn start(part: AnswerPart, other: OtherEndpoint, can_resume: bool) -> (System, SilentEndpoint) {
+    start_with_attempts(part, other, can_resume, 5)
+}
+
+/// The same with this limit on the attempts of streams.
+fn start_with_attempts(
+    part: AnswerPart,
+    other: OtherEndpoint,
+    can_resume: bool,
+    attempts: u32,
+) -> (System, SilentEndpoint) {
     let system = System::start(1);
     let [a, b, c] = system.net;
     let silent = SilentEndpoint::start(net::IpAddr::from([a, b, c, 242]), part);
@@ -26,7 +36,8 @@
     let config = System::config(2, r#""k""#)
         .replace(r#""service":"m""#, r#""service":"q""#)
         .replace(r#"{"name":"m""#, r#"{"name":"q""#)
-        .replace(r#""can_resume":true"#, &field);
+        .replace(r#""can_resume":true"#, &field)
+        .replace(r#""attempts":5"#, &format!(r#""attempts":{attempts}"#));
     system.store.remove("servers", "e1");
     system.store.remove("servers", "e2");
     let entry = silent.entry(SILENT_SERVICE, "z1");
@@ -82,6 +93,24 @@
     }
 }
 
+/// Guards against streams that end because their endpoint was silent for a while in the last attempt
+/// that their route allows.
+fn the_only_attempt_of_a_stream_is_awaited(part: AnswerPart) {
+    let (system, silent) = start_with_attempts(part, OtherEndpoint::Sound, true, 1);
+    for number in 0..20 {
+        let answer = System::send(system.ip(), "/stream/1", &format!("r{number}"));
+        let answer = answer.unwrap_or_else(|| panic!("no answer; {}", system.logs()));
+        assert_eq!(answer.head.status, 200, "{}", system.logs());
+        assert!(answer.is_complete, "{}", system.logs());
+        assert_eq!(answer.text(), caller::complete_stream());
+        if silent.is_silent() {
+            break;
+        }
+    }
+    assert!(silent.is_silent(), "no stream for {SILENCE:?}");
+    assert_eq!(silent.received().len(), 1, "{}", system.logs());
+}
+
 /// Guards against streams that wait until their deadline although reports show that they are lost.
 fn a_lost_stream_ends_before_its_deadline() {
     let (system, silent) = start(AnswerPart::Whole, OtherEndpoint::Absent, false);
@@ -101,6 +130,8 @@
     unsafe_call_in_its_head: a_call_is_answered_after("/once/1", AnswerPart::RestOfHead);
     unsafe_call_before_its_body: a_call_is_answered_after("/once/1", AnswerPart::Body);
     unsafe_call_in_its_body: a_call_is_answered_after("/once/1", AnswerPart::RestOfBody);
+    only_attempt_before_its_head: the_only_attempt_of_a_stream_is_awaited(AnswerPart::Head);
+    only_attempt_before_its_events: the_only_attempt_of_a_stream_is_awaited(AnswerPart::Body);
     stream_before_its_head:
         a_stream_is_complete_after(AnswerPart::Head, OtherEndpoint::Absent, true);
     stream_before_its_events:
