Reproduce streams that leave a silent engine without a retry in the budget

Callers see 502 0.7 s after they sent a stream that may be repeated, while its sound engine is silent for 1.5 s before the first event, if many streams wait there.

Cause: an unanswered probe ends the attempt before the retry is taken from the repeat budget. When the budget is used up, the stream ends although its engine would still have answered it; one that has begun waits for the budget instead.

--- a/tests/gateway/silent_calls.rs
+++ b/tests/gateway/silent_calls.rs
@@ -1,6 +1,7 @@
 //! Sound endpoints that are silent for a second or so, on all connections, in the midst of an answer.
 
 use std::net;
+use std::thread;
 
 use crate::common;
 use crate::support::silent_endpoint::{AnswerPart, SILENCE, SilentEndpoint};
@@ -10,6 +11,9 @@
 /// Service of the endpoint that falls silent.
 const SILENT_SERVICE: &str = "q";
 
+/// Streams at an endpoint that falls silent; more than may be sent again.
+const SILENT_STREAMS: u32 = 40;
+
 /// What else may serve a request while an endpoint is silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OtherEndpoint {
@@ -111,6 +115,23 @@
     assert_eq!(silent.received().len(), 1, "{}", system.logs());
 }
 
+/// Guards against streams that end because their endpoint was silent for a while when the repeat
+/// budget does not allow to send all of them again.
+fn streams_beyond_the_repeat_budget_are_complete() {
+    let (system, silent) = start(AnswerPart::Head, OtherEndpoint::Absent, true);
+    let ip = system.ip();
+    let calling: Vec<thread::JoinHandle<Option<caller::Answer>>> = (0..SILENT_STREAMS)
+        .map(|number| thread::spawn(move || System::send(ip, "/stream/1", &format!("r{number}"))))
+        .collect();
+    for calling in calling {
+        let answer = calling.join().expect("no panic").expect("an answer");
+        assert_eq!(answer.head.status, 200, "{}", system.logs());
+        assert!(answer.is_complete, "{}", system.logs());
+        assert_eq!(answer.text(), caller::complete_stream());
+    }
+    assert!(silent.is_silent());
+}
+
 /// Guards against streams that wait until their deadline although reports show that they are lost.
 fn a_lost_stream_ends_before_its_deadline() {
     let (system, silent) = start(AnswerPart::Whole, OtherEndpoint::Absent, false);
@@ -132,6 +153,7 @@
     unsafe_call_in_its_body: a_call_is_answered_after("/once/1", AnswerPart::RestOfBody);
     only_attempt_before_its_head: the_only_attempt_of_a_stream_is_awaited(AnswerPart::Head);
     only_attempt_before_its_events: the_only_attempt_of_a_stream_is_awaited(AnswerPart::Body);
+    streams_beyond_the_repeat_budget: streams_beyond_the_repeat_budget_are_complete();
     stream_before_its_head:
         a_stream_is_complete_after(AnswerPart::Head, OtherEndpoint::Absent, true);
     stream_before_its_events:
