--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -178,8 +178,7 @@
         let is_counted = |crash: &&CrashRecord| {
             crash.features.contains(&feature) && Some(crash.crashed_at) > success
         };
-        let mut crashes: Vec<&CrashRecord> = self.crashes.iter().filter(is_counted).collect();
-        crashes.sort_unstable_by_key(|crash| crash.crashed_at);
+        let crashes = in_order(self.crashes.iter().filter(is_counted));
         if count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
             return None;
         }
@@ -242,8 +241,8 @@
         crashes: &[&CrashRecord],
         success: Option<boot_clock::BootInstant>,
     ) -> bool {
-        let first = crashes.iter().flat_map(|crash| &crash.features);
-        let mut wholes = first.filter(|feature| feature.is_whole());
+        let features = crashes.iter().flat_map(|crash| &crash.features);
+        let mut wholes = features.filter(|feature| feature.is_whole());
         wholes.any(|whole| {
             self.successes.last(*whole) < success
                 && crashes.iter().all(|crash| crash.features.contains(whole))
@@ -268,30 +267,27 @@
             })
             .collect();
         rivals.into_iter().any(|rival| {
-            let has_rival = |crash: &&CrashRecord| {
-                self.lost_in(crash)
-                    .any(|lost| lost.features.contains(rival))
-            };
-            let own = self.crashes.iter();
-            let mut own: Vec<&CrashRecord> =
-                own.filter(|crash| crash.features.contains(rival)).collect();
-            own.sort_unstable_by_key(|crash| crash.crashed_at);
-            crashes.iter().all(has_rival) && distinct_crashes(&own).len() >= crashes.len()
+            let mut lost = crashes.iter().map(|crash| self.lost_in(crash));
+            lost.all(|mut lost| lost.any(|lost| lost.features.contains(rival)))
+                && self.crash_count(*rival) >= crashes.len()
         })
     }
 
+    /// Number of all known crashes in which requests with `feature` were lost.
+    fn crash_count(&self, feature: request_feature::RequestFeature) -> usize {
+        let crashes = self.crashes.iter();
+        let lost = crashes.filter(|crash| crash.features.contains(&feature));
+        distinct_crashes(&in_order(lost)).len()
+    }
+
     /// Part that `crashes`, distinct and in order of time, are of all since the first of them.
     fn share_since(&self, crashes: &[&CrashRecord]) -> f64 {
         let Some(first) = crashes.first() else {
             return 0.0;
         };
-        let mut all: Vec<&CrashRecord> = self
-            .crashes
-            .iter()
-            .filter(|crash| first.crashed_at <= crash.crashed_at)
-            .collect();
-        all.sort_unstable_by_key(|crash| crash.crashed_at);
-        let total = distinct_crashes(&all).len().max(1);
+        let crashes_since = self.crashes.iter();
+        let crashes_since = crashes_since.filter(|crash| first.crashed_at <= crash.crashed_at);
+        let total = distinct_crashes(&in_order(crashes_since)).len().max(1);
         #[expect(
             clippy::cast_precision_loss,
             reason = "there are at most 1,024 crashes"
@@ -359,6 +355,13 @@
     one.endpoint == other.endpoint && later.since(earlier) < RESTART_TIME
 }
 
+/// Records in order of the time of their crash.
+fn in_order<'a>(crashes: impl Iterator<Item = &'a CrashRecord>) -> Vec<&'a CrashRecord> {
+    let mut crashes: Vec<&CrashRecord> = crashes.collect();
+    crashes.sort_unstable_by_key(|crash| crash.crashed_at);
+    crashes
+}
+
 /// The first record of each crash, given the requests that were lost in them.
 fn distinct_crashes<'a>(lost: &[&'a CrashRecord]) -> Vec<&'a CrashRecord> {
     let mut crashes: Vec<&CrashRecord> = Vec::new();
