--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod silent_calls;
 mod silent_engines;
 mod soak;
+mod sound_calls;
 mod stop_replays;
 mod stop_rules;
 mod stray_refusals;
