Do not block a new request for the crashes of a broken endpoint

Callers of a sound request that was never answered got 502 with request-blocked, although a sound endpoint was there, when one endpoint had crashed twice and another one once for reasons of their own.

Cause: for a request that was never answered, three crashes of two endpoints were enough, also if one endpoint had most of them.

A whole request is now suspected only if two crashes are left without those of the endpoint that crashed most often: three endpoints that crash once each, or two that crash twice each.

--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -5,7 +5,9 @@
 use std::time;
 
 use crate::connection::{crash_wire, peer_wire};
-use crate::process::gateway::{block_list, boot_clock, crash_ledger, feature_success};
+use crate::process::gateway::{
+    block_list, boot_clock, crash_ledger, crash_record, feature_success,
+};
 use crate::process::members::member_ring;
 use crate::request::relay::request_feature;
 
@@ -61,7 +63,7 @@
 
 /// Encodes a crash for a message that is sent at `now`.
 pub(super) fn sent_crash(
-    crash: &crash_ledger::CrashRecord,
+    crash: &crash_record::CrashRecord,
     now: boot_clock::BootInstant,
 ) -> crash_wire::RequestCrashWire {
     crash_wire::RequestCrashWire {
@@ -110,9 +112,9 @@
 pub(super) fn received_crash(
     wire: &crash_wire::RequestCrashWire,
     now: boot_clock::BootInstant,
-) -> crash_ledger::CrashRecord {
+) -> crash_record::CrashRecord {
     let crashed_at = now.before(time::Duration::from_micros(wire.age_micros));
-    crash_ledger::CrashRecord {
+    crash_record::CrashRecord {
         request: wire.request,
         endpoint: wire.endpoint,
         features: wire
--- a/src/process/gateway/crash_ledger.rs
+++ b/src/process/gateway/crash_ledger.rs
@@ -8,7 +8,7 @@
 use std::collections;
 use std::time;
 
-use crate::process::gateway::{boot_clock, feature_success};
+use crate::process::gateway::{boot_clock, crash_record, feature_success};
 use crate::request::relay::request_feature;
 
 /// Time for which a crash counts.
@@ -17,10 +17,6 @@
 /// Maximum number of crashes that are kept; the oldest is dropped first.
 const MAX_CRASHES: usize = 1_024;
 
-/// Time in which an endpoint does not crash twice, as its restart takes longer. Reports of one crash
-/// may differ by the time that they take between routers.
-const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
-
 /// Endpoints that must have crashed before a feature is suspected, as a single one may be broken.
 const MIN_ENDPOINTS: usize = 2;
 
@@ -30,6 +26,10 @@
 const MIN_CRASHES: usize = 3;
 const MIN_REQUESTS: usize = 2;
 
+/// Crashes apart from those of the endpoint that crashed most often, before a whole request is
+/// suspected. That endpoint may crash whatever it runs.
+const MIN_OTHER_CRASHES: usize = 2;
+
 /// Consecutive attempts, each sent after the crash before it, after which a part of a prompt is
 /// suspected in any case. Many engines that crash at once for another reason count as one.
 const MIN_CONSECUTIVE: usize = 3;
@@ -56,26 +56,11 @@
 /// Maximum number of crashes in one reply to a peer.
 const MAX_TOLD_CRASHES: usize = 256;
 
-/// An endpoint that crashed while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashRecord {
-    /// Hash of the request identifier.
-    pub request: u64,
-    /// Hash of the endpoint's name.
-    pub endpoint: u64,
-    /// Features of the request that may have caused the crash.
-    pub features: Vec<request_feature::RequestFeature>,
-    /// When the request was sent to the endpoint.
-    pub sent_at: boot_clock::BootInstant,
-    /// When the endpoint crashed.
-    pub crashed_at: boot_clock::BootInstant,
-}
-
 /// What a router knows about some features of requests.
 #[derive(Clone, Debug)]
 pub struct CrashEvidence {
     /// Crashes of requests that have one of the features, and those that bear on these.
-    pub crashes: Vec<CrashRecord>,
+    pub crashes: Vec<crash_record::CrashRecord>,
     /// Last successes of the features of these requests.
     pub successes: Vec<feature_success::FeatureSuccess>,
 }
@@ -89,19 +74,21 @@
 /// Crashes that routers reported, and requests that endpoints answered.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
-    crashes: collections::VecDeque<CrashRecord>,
+    crashes: collections::VecDeque<crash_record::CrashRecord>,
     successes: feature_success::SuccessTable,
 }
 
 impl CrashLedger {
     /// Records a crash unless it is known already.
-    pub fn record_crash(&mut self, crash: CrashRecord, now: boot_clock::BootInstant) {
-        let is_old = |known: &CrashRecord| now.since(known.crashed_at) > CRASH_RETENTION;
+    pub fn record_crash(&mut self, crash: crash_record::CrashRecord, now: boot_clock::BootInstant) {
+        let is_old =
+            |known: &crash_record::CrashRecord| now.since(known.crashed_at) > CRASH_RETENTION;
         while self.crashes.front().is_some_and(is_old) || self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
-        let is_same =
-            |known: &CrashRecord| known.request == crash.request && is_same_crash(known, &crash);
+        let is_same = |known: &crash_record::CrashRecord| {
+            known.request == crash.request && crash_record::is_same_crash(known, &crash)
+        };
         if !self.crashes.iter().any(is_same) {
             self.crashes.push_back(crash);
         }
@@ -114,8 +101,11 @@
 
     /// Crashes of requests that have one of `features`.
     #[must_use]
-    pub fn crashes_of(&self, features: &[request_feature::RequestFeature]) -> Vec<CrashRecord> {
-        let has_one = |crash: &&CrashRecord| has_any(crash, features);
+    pub fn crashes_of(
+        &self,
+        features: &[request_feature::RequestFeature],
+    ) -> Vec<crash_record::CrashRecord> {
+        let has_one = |crash: &&crash_record::CrashRecord| has_any(crash, features);
         self.crashes.iter().filter(has_one).cloned().collect()
     }
 
@@ -128,18 +118,18 @@
         features: &[request_feature::RequestFeature],
         now: boot_clock::BootInstant,
     ) -> CrashEvidence {
-        let own: Vec<&CrashRecord> = self
+        let own: Vec<&crash_record::CrashRecord> = self
             .crashes
             .iter()
             .filter(|crash| has_any(crash, features))
             .collect();
-        let beside = self
-            .crashes
-            .iter()
-            .filter(|lost| own.iter().any(|crash| is_same_crash(crash, lost)));
+        let beside = self.crashes.iter().filter(|lost| {
+            own.iter()
+                .any(|crash| crash_record::is_same_crash(crash, lost))
+        });
         let lost = beside.flat_map(|crash| crash.features.iter());
         let related: collections::HashSet<_> = features.iter().chain(lost).copied().collect();
-        let bears = |crash: &&CrashRecord| {
+        let bears = |crash: &&crash_record::CrashRecord| {
             now.since(crash.crashed_at) <= RECENT_TIME
                 || crash
                     .features
@@ -147,7 +137,8 @@
                     .any(|feature| related.contains(feature))
         };
         let newest = self.crashes.iter().rev().filter(bears);
-        let crashes: Vec<CrashRecord> = newest.take(MAX_TOLD_CRASHES).cloned().collect();
+        let crashes: Vec<crash_record::CrashRecord> =
+            newest.take(MAX_TOLD_CRASHES).cloned().collect();
         let told = crashes.iter().flat_map(|crash| crash.features.iter());
         let told: collections::BTreeSet<_> = features.iter().chain(told).copied().collect();
         let successes = told.into_iter().filter_map(|feature| {
@@ -175,11 +166,11 @@
     /// Returns `feature` and those that it cannot be told apart from, if it is suspected.
     fn suspect(&self, feature: request_feature::RequestFeature) -> Option<SuspectFeatures> {
         let success = self.successes.last(feature);
-        let is_counted = |crash: &&CrashRecord| {
+        let is_counted = |crash: &&crash_record::CrashRecord| {
             crash.features.contains(&feature) && Some(crash.crashed_at) > success
         };
-        let crashes = in_order(self.crashes.iter().filter(is_counted));
-        if count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
+        let crashes = crash_record::in_order(self.crashes.iter().filter(is_counted));
+        if crash_record::count(&crashes, |crash| crash.endpoint) < MIN_ENDPOINTS {
             return None;
         }
         let is_suspect = if feature.is_whole() {
@@ -203,12 +194,12 @@
     /// Whether a part of prompts that last worked at `success` is suspected after `crashes`.
     fn is_part_suspect(
         &self,
-        crashes: &[&CrashRecord],
+        crashes: &[&crash_record::CrashRecord],
         success: Option<boot_clock::BootInstant>,
     ) -> bool {
-        let distinct = distinct_crashes(crashes);
-        let has_enough =
-            consecutive(&distinct) >= MIN_CONSECUTIVE || is_enough_for_new(crashes, success);
+        let distinct = crash_record::distinct_crashes(crashes);
+        let has_enough = crash_record::consecutive(&distinct) >= MIN_CONSECUTIVE
+            || is_enough_for_new(crashes, success);
         has_enough
             && !self.is_repeated_request(crashes, success)
             && !self.is_explained(&distinct, success)
@@ -218,18 +209,20 @@
     fn is_whole_suspect(
         &self,
         whole: request_feature::RequestFeature,
-        crashes: &[&CrashRecord],
+        crashes: &[&crash_record::CrashRecord],
     ) -> bool {
         let success = self.successes.last(whole);
-        let distinct = distinct_crashes(crashes);
-        if count(crashes, |crash| crash.request) < MIN_REQUESTS {
+        let distinct = crash_record::distinct_crashes(crashes);
+        if crash_record::count(crashes, |crash| crash.request) < MIN_REQUESTS
+            || crash_record::other_crashes(&distinct) < MIN_OTHER_CRASHES
+        {
             return false;
         }
         if success.is_none() {
             return distinct.len() >= MIN_CRASHES
                 && (distinct.len() >= MAX_TIED_CRASHES || !self.is_overshadowed(whole, &distinct));
         }
-        consecutive(&distinct) >= MIN_CONSECUTIVE_WORKED
+        crash_record::consecutive(&distinct) >= MIN_CONSECUTIVE_WORKED
             && self.share_since(&distinct) >= MIN_SHARE_WORKED
             && !self.is_overshadowed(whole, &distinct)
     }
@@ -238,7 +231,7 @@
     /// last worked at `success`.
     fn is_repeated_request(
         &self,
-        crashes: &[&CrashRecord],
+        crashes: &[&crash_record::CrashRecord],
         success: Option<boot_clock::BootInstant>,
     ) -> bool {
         let features = crashes.iter().flat_map(|crash| &crash.features);
@@ -254,7 +247,7 @@
     fn is_overshadowed(
         &self,
         whole: request_feature::RequestFeature,
-        crashes: &[&CrashRecord],
+        crashes: &[&crash_record::CrashRecord],
     ) -> bool {
         let success = self.successes.last(whole);
         let Some(first) = crashes.first() else {
@@ -277,17 +270,19 @@
     fn crash_count(&self, feature: request_feature::RequestFeature) -> usize {
         let crashes = self.crashes.iter();
         let lost = crashes.filter(|crash| crash.features.contains(&feature));
-        distinct_crashes(&in_order(lost)).len()
+        crash_record::distinct_crashes(&crash_record::in_order(lost)).len()
     }
 
     /// Part that `crashes`, distinct and in order of time, are of all since the first of them.
-    fn share_since(&self, crashes: &[&CrashRecord]) -> f64 {
+    fn share_since(&self, crashes: &[&crash_record::CrashRecord]) -> f64 {
         let Some(first) = crashes.first() else {
             return 0.0;
         };
         let crashes_since = self.crashes.iter();
         let crashes_since = crashes_since.filter(|crash| first.crashed_at <= crash.crashed_at);
-        let total = distinct_crashes(&in_order(crashes_since)).len().max(1);
+        let total = crash_record::distinct_crashes(&crash_record::in_order(crashes_since))
+            .len()
+            .max(1);
         #[expect(
             clippy::cast_precision_loss,
             reason = "there are at most 1,024 crashes"
@@ -297,16 +292,19 @@
     }
 
     /// Records of all requests that were lost in `crash`.
-    fn lost_in<'a>(&'a self, crash: &'a CrashRecord) -> impl Iterator<Item = &'a CrashRecord> {
+    fn lost_in<'a>(
+        &'a self,
+        crash: &'a crash_record::CrashRecord,
+    ) -> impl Iterator<Item = &'a crash_record::CrashRecord> {
         let records = self.crashes.iter();
-        records.filter(move |lost| is_same_crash(lost, crash))
+        records.filter(move |lost| crash_record::is_same_crash(lost, crash))
     }
 
     /// Whether `crashes` are too few to suspect a part that last worked at `success`, as likelier parts
     /// explain them.
     fn is_explained(
         &self,
-        crashes: &[&CrashRecord],
+        crashes: &[&crash_record::CrashRecord],
         success: Option<boot_clock::BootInstant>,
     ) -> bool {
         let mut known = collections::HashSet::new();
@@ -322,7 +320,7 @@
     /// Parts that worked less recently than `success`, of all prompts that were lost in `crash`.
     fn likelier_parts(
         &self,
-        crash: &CrashRecord,
+        crash: &crash_record::CrashRecord,
         success: Option<boot_clock::BootInstant>,
     ) -> collections::HashSet<request_feature::RequestFeature> {
         let parts = self
@@ -335,59 +333,20 @@
     }
 }
 
-fn has_any(crash: &CrashRecord, features: &[request_feature::RequestFeature]) -> bool {
+fn has_any(
+    crash: &crash_record::CrashRecord,
+    features: &[request_feature::RequestFeature],
+) -> bool {
     let mut own = crash.features.iter();
     own.any(|feature| features.contains(feature))
 }
 
 /// Whether `crashes` are enough to suspect a feature that was never answered.
-fn is_enough_for_new(crashes: &[&CrashRecord], success: Option<boot_clock::BootInstant>) -> bool {
+fn is_enough_for_new(
+    crashes: &[&crash_record::CrashRecord],
+    success: Option<boot_clock::BootInstant>,
+) -> bool {
     success.is_none()
-        && distinct_crashes(crashes).len() >= MIN_CRASHES
-        && count(crashes, |crash| crash.request) >= MIN_REQUESTS
-}
-
-fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
-    let (earlier, later) = (
-        one.crashed_at.min(other.crashed_at),
-        one.crashed_at.max(other.crashed_at),
-    );
-    one.endpoint == other.endpoint && later.since(earlier) < RESTART_TIME
-}
-
-/// Records in order of the time of their crash.
-fn in_order<'a>(crashes: impl Iterator<Item = &'a CrashRecord>) -> Vec<&'a CrashRecord> {
-    let mut crashes: Vec<&CrashRecord> = crashes.collect();
-    crashes.sort_unstable_by_key(|crash| crash.crashed_at);
-    crashes
-}
-
-/// The first record of each crash, given the requests that were lost in them.
-fn distinct_crashes<'a>(lost: &[&'a CrashRecord]) -> Vec<&'a CrashRecord> {
-    let mut crashes: Vec<&CrashRecord> = Vec::new();
-    for crash in lost {
-        if !crashes.iter().any(|known| is_same_crash(known, crash)) {
-            crashes.push(crash);
-        }
-    }
-    crashes
-}
-
-fn count(crashes: &[&CrashRecord], field: impl Fn(&CrashRecord) -> u64) -> usize {
-    let values: collections::HashSet<u64> = crashes.iter().map(|crash| field(crash)).collect();
-    values.len()
-}
-
-/// Length of the chain of crashes, in order of time, in which each request was sent after the crash
-/// before it.
-fn consecutive(crashes: &[&CrashRecord]) -> usize {
-    let mut last: Option<boot_clock::BootInstant> = None;
-    let mut count = 0;
-    for crash in crashes {
-        if last.is_none_or(|last| last <= crash.sent_at) {
-            last = Some(crash.crashed_at);
-            count += 1;
-        }
-    }
-    count
+        && crash_record::distinct_crashes(crashes).len() >= MIN_CRASHES
+        && crash_record::count(crashes, |crash| crash.request) >= MIN_REQUESTS
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod counter_names;
 mod crash_exchange;
 pub mod crash_ledger;
+pub mod crash_record;
 pub mod endpoint_fleet;
 pub mod endpoint_limit;
 pub mod endpoint_notice;
--- a/src/process/gateway/request_guard.rs
+++ b/src/process/gateway/request_guard.rs
@@ -18,7 +18,7 @@
 
 use crate::connection::{crash_wire, peer, peer_wire};
 use crate::process::gateway::{
-    block_list, boot_clock, crash_exchange, crash_ledger, feature_success, rows,
+    block_list, boot_clock, crash_exchange, crash_ledger, crash_record, feature_success, rows,
 };
 use crate::process::members::gossip;
 use crate::process::telemetry::timeline;
@@ -158,7 +158,7 @@
     ///
     /// Asks the collectors of the request's features, and all others if a feature is suspected then and
     /// the request is not blocked yet.
-    async fn gather_evidence(&self, crash: &crash_ledger::CrashRecord) -> usize {
+    async fn gather_evidence(&self, crash: &crash_record::CrashRecord) -> usize {
         let (collectors, others) = crash_exchange::split_collectors(self.peers(), &crash.features);
         let count = self.ask_peers(crash, &collectors).await;
         let is_blocked = self
@@ -172,7 +172,7 @@
     }
 
     /// Tells `peers` of a crash and adds what they know to the ledger; returns how many replied.
-    async fn ask_peers(&self, crash: &crash_ledger::CrashRecord, peers: &[String]) -> usize {
+    async fn ask_peers(&self, crash: &crash_record::CrashRecord, peers: &[String]) -> usize {
         let asked_at = boot_clock::BootInstant::now();
         let wire = crash_exchange::sent_crash(crash, asked_at);
         let asks = peers.iter().map(|address| {
@@ -305,7 +305,7 @@
         async move {
             let guard = self;
             let crashed_at = boot_clock::BootInstant::now();
-            let record = crash_ledger::CrashRecord {
+            let record = crash_record::CrashRecord {
                 request: xxh3::xxh3_64(crash.request.as_bytes()),
                 endpoint: xxh3::xxh3_64(crash.endpoint.as_bytes()),
                 features: crash.features.to_vec(),
