Report losses before the head with all features of the request

Cause: a loss without a head was reported with the fingerprint of the whole request only, on the grounds that an engine reads a prompt before it sends the head. An engine that sends the head with the first event crashes before it, and no two of these requests are alike, so nothing ever crashed twice. Ruled out: the ledger; with the head out before the crash the same part is found. Buffered requests reported all features already.

Change: streams report all features, whether the head came or not.

--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -231,7 +231,7 @@
         "call lost"
     );
     if probed.is_some_and(|probed| crash_report::is_crash(probed, running)) {
-        crash_report::report(context, request, lease, &request.features, times).await;
+        crash_report::report(context, request, lease, times).await;
     }
 }
 
--- a/src/request/relay/crash_report.rs
+++ b/src/request/relay/crash_report.rs
@@ -3,7 +3,7 @@
 use std::sync;
 use std::time;
 
-use crate::request::relay::{attempt, context, request_feature, request_guard};
+use crate::request::relay::{attempt, context, request_guard};
 
 /// Time for which an endpoint that still accepts connections must have had a request before its loss
 /// counts as a crash. Where an endpoint has ended, something may go on to close new connections.
@@ -39,18 +39,17 @@
     }
 }
 
-/// Reports the crash of an endpoint as one that `features` of the request may have caused.
+/// Reports the crash of an endpoint as one that any feature of the request may have caused.
 pub(super) async fn report(
     context: &context::RelayContext,
     request: &context::RelayRequest,
     lease: &context::EndpointLease,
-    features: &[request_feature::RequestFeature],
     times: LossTimes,
 ) {
     let crash = request_guard::RequestCrash {
         request: &request.metadata.id,
         endpoint: &lease.endpoint.name,
-        features,
+        features: &request.features,
         running: times.running(),
         lost_for: times.lost_at.elapsed(),
     };
--- a/src/request/relay/stream_loss.rs
+++ b/src/request/relay/stream_loss.rs
@@ -2,9 +2,7 @@
 
 use std::time;
 
-use crate::request::relay::{
-    attempt, context, crash_report, request_feature, request_guard, stream,
-};
+use crate::request::relay::{attempt, context, crash_report, request_guard, stream};
 use crate::request::verdict;
 
 /// Result of reading a stream.
@@ -74,21 +72,10 @@
             crash_report::is_crash(probed, times.running())
         };
         if has_crashed {
-            let (context, request) = (self.context, self.request);
-            crash_report::report(context, request, lease, self.suspects(), times).await;
+            crash_report::report(self.context, self.request, lease, times).await;
         }
     }
 
-    /// Features that a crash of the engine may show. It reads a prompt before it sends the head, so a
-    /// loss without a head says nothing about the parts, which many prompts share.
-    fn suspects(&self) -> &[request_feature::RequestFeature] {
-        let features = self.request.features.as_slice();
-        if self.progress.has_head {
-            return features;
-        }
-        features.get(..1).unwrap_or_default()
-    }
-
     /// Records that the request has not crashed its engine: once the stream has got beyond its first
     /// events, and at its end.
     pub(super) fn record_success(&self) {
--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -94,6 +94,18 @@
     load.finish(calm);
 }
 
+/// A loss before the head says as much about the parts of a prompt as a later one.
+fn a_part_that_crashes_engines_before_the_head_is_kept_from_them() {
+    let load = CrashLoad::start();
+    for endpoint in [&load.system.first, &load.system.second] {
+        endpoint.set_crash_before_head();
+    }
+    thread::sleep(LEARNING_TIME);
+    let calm = time::Instant::now();
+    thread::sleep(FAULT_TIME);
+    load.finish(calm);
+}
+
 /// The gateways that learned the part are replaced one after the other, then all at once.
 fn a_crashing_part_is_known_after_restarts() {
     let mut load = CrashLoad::start();
@@ -184,6 +196,7 @@
 common::cases! {
     deadline: a_crash_just_before_the_deadline_is_not_reported_as_not_run();
     truncated_answers: prompts_are_not_blocked_while_endpoints_cut_off_answers();
+    before_head: a_part_that_crashes_engines_before_the_head_is_kept_from_them();
     steady: a_part_that_crashes_engines_is_kept_from_them();
     restarts: a_crashing_part_is_known_after_restarts();
     store_away: a_crashing_part_is_learned_without_the_store();
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -216,6 +216,8 @@
 struct CrashState {
     /// Part that crashes the endpoint when it begins to answer a prompt with it.
     deadly_part: Option<String>,
+    /// Whether it crashes before it has sent the response head.
+    is_before_head: bool,
     crashed_at: Vec<time::Instant>,
 }
 
@@ -314,6 +316,12 @@
         crashes.deadly_part = part.map(str::to_owned);
     }
 
+    /// Makes a crash that a part causes come before the response head.
+    pub fn set_crash_before_head(&self) {
+        let mut crashes = self.state.crashes.lock().expect("not poisoned");
+        crashes.is_before_head = true;
+    }
+
     /// Requests under which the endpoint crashes without an answer, and how long others run.
     pub fn calls(&self) -> &deadly_calls::CallState {
         &self.state.calls
@@ -367,6 +375,10 @@
         })
     }
 
+    fn crashes_before_head(&self) -> bool {
+        self.crashes.lock().expect("not poisoned").is_before_head
+    }
+
     fn crash_count(&self) -> usize {
         self.crashes.lock().expect("not poisoned").crashed_at.len()
     }
@@ -615,6 +627,23 @@
     format!("hello {id}")
 }
 
+/// Crashes as an endpoint does that begins to answer a prompt, before it has sent `head` or after.
+fn crash_on_prompt(
+    stream: &mut net::TcpStream,
+    state: &EndpointState,
+    head: &str,
+) -> stop_judge::RunEnd {
+    thread::sleep(PREFILL_TIME);
+    if !state.crashes_before_head() {
+        if stream.write_all(head.as_bytes()).is_err() {
+            return stop_judge::RunEnd::GatewayGone;
+        }
+        thread::sleep(CRASH_DELAY);
+    }
+    state.crash(|| reset(stream));
+    stop_judge::RunEnd::BrokenOff
+}
+
 fn answer_stream(
     stream: &mut net::TcpStream,
     state: &EndpointState,
@@ -642,16 +671,11 @@
     let is_deadly = state.is_deadly(request);
     let crashes_before = state.crash_count();
     if is_deadly {
-        thread::sleep(PREFILL_TIME);
+        return crash_on_prompt(stream, state, &head);
     }
     if stream.write_all(head.as_bytes()).is_err() {
         return stop_judge::RunEnd::GatewayGone;
     }
-    if is_deadly {
-        thread::sleep(CRASH_DELAY);
-        state.crash(|| reset(stream));
-        return stop_judge::RunEnd::BrokenOff;
-    }
     let timing = timed_work::WorkTiming::parse(request);
     let last = timing.map_or(EVENT_COUNT, |timing| timing.last_event());
     for event in first..=last {
