Bound heads that never end, and let timeouts act while bytes come

Cause: async_h1 checks the limit of a head at the end of each line, and its decoder goes on within one poll for as long as bytes are there, so a timeout around it is not polled. The platform's path has a reader of its own with limits on each line (endless_responses); it does not use this one.

Change: the wrapper that all these connections have checks the size of the head as its bytes arrive, and yields after 32 reads that did not wait. It serves http (calls to platform, engines, routers and stores of the own interface), service, and accept for callers' heads.

--- a/src/connection/http.rs
+++ b/src/connection/http.rs
@@ -10,6 +10,7 @@
 use futures::FutureExt as _;
 use http_types::headers;
 
+use crate::connection::head_limit;
 use crate::connection::observed;
 
 /// Result of an HTTP exchange.
@@ -114,7 +115,8 @@
 ) -> Result<http_types::Response> {
     let stream = connect(address, limits.connect).await?;
     let counter = observed::SentCounter::default();
-    let stream = observed::ObservedStream::new(stream, counter.clone());
+    let stream = observed::ObservedStream::new(stream, counter.clone())
+        .limit_head(head_limit::HeadKind::Response);
     request.insert_header(headers::CONNECTION, "close");
     let fail = |stage, message| ExchangeError {
         stage,
--- a/src/connection/idle.rs
+++ b/src/connection/idle.rs
@@ -6,6 +6,7 @@
 use async_std::net;
 use async_std::task as std_task;
 
+use crate::connection::head_limit;
 use crate::connection::observed;
 
 /// Tracks running requests and the last activity of one connection.
@@ -86,7 +87,8 @@
         state: sync::Arc::new(parking_lot::Mutex::new(state)),
     };
     (
-        observed::ObservedStream::new(stream, activity.clone()),
+        observed::ObservedStream::new(stream, activity.clone())
+            .limit_head(head_limit::HeadKind::Request),
         activity,
     )
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod engine_wire;
 pub mod h1;
+pub mod head_limit;
 pub mod http;
 pub mod idle;
 pub mod in_flight;
--- a/src/connection/observed.rs
+++ b/src/connection/observed.rs
@@ -1,4 +1,5 @@
-//! TCP stream with an observer that can reject writes and counts the bytes in each direction.
+//! TCP stream with an observer that can reject writes and counts the bytes in each direction. Its reads
+//! stay within the limit of a message head, and leave time to others.
 
 use std::fmt;
 use std::io as std_io;
@@ -10,6 +11,12 @@
 use async_std::io;
 use async_std::net;
 
+use crate::connection::head_limit;
+
+/// Consecutive reads after which other tasks and timers run first. A decoder goes on within one poll for
+/// as long as bytes are there.
+const MAX_READY_READS: u32 = 32;
+
 /// Observes reads and writes of one connection.
 pub trait StreamObserver: fmt::Debug + Send + Sync + Unpin {
     /// Called before each write, which is skipped on an error.
@@ -32,12 +39,27 @@
 pub struct ObservedStream<O> {
     stream: net::TcpStream,
     observer: O,
+    head: Option<head_limit::HeadLimit>,
+    /// Reads since the last one that had to wait.
+    ready_reads: u32,
 }
 
 impl<O: StreamObserver> ObservedStream<O> {
     /// Wraps `stream`; earlier bytes are not reported.
     pub const fn new(stream: net::TcpStream, observer: O) -> Self {
-        Self { stream, observer }
+        Self {
+            stream,
+            observer,
+            head: None,
+            ready_reads: 0,
+        }
+    }
+
+    /// Limits the head that is read first. A clone made before any read limits a head of its own.
+    #[must_use]
+    pub fn limit_head(mut self, kind: head_limit::HeadKind) -> Self {
+        self.head = Some(head_limit::HeadLimit::new(kind));
+        self
     }
 }
 
@@ -47,9 +69,20 @@
         cx: &mut task::Context<'_>,
         buf: &mut [u8],
     ) -> task::Poll<std_io::Result<usize>> {
+        if self.ready_reads >= MAX_READY_READS {
+            self.ready_reads = 0;
+            cx.waker().wake_by_ref();
+            return task::Poll::Pending;
+        }
         let poll = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let task::Poll::Ready(Ok(count)) = poll {
-            self.observer.read(count);
+        let task::Poll::Ready(Ok(count)) = poll else {
+            self.ready_reads = 0;
+            return poll;
+        };
+        self.ready_reads += 1;
+        self.observer.read(count);
+        if let Some(head) = &mut self.head {
+            head.check(&buf[..count])?;
         }
         poll
     }
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -9,6 +9,7 @@
 use async_std::future;
 use http_types::headers;
 
+use crate::connection::head_limit;
 use crate::connection::http;
 use crate::connection::observed;
 use crate::connection::peer_wire;
@@ -131,7 +132,8 @@
         counter: counter.clone(),
         was_withheld: sync::Arc::clone(&was_withheld),
     };
-    let guarded = observed::ObservedStream::new(stream, observer);
+    let guarded =
+        observed::ObservedStream::new(stream, observer).limit_head(head_limit::HeadKind::Response);
     let fail = |stage, message| http::ExchangeError {
         stage,
         bytes_sent: counter.sent(),
