Let a test of endless bytes end with less memory than it began

The peak that the kernel reports after a reset may lie below the figure read before, as counts of freed pages arrive late. Growth is then none; the bound of 16 MB is as it was.

--- a/tests/endless_messages.rs
+++ b/tests/endless_messages.rs
@@ -91,7 +91,8 @@
     let began = time::Instant::now();
     let output = exchange();
     let elapsed = began.elapsed();
-    let grown = peak_memory() - before;
+    // The kernel may count memory that was freed meanwhile.
+    let grown = peak_memory().saturating_sub(before);
     assert!(elapsed < TIME_LIMIT + MAX_DELAY, "{elapsed:?}");
     assert!(grown < MAX_GROWTH_KB, "memory grew by {grown} KB");
     output
