Share times and fingerprints between the replays of crashes

crash_replay had written at() and whole() again, which crash_evidence and repeated_requests had already; all three use crash_features now. No assertion changes.

--- a/tests/gateway/crash_evidence.rs
+++ b/tests/gateway/crash_evidence.rs
@@ -1,27 +1,21 @@
 //! Decides from reported crashes which prompts are blocked, and for how long.
 
 use std::collections;
-use std::time;
 
 use kumquatpulley::platform::store_wire;
 use kumquatpulley::process::gateway::rows::RowCodec as _;
-use kumquatpulley::process::gateway::{
-    block_list, boot_clock, crash_ledger, crash_record, feature_success,
-};
+use kumquatpulley::process::gateway::{block_list, crash_ledger, crash_record, feature_success};
 use kumquatpulley::request::relay::request_feature;
 use proptest::prelude::*;
 
 use crate::common;
+use crate::support::crash_features;
 
 /// Time of a prefill, from the sending of a request to the beginning of its response.
 const PREFILL_MS: u64 = 1_200;
 
 const FIRST_BLOCK_MS: u64 = 10 * 60 * 1_000;
 
-fn at(millis: u64) -> boot_clock::BootInstant {
-    boot_clock::BootInstant(time::Duration::from_millis(millis))
-}
-
 fn features(ids: &[u64]) -> Vec<request_feature::RequestFeature> {
     ids.iter()
         .copied()
@@ -35,8 +29,8 @@
         request,
         endpoint,
         features: features(ids),
-        sent_at: at(millis - PREFILL_MS),
-        crashed_at: at(millis),
+        sent_at: crash_features::at(millis - PREFILL_MS),
+        crashed_at: crash_features::at(millis),
     }
 }
 
@@ -52,7 +46,7 @@
     let feature = request_feature::RequestFeature(id);
     ledger.record_success(feature_success::FeatureSuccess {
         feature,
-        at: at(millis),
+        at: crash_features::at(millis),
     });
 }
 
@@ -100,10 +94,10 @@
     for number in 0..40 {
         let millis = 8_000 + number * 50;
         let cut = crash_record::CrashRecord {
-            sent_at: at(millis - 2),
+            sent_at: crash_features::at(millis - 2),
             ..crash(number, 10, &[7], millis)
         };
-        ledger.record_crash(cut, at(millis));
+        ledger.record_crash(cut, crash_features::at(millis));
         assert_eq!(suspects(&ledger, &[7]), [[0; 0]; 0]);
     }
 }
@@ -111,7 +105,7 @@
 /// Routers report the same crash with slightly different times.
 fn a_crash_that_is_reported_twice_counts_once() {
     let mut crashes = vec![crash(1, 10, &[7], 8_000); 2];
-    crashes[1].crashed_at = at(8_020);
+    crashes[1].crashed_at = crash_features::at(8_020);
     crashes.extend([crash(2, 10, &[7], 8_010), crash(2, 11, &[7], 8_015)]);
     assert_eq!(suspects(&ledger(&crashes), &[7]), [[0; 0]; 0]);
 }
@@ -139,7 +133,10 @@
     let mut ledger = ledger(&[]);
     for number in 0..20 {
         let millis = 8_000 + number * 2_000;
-        ledger.record_crash(crash(number, number, &[3], millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, &[3], millis),
+            crash_features::at(millis),
+        );
         succeed(&mut ledger, 3, millis + 500);
         assert_eq!(suspects(&ledger, &[3]), [[0; 0]; 0]);
     }
@@ -156,7 +153,7 @@
     let mut ledger = ledger(&crashes[..4]);
     succeed(&mut ledger, 7, 5_000);
     assert_eq!(suspects(&ledger, &[7]), [[0; 0]; 0]);
-    ledger.record_crash(crashes[4].clone(), at(10_600));
+    ledger.record_crash(crashes[4].clone(), crash_features::at(10_600));
     assert_eq!(suspects(&ledger, &[7]), [[7]]);
 }
 
@@ -170,7 +167,7 @@
     ];
     let mut ledger = ledger(&crashes);
     assert_eq!(suspects(&ledger, &[5, 7]), [[5, 7]]);
-    ledger.record_crash(crash(4, 13, &[6, 7], 9_600), at(9_600));
+    ledger.record_crash(crash(4, 13, &[6, 7], 9_600), crash_features::at(9_600));
     assert_eq!(suspects(&ledger, &[6, 7]), [[7]]);
     succeed(&mut ledger, 5, 9_700);
     assert_eq!(suspects(&ledger, &[5, 7]), [[7]]);
@@ -195,7 +192,7 @@
             }
             crashes += 1;
             let lost = crash(request, random.u64(..), &[other, 7], millis);
-            ledger.record_crash(lost, at(millis));
+            ledger.record_crash(lost, crash_features::at(millis));
             let shown = suspects(&ledger, &[other, 7]);
             if shown.iter().any(|set| set.contains(&7)) {
                 blocked_at.get_or_insert(crashes);
@@ -225,7 +222,7 @@
         let ids = [SHARED, part];
         millis += PREFILL_MS + random.u64(100..900);
         let lost = crash(random.u64(..), random.u64(..), &ids, millis);
-        ledger.record_crash(lost, at(millis));
+        ledger.record_crash(lost, crash_features::at(millis));
         crashes.entry(part).and_modify(|count| *count += 1);
         let shown = suspects(&ledger, &ids);
         assert!(!shown.contains(&vec![SHARED]), "{crashes:?}");
@@ -244,7 +241,7 @@
         let millis = 9_000 + number * 1_300;
         ledger.record_crash(
             crash(number, number, &[7, 100 + number], millis),
-            at(millis),
+            crash_features::at(millis),
         );
     }
     assert_eq!(suspects(&ledger, &[7]), [[7]]);
@@ -255,7 +252,7 @@
     let mut ledger = ledger(&[crash(1, 10, &[5, 7], 8_000)]);
     succeed(&mut ledger, 5, 8_500);
     succeed(&mut ledger, 6, 8_600);
-    let evidence = ledger.evidence_about(&features(&[7]), at(9_000));
+    let evidence = ledger.evidence_about(&features(&[7]), crash_features::at(9_000));
     assert_eq!(evidence.crashes.len(), 1);
     let known: Vec<_> = evidence
         .successes
@@ -272,7 +269,10 @@
     succeed(&mut ledger, 3, 7_000);
     for number in 0..3 {
         let millis = 9_000 + number * 1_300;
-        ledger.record_crash(crash(number, number, &[3, 7], millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, &[3, 7], millis),
+            crash_features::at(millis),
+        );
     }
     assert_eq!(suspects(&ledger, &[3, 7]), [[7]]);
 }
--- a/tests/gateway/repeated_requests.rs
+++ b/tests/gateway/repeated_requests.rs
@@ -1,13 +1,12 @@
 //! Decides from reported crashes which repeated requests are kept from endpoints. Sound requests that
 //! are in flight at the same crashes must not be blocked with them.
 
-use std::time;
-
 use kumquatpulley::connection::crash_wire;
-use kumquatpulley::process::gateway::{boot_clock, crash_ledger, crash_record, feature_success};
+use kumquatpulley::process::gateway::{crash_ledger, crash_record, feature_success};
 use kumquatpulley::request::relay::request_feature;
 
 use crate::common;
+use crate::support::crash_features;
 
 /// Time from the sending of the guilty request to the crash.
 const CRASH_MS: u64 = 60;
@@ -15,29 +14,14 @@
 /// Time until an endpoint that crashed is back.
 const RESTART_MS: u64 = 3_200;
 
-fn at(millis: u64) -> boot_clock::BootInstant {
-    boot_clock::BootInstant(time::Duration::from_millis(millis))
-}
-
-/// Fingerprint of the request whose body is `body`.
-fn whole(body: &str) -> request_feature::RequestFeature {
-    request_feature::RequestFeature::whole(&request_feature::RequestContent {
-        caller: Some("w"),
-        method: "POST",
-        host: "h",
-        target: "/safe/1",
-        body: body.as_bytes(),
-    })
-}
-
 /// A crash at `millis` of a request with this body that was sent just before the run that crashed.
 fn crash(request: u64, endpoint: u64, body: &str, millis: u64) -> crash_record::CrashRecord {
     crash_record::CrashRecord {
         request,
         endpoint,
-        features: vec![whole(body)],
-        sent_at: at(millis - CRASH_MS),
-        crashed_at: at(millis),
+        features: vec![crash_features::whole(body)],
+        sent_at: crash_features::at(millis - CRASH_MS),
+        crashed_at: crash_features::at(millis),
     }
 }
 
@@ -51,13 +35,13 @@
 
 fn succeed(ledger: &mut crash_ledger::CrashLedger, body: &str, millis: u64) {
     ledger.record_success(feature_success::FeatureSuccess {
-        feature: whole(body),
-        at: at(millis),
+        feature: crash_features::whole(body),
+        at: crash_features::at(millis),
     });
 }
 
 fn is_suspect(ledger: &crash_ledger::CrashLedger, body: &str) -> bool {
-    !ledger.suspects(&[whole(body)]).is_empty()
+    !ledger.suspects(&[crash_features::whole(body)]).is_empty()
 }
 
 fn three_crashes_of_two_requests_are_enough() {
@@ -83,7 +67,7 @@
     let mut ledger = ledger(&[crash(1, 11, "new", 8_000)]);
     for number in 0..10 {
         let millis = 9_000 + number * 1_000;
-        ledger.record_crash(crash(number, 10, "new", millis), at(millis));
+        ledger.record_crash(crash(number, 10, "new", millis), crash_features::at(millis));
         assert!(!is_suspect(&ledger, "new"), "after {} crashes", number + 2);
     }
 }
@@ -103,7 +87,10 @@
     for number in 0..40 {
         let millis = 8_000 + number * 500;
         succeed(&mut ledger, "hot", millis - 200);
-        ledger.record_crash(crash(number, number, "hot", millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, "hot", millis),
+            crash_features::at(millis),
+        );
         assert!(!is_suspect(&ledger, "hot"), "after {} crashes", number + 1);
     }
 }
@@ -114,9 +101,15 @@
     succeed(&mut ledger, "hot", 7_900);
     for number in 0..4 {
         let millis = 8_000 + number * 70;
-        ledger.record_crash(crash(100 + number, number, "hot", millis), at(millis));
+        ledger.record_crash(
+            crash(100 + number, number, "hot", millis),
+            crash_features::at(millis),
+        );
         assert!(!is_suspect(&ledger, "hot"), "before the guilty one is told");
-        ledger.record_crash(crash(number, number, "bad", millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, "bad", millis),
+            crash_features::at(millis),
+        );
         assert!(!is_suspect(&ledger, "hot"));
         assert_eq!(is_suspect(&ledger, "bad"), number >= 2);
     }
@@ -127,11 +120,17 @@
     let mut ledger = ledger(&[]);
     for number in 0..3 {
         let millis = 8_000 + number * 1_000;
-        ledger.record_crash(crash(number, number, "bad", millis), at(millis));
-        ledger.record_crash(crash(100 + number, number, "new", millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, "bad", millis),
+            crash_features::at(millis),
+        );
+        ledger.record_crash(
+            crash(100 + number, number, "new", millis),
+            crash_features::at(millis),
+        );
     }
     assert!(!is_suspect(&ledger, "new") && !is_suspect(&ledger, "bad"));
-    ledger.record_crash(crash(4, 4, "bad", 12_000), at(12_000));
+    ledger.record_crash(crash(4, 4, "bad", 12_000), crash_features::at(12_000));
     assert!(is_suspect(&ledger, "bad"));
     assert!(!is_suspect(&ledger, "new"));
 }
@@ -144,10 +143,16 @@
         let millis = 8_000 + number * 800;
         // The sound request is in flight at two of three crashes.
         if number % 3 > 0 {
-            ledger.record_crash(crash(100 + number, number % 4, "hot", millis), at(millis));
+            ledger.record_crash(
+                crash(100 + number, number % 4, "hot", millis),
+                crash_features::at(millis),
+            );
         }
         let other = format!("other {number}");
-        ledger.record_crash(crash(number, number % 4, &other, millis), at(millis));
+        ledger.record_crash(
+            crash(number, number % 4, &other, millis),
+            crash_features::at(millis),
+        );
         assert!(!is_suspect(&ledger, "hot"), "after {} crashes", number + 1);
     }
 }
@@ -158,7 +163,10 @@
     for number in 0..5 {
         let millis = 8_000 + number * 1_000;
         assert!(!is_suspect(&ledger, "bad"), "after {number} crashes");
-        ledger.record_crash(crash(number, number, "bad", millis), at(millis));
+        ledger.record_crash(
+            crash(number, number, "bad", millis),
+            crash_features::at(millis),
+        );
     }
     assert!(is_suspect(&ledger, "bad"));
 }
@@ -170,17 +178,17 @@
     let mut ledger = ledger(&[]);
     let success = feature_success::FeatureSuccess {
         feature: part,
-        at: at(7_000),
+        at: crash_features::at(7_000),
     };
     ledger.record_success(success);
-    let features = [whole("bad"), part];
+    let features = [crash_features::whole("bad"), part];
     for number in 0..4 {
         let millis = 9_000 + number * 1_300;
         let mut lost = crash(number, number, "bad", millis);
         lost.features = features.to_vec();
-        ledger.record_crash(lost, at(millis));
+        ledger.record_crash(lost, crash_features::at(millis));
     }
-    assert_eq!(ledger.suspects(&features), [[whole("bad")]]);
+    assert_eq!(ledger.suspects(&features), [[crash_features::whole("bad")]]);
 }
 
 /// A router that knows of the crashes of the sound request alone would take it for the guilty one.
@@ -191,8 +199,8 @@
         crash(3, 11, "bad", 9_000),
         crash(4, 12, "other", 9_500),
     ];
-    let late = at(200_000);
-    let evidence = ledger(&crashes).evidence_about(&[whole("hot")], late);
+    let late = crash_features::at(200_000);
+    let evidence = ledger(&crashes).evidence_about(&[crash_features::whole("hot")], late);
     let mut told: Vec<u64> = evidence.crashes.iter().map(|lost| lost.request).collect();
     told.sort_unstable();
     assert_eq!(told, [1, 2, 3]);
@@ -277,10 +285,10 @@
             random.shuffle(&mut lost);
             for run in lost {
                 let record = crash_record::CrashRecord {
-                    sent_at: at(run.sent_ms),
+                    sent_at: crash_features::at(run.sent_ms),
                     ..crash(run.request, endpoint.name, &run.body, now)
                 };
-                ledger.record_crash(record, at(now));
+                ledger.record_crash(record, crash_features::at(now));
                 let is_shown = is_suspect(&ledger, &run.body);
                 assert!(!is_shown || run.body == "bad", "{} is sound", run.body);
                 is_blocked |= is_shown;
@@ -360,7 +368,7 @@
     let wire = crash_wire::RequestCrashWire {
         request: 1,
         endpoint: 2,
-        features: vec![whole("bad").0],
+        features: vec![crash_features::whole("bad").0],
         age_micros: 3,
         running_micros: 4,
     };
@@ -368,7 +376,7 @@
     let bytes = bincode::serde::encode_to_vec(&wire, config).expect("plain data");
     let (before, _length): ((u64, u64, Vec<u64>, u64, u64), usize) =
         bincode::serde::decode_from_slice(&bytes, config).expect("the same layout");
-    assert_eq!(before, (1, 2, vec![whole("bad").0], 3, 4));
+    assert_eq!(before, (1, 2, vec![crash_features::whole("bad").0], 3, 4));
 }
 
 common::cases! {
--- a/tests/gateway/support/crash_replay.rs
+++ b/tests/gateway/support/crash_replay.rs
@@ -2,13 +2,14 @@
 //! here does I/O; the decisions are those of the product.
 
 use std::collections;
-use std::time;
 
 use kumquatpulley::process::gateway::{
     block_list, boot_clock, crash_ledger, crash_record, feature_success,
 };
 use kumquatpulley::request::relay::{request_feature, request_guard};
 
+use crate::support::crash_features;
+
 /// Time from which the cause acts; before it, prompts with the old parts are answered.
 const CHANGE_MS: u64 = 20_000;
 
@@ -193,20 +194,6 @@
     replay.counts()
 }
 
-fn at(millis: u64) -> boot_clock::BootInstant {
-    boot_clock::BootInstant(time::Duration::from_millis(millis))
-}
-
-fn whole(body: &str) -> request_feature::RequestFeature {
-    request_feature::RequestFeature::whole(&request_feature::RequestContent {
-        caller: Some("w"),
-        method: "POST",
-        host: "h",
-        target: "/stream/1",
-        body: body.as_bytes(),
-    })
-}
-
 impl CrashReplay {
     fn number(&mut self) -> u64 {
         self.next_number += 1;
@@ -307,7 +294,9 @@
             number,
             is_deadly,
             arrived_ms: self.now_ms,
-            features: std::iter::once(whole(&body)).chain(parts).collect(),
+            features: std::iter::once(crash_features::whole(&body))
+                .chain(parts)
+                .collect(),
             attempts: 0,
         };
         if !is_deadly {
@@ -379,7 +368,7 @@
             return self.crash(index);
         }
         for feature in run.prompt.features.clone() {
-            let at = at(self.now_ms);
+            let at = crash_features::at(self.now_ms);
             let success = feature_success::FeatureSuccess { feature, at };
             self.ledger.record_success(success);
         }
@@ -416,8 +405,8 @@
                 request: run.prompt.number,
                 endpoint: name,
                 features: run.prompt.features.clone(),
-                sent_at: at(run.sent_ms),
-                crashed_at: at(self.now_ms),
+                sent_at: crash_features::at(run.sent_ms),
+                crashed_at: crash_features::at(self.now_ms),
             };
             let events = running_ms.saturating_sub(PREFILL_MS) / EVENT_GAP_MS;
             if events > request_guard::MAX_CRASH_EVENTS {
@@ -432,7 +421,8 @@
 
     fn report(&mut self, record: crash_record::CrashRecord, prompt: ReplayedPrompt) {
         let crashed_at = record.crashed_at;
-        self.ledger.record_crash(record, at(self.now_ms));
+        self.ledger
+            .record_crash(record, crash_features::at(self.now_ms));
         let suspects = self.ledger.suspects_until(&prompt.features, crashed_at);
         let wait_ms = if suspects.is_empty() { 0 } else { SETTLE_MS };
         let verdict = ReplayStep::Verdict { prompt, crashed_at };
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod call_load;
 pub mod caller;
+pub mod crash_features;
 pub mod crash_judge;
 pub mod crash_replay;
 pub mod deadly_calls;
