Test a crashing part of prompts with many shared parts

Cause: reported as prompts with more than 32 shared parts whose first part crashes engines after the response head. Open was whether the number of parts or the time of the head is decisive. Change: six cases with 60 shared parts besides the crashing one, which stands first or 51st, crashes before the head or after it, among parts that all prompts have in common or that each has of its own. IDs of requests no longer hold the parts, as an ID has at most 200 bytes.

--- a/tests/gateway/crashing_prompts.rs
+++ b/tests/gateway/crashing_prompts.rs
@@ -22,6 +22,28 @@
 /// Part of the sound prompts that must be served by their first engine, of those sent in calm time.
 const MIN_SOUND_SHARE: f64 = 0.9;
 
+/// Shared parts of a long prompt besides the one that crashes engines.
+const MANY_PARTS: usize = 60;
+
+/// The other shared parts of long prompts.
+#[derive(Clone, Copy, Debug)]
+enum PromptFilling {
+    /// The same in all prompts.
+    Common,
+    /// Only the first is the same in all prompts, the others differ.
+    Own,
+}
+
+impl PromptFilling {
+    fn parts(self, count: usize) -> Vec<String> {
+        let parts = (0..count).map(|place| match self {
+            Self::Own if place > 0 => load::OWN_PART.to_owned(),
+            Self::Common | Self::Own => format!("c{place:03x}:200"),
+        });
+        parts.collect()
+    }
+}
+
 /// A system with three gateways under load of prompts, some of which crash engines.
 struct CrashLoad {
     system: System,
@@ -33,6 +55,11 @@
 
 impl CrashLoad {
     fn start() -> Self {
+        Self::start_prompts(crash_judge::DEADLY_PROMPT, crash_judge::SOUND_PROMPT)
+    }
+
+    /// Starts the load of prompts with these shared parts.
+    fn start_prompts(deadly: &'static str, sound: &'static str) -> Self {
         let system = System::start(3);
         for endpoint in [&system.first, &system.second] {
             endpoint.set_deadly_part(Some(crash_judge::DEADLY_PART));
@@ -45,8 +72,8 @@
             shared_parts: Some(shared_parts),
         };
         Self {
-            sound: load::SteadyLoad::start(&ips, plan(2, 80, crash_judge::SOUND_PROMPT)),
-            deadly: load::SteadyLoad::start(&ips, plan(1, 150, crash_judge::DEADLY_PROMPT)),
+            sound: load::SteadyLoad::start(&ips, plan(2, 80, sound)),
+            deadly: load::SteadyLoad::start(&ips, plan(1, 150, deadly)),
             system,
             restarts: Vec::new(),
         }
@@ -94,6 +121,28 @@
     load.finish(calm);
 }
 
+/// A part of a long prompt is found wherever it stands, and what its prompts share with others is not
+/// blocked. `place` is the number of shared parts before it.
+fn a_part_of_many_is_kept_from_engines(filling: PromptFilling, place: usize, is_before_head: bool) {
+    let (first, rest) = (filling.parts(place), filling.parts(MANY_PARTS - place));
+    let deadly = [
+        first.as_slice(),
+        &[format!("{}:50", crash_judge::DEADLY_PART)],
+        &rest,
+    ];
+    let sound = filling.parts(MANY_PARTS);
+    let load = CrashLoad::start_prompts(deadly.concat().join(",").leak(), sound.join(",").leak());
+    if is_before_head {
+        for endpoint in [&load.system.first, &load.system.second] {
+            endpoint.set_crash_before_head();
+        }
+    }
+    thread::sleep(LEARNING_TIME);
+    let calm = time::Instant::now();
+    thread::sleep(FAULT_TIME);
+    load.finish(calm);
+}
+
 /// A loss before the head says as much about the parts of a prompt as a later one.
 fn a_part_that_crashes_engines_before_the_head_is_kept_from_them() {
     let load = CrashLoad::start();
@@ -197,6 +246,12 @@
     deadline: a_crash_just_before_the_deadline_is_not_reported_as_not_run();
     truncated_answers: prompts_are_not_blocked_while_endpoints_cut_off_answers();
     before_head: a_part_that_crashes_engines_before_the_head_is_kept_from_them();
+    first_of_many_common: a_part_of_many_is_kept_from_engines(PromptFilling::Common, 0, false);
+    first_of_many_own: a_part_of_many_is_kept_from_engines(PromptFilling::Own, 0, false);
+    first_of_many_before_head: a_part_of_many_is_kept_from_engines(PromptFilling::Own, 0, true);
+    behind_many_common: a_part_of_many_is_kept_from_engines(PromptFilling::Common, 50, false);
+    behind_many_own: a_part_of_many_is_kept_from_engines(PromptFilling::Own, 50, false);
+    behind_many_before_head: a_part_of_many_is_kept_from_engines(PromptFilling::Common, 50, true);
     steady: a_part_that_crashes_engines_is_kept_from_them();
     restarts: a_crashing_part_is_known_after_restarts();
     store_away: a_crashing_part_is_learned_without_the_store();
--- a/tests/gateway/support/load.rs
+++ b/tests/gateway/support/load.rs
@@ -8,6 +8,9 @@
 
 use crate::support::{caller, limit_judge};
 
+/// Text that stands for a part with a random ID in [`LoadPlan::shared_parts`].
+pub const OWN_PART: &str = "*";
+
 static NEXT_LOAD: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
 /// Requests that callers send.
@@ -18,7 +21,8 @@
     /// Pause of a caller between two requests.
     pub pause: time::Duration,
     pub call: caller::CallText,
-    /// Shared parts of each prompt, to which a part of its own is added; `None` sends no prompt.
+    /// Shared parts of each prompt, to which a part of its own is added; `None` sends no prompt. Each
+    /// [`OWN_PART`] among them stands for a part that each prompt has of its own.
     pub shared_parts: Option<&'static str>,
 }
 
@@ -33,10 +37,22 @@
         }
     }
 
-    fn caller_name(&self, gateway: net::IpAddr, number: u64) -> String {
-        let parts = self.shared_parts.unwrap_or_default();
+    /// Name of a caller, the beginning of its request IDs, which may have 200 bytes.
+    fn caller_name(gateway: net::IpAddr, number: u64) -> String {
         let load = NEXT_LOAD.fetch_add(1, atomic::Ordering::SeqCst);
-        format!("{gateway}-{number}-{parts}-{load}")
+        format!("{gateway}-{number}-{load}")
+    }
+
+    /// The parts of a new prompt; `None` without one.
+    fn prompt(&self) -> Option<String> {
+        let shared = self.shared_parts?.split(',');
+        let parts = shared.chain([OWN_PART]).map(|part| {
+            if part == OWN_PART {
+                return format!("{:x}:100", fastrand::u64(..));
+            }
+            part.to_owned()
+        });
+        Some(parts.collect::<Vec<String>>().join(","))
     }
 }
 
@@ -71,7 +87,9 @@
             .flat_map(|ip| (0..plan.callers).map(move |number| (*ip, number)));
         let callers = places.map(|(ip, number)| {
             let is_over = sync::Arc::clone(&is_over);
-            thread::spawn(move || send_until(&is_over, ip, &plan.caller_name(ip, number), plan))
+            thread::spawn(move || {
+                send_until(&is_over, ip, &LoadPlan::caller_name(ip, number), plan)
+            })
         });
         Self {
             callers: callers.collect(),
@@ -98,10 +116,7 @@
     while !is_over.load(atomic::Ordering::SeqCst) {
         let id = format!("{name}-{}", requests.len());
         let sent = time::Instant::now();
-        let prompt = plan
-            .shared_parts
-            .map(|parts| format!("{parts},{:x}:100", fastrand::u64(..)));
-        let request = plan.call.bytes(&id, prompt.as_deref());
+        let request = plan.call.bytes(&id, plan.prompt().as_deref());
         let answer = caller::exchange((ip, 8227).into(), &request);
         let answered = answer.as_ref().map(|_answer| time::Instant::now());
         requests.push(SentRequest {
