Look at all shared parts of prompts, with bounds for what is kept, sent and logged

Cause: only the first 32 shared parts were looked at, as reports grow with the number of parts. A crashing part behind them is in no report, so it is never suspected. Ruled out: the time of the response head; cases with 60 parts fail before the head and after it alike. Change: all parts count, each once; the size of a request head bounds them to some 4,100.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -1,5 +1,6 @@
 //! Conversion between the platform's HTTP headers and request and response metadata.
 
+use std::collections;
 use std::net;
 use std::time;
 
@@ -57,9 +58,6 @@
 /// Maximum length of a request ID.
 const MAX_REQUEST_ID_BYTES: usize = 200;
 
-/// Maximum number of shared parts of a prompt that are looked at.
-const MAX_SHARED_PARTS: usize = 32;
-
 /// [`dialect::RequestDialect`] for the platform's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct HeaderDialect;
@@ -217,18 +215,21 @@
     prompt.saturating_add(output.unwrap_or_default())
 }
 
-/// Parts of the prompt without the last one, at most [`MAX_SHARED_PARTS`].
+/// All parts of the prompt without the last one, each once: any of them may crash engines. The maximum
+/// size of a request head bounds their number.
 fn shared_parts(headers: &head::HeaderList) -> Vec<request_feature::RequestFeature> {
     let text = headers.get(PROMPT_PARTS).unwrap_or_default();
     let Some((shared, _last)) = text.rsplit_once(',') else {
         return Vec::new();
     };
-    let ids = shared.split(',').take(MAX_SHARED_PARTS).map(|part| {
+    let ids = shared.split(',').map(|part| {
         let (id, _tokens) = part.split_once(':').unwrap_or((part, ""));
         id.trim()
     });
+    let mut known = collections::HashSet::new();
     ids.filter(|id| !id.is_empty())
         .map(request_feature::RequestFeature::part)
+        .filter(|part| known.insert(*part))
         .collect()
 }
 
--- a/src/process/gateway/block_list.rs
+++ b/src/process/gateway/block_list.rs
@@ -5,6 +5,7 @@
 //! one crash blocks it again, for twice as long. The module takes the time as an argument, in
 //! milliseconds since the Unix epoch, as entries outlive a process.
 
+use std::collections;
 use std::time;
 
 use xxhash_rust::xxh3;
@@ -21,6 +22,8 @@
 /// Maximum number of entries; those that expire first are dropped.
 const MAX_ENTRIES: usize = 256;
 
+type FeatureSet = collections::HashSet<request_feature::RequestFeature>;
+
 /// Requests with certain features, and until when they are blocked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BlockedRequest {
@@ -39,7 +42,7 @@
         format!("{:016x}", hash_features(&self.features))
     }
 
-    fn covers(&self, features: &[request_feature::RequestFeature]) -> bool {
+    fn covers(&self, features: &FeatureSet) -> bool {
         self.features
             .iter()
             .all(|feature| features.contains(feature))
@@ -60,8 +63,12 @@
         features: &[request_feature::RequestFeature],
         now_ms: u64,
     ) -> Option<time::Duration> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let features = features.iter().copied().collect();
         let entries = self.entries.iter();
-        let blocking = entries.filter(|entry| now_ms < entry.until_ms && entry.covers(features));
+        let blocking = entries.filter(|entry| now_ms < entry.until_ms && entry.covers(&features));
         let until = blocking.map(|entry| entry.until_ms).max()?;
         Some(time::Duration::from_millis(until - now_ms))
     }
@@ -73,8 +80,9 @@
         features: &[request_feature::RequestFeature],
         now_ms: u64,
     ) -> Vec<crash_ledger::SuspectFeatures> {
+        let features = features.iter().copied().collect();
         let entries = self.entries.iter();
-        let expired = entries.filter(|entry| entry.until_ms <= now_ms && entry.covers(features));
+        let expired = entries.filter(|entry| entry.until_ms <= now_ms && entry.covers(&features));
         expired.map(|entry| entry.features.clone()).collect()
     }
 
--- a/src/process/gateway/boot_clock.rs
+++ b/src/process/gateway/boot_clock.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 /// A point in time, as the time since the VM booted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct BootInstant(pub time::Duration);
 
 impl BootInstant {
--- a/src/process/gateway/crash_exchange.rs
+++ b/src/process/gateway/crash_exchange.rs
@@ -11,6 +11,10 @@
 use crate::process::members::member_ring;
 use crate::request::relay::request_feature;
 
+/// Groups of features with the same collectors. At most 48 routers are told of each crash, however many
+/// parts its prompt has.
+const FEATURE_GROUPS: u64 = 16;
+
 /// Routers that are told of all crashes of a feature, so that one of them is there when others fail.
 const COLLECTORS_PER_FEATURE: usize = 3;
 
@@ -49,10 +53,11 @@
     features: &[request_feature::RequestFeature],
 ) -> Vec<String> {
     let mut chosen = collections::BTreeSet::new();
-    for feature in features {
+    let groups = features.iter().map(|feature| feature.0 % FEATURE_GROUPS);
+    for group in groups.collect::<collections::BTreeSet<u64>>() {
         let mut order: Vec<(u64, &String)> = peers
             .iter()
-            .map(|peer| (member_ring::owner_score(peer, feature.0), peer))
+            .map(|peer| (member_ring::owner_score(peer, group), peer))
             .collect();
         order.sort_unstable();
         let first = order.into_iter().take(COLLECTORS_PER_FEATURE);
--- a/src/process/gateway/crash_record.rs
+++ b/src/process/gateway/crash_record.rs
@@ -17,7 +17,8 @@
     pub request: u64,
     /// Hash of the endpoint's name.
     pub endpoint: u64,
-    /// Features of the request that may have caused the crash.
+    /// Features of the request that may have caused the crash, in ascending order once the ledger holds
+    /// the record.
     pub features: Vec<request_feature::RequestFeature>,
     /// When the request was sent to the endpoint.
     pub sent_at: boot_clock::BootInstant,
@@ -25,6 +26,19 @@
     pub crashed_at: boot_clock::BootInstant,
 }
 
+impl CrashRecord {
+    /// Sorts the features, so that they can be looked up, and drops repeated ones.
+    pub(super) fn normalize(&mut self) {
+        self.features.sort_unstable();
+        self.features.dedup();
+    }
+
+    /// Whether the request has `feature`; the record must be normalized.
+    pub(super) fn has(&self, feature: request_feature::RequestFeature) -> bool {
+        self.features.binary_search(&feature).is_ok()
+    }
+}
+
 /// Whether two records are of the same crash of an endpoint.
 pub(super) fn is_same_crash(one: &CrashRecord, other: &CrashRecord) -> bool {
     let (earlier, later) = (
--- a/src/process/gateway/crash_suspects.rs
+++ b/src/process/gateway/crash_suspects.rs
@@ -54,6 +54,9 @@
 /// some of them. Crashes with the same such feature count as one.
 const MIN_SEPARATE: usize = 4;
 
+/// Maximum number of features in one block, as all routers and the store keep each block.
+const MAX_SUSPECTS: usize = 64;
+
 type FeatureSet = collections::HashSet<request_feature::RequestFeature>;
 
 /// A crash of an endpoint and the requests that were lost in it.
@@ -70,7 +73,7 @@
 
     fn has(&self, feature: request_feature::RequestFeature) -> bool {
         let mut lost = self.lost.iter();
-        lost.any(|lost| lost.features.contains(&feature))
+        lost.any(|lost| lost.has(feature))
     }
 }
 
@@ -88,11 +91,18 @@
     requests: collections::HashSet<u64>,
 }
 
+/// Features that cannot be told apart have equal profiles: the same kind, the same last success, and the
+/// same lost requests.
+type FeatureProfile = (bool, Option<boot_clock::BootInstant>, Vec<usize>);
+
 /// All known crashes and successes.
 #[derive(Debug)]
 struct SuspectSearch<'a> {
     crashes: Vec<EndpointCrash<'a>>,
     successes: &'a feature_success::SuccessTable,
+    /// Number of the profile of each lost feature. One feature of each profile is judged for all, as long
+    /// prompts have many that only occur together.
+    profiles: collections::HashMap<request_feature::RequestFeature, usize>,
     /// Features that several of the lost requests have.
     repeated: cell::OnceCell<FeatureSet>,
 }
@@ -108,19 +118,36 @@
     let mut crashes = group_by_crash(lost.iter());
     crashes.retain(|crash| crash.lost[0].crashed_at <= until);
     let search = SuspectSearch {
+        profiles: number_profiles(&crashes, successes),
         crashes,
         successes,
         repeated: cell::OnceCell::new(),
     };
-    let mut suspects: Vec<crash_ledger::SuspectFeatures> = features
-        .iter()
-        .filter_map(|feature| search.suspect(*feature))
+    let mut suspects: Vec<crash_ledger::SuspectFeatures> = search
+        .one_of_each_profile(features.iter().copied())
+        .filter_map(|feature| search.suspect(feature))
         .collect();
     suspects.sort_unstable();
     suspects.dedup();
     suspects
 }
 
+/// Leaves at most [`MAX_SUSPECTS`] of features that cannot be told apart, in ascending order.
+///
+/// Fingerprints of whole requests stay, as a block without them would cover more requests. Of the parts,
+/// the lowest IDs stay: a sample that is the same at all routers, and that few other prompts have whole.
+fn bound_suspects(suspects: crash_ledger::SuspectFeatures) -> crash_ledger::SuspectFeatures {
+    if suspects.len() <= MAX_SUSPECTS {
+        return suspects;
+    }
+    let (mut bounded, parts): (Vec<_>, Vec<_>) =
+        suspects.into_iter().partition(|feature| feature.is_whole());
+    bounded.extend(parts);
+    bounded.truncate(MAX_SUSPECTS);
+    bounded.sort_unstable();
+    bounded
+}
+
 /// Crashes in order of time; each holds the requests that were lost in it in the same order.
 fn group_by_crash<'a>(
     records: impl Iterator<Item = &'a crash_record::CrashRecord>,
@@ -140,7 +167,39 @@
     crashes
 }
 
+fn number_profiles(
+    crashes: &[EndpointCrash<'_>],
+    successes: &feature_success::SuccessTable,
+) -> collections::HashMap<request_feature::RequestFeature, usize> {
+    let mut occurrences: collections::HashMap<_, Vec<usize>> = collections::HashMap::new();
+    let lost = crashes.iter().flat_map(|crash| &crash.lost);
+    for (index, lost) in lost.enumerate() {
+        for feature in &lost.features {
+            occurrences.entry(*feature).or_default().push(index);
+        }
+    }
+    let mut numbers: collections::HashMap<FeatureProfile, usize> = collections::HashMap::new();
+    let numbered = occurrences.into_iter().map(|(feature, indices)| {
+        let next = numbers.len();
+        let profile = (feature.is_whole(), successes.last(feature), indices);
+        (feature, *numbers.entry(profile).or_insert(next))
+    });
+    numbered.collect()
+}
+
 impl<'a> SuspectSearch<'a> {
+    /// The first of `features` with each profile; features that were not lost are left out.
+    fn one_of_each_profile(
+        &self,
+        features: impl Iterator<Item = request_feature::RequestFeature>,
+    ) -> impl Iterator<Item = request_feature::RequestFeature> {
+        let mut seen = collections::HashSet::new();
+        features.filter(move |feature| {
+            let number = self.profiles.get(feature);
+            number.is_some_and(|number| seen.insert(*number))
+        })
+    }
+
     /// Returns `feature` and those that it cannot be told apart from, if it is suspected.
     fn suspect(
         &self,
@@ -153,12 +212,12 @@
         let mut common = case.crashes.first()?.features.clone();
         common.retain(|other| {
             let mut lost = self.own_records(&case);
-            let is_common = lost.all(|lost| lost.features.contains(other));
+            let is_common = lost.all(|lost| lost.has(*other));
             *other == feature || (is_common && self.successes.last(*other) == case.success)
         });
         common.sort_unstable();
         common.dedup();
-        Some(common)
+        Some(bound_suspects(common))
     }
 
     fn case(&self, feature: request_feature::RequestFeature) -> SuspectCase<'a> {
@@ -232,7 +291,8 @@
 
     /// Whether another feature is likelier to have caused the crashes of `case`.
     fn has_likelier_rival(&self, case: &SuspectCase<'_>) -> bool {
-        let mut rivals = self.lost_in_all(case).into_iter();
+        let rivals = self.lost_in_all(case).into_iter();
+        let mut rivals = self.one_of_each_profile(rivals);
         rivals.any(|rival| self.is_likelier(rival, case)) || self.is_explained_by_new(case)
     }
 
@@ -293,7 +353,7 @@
         rivals.retain(|feature| {
             let mut own = crash.lost.iter().filter(|lost| case.counts(lost));
             self.successes.last(*feature).is_none()
-                && ((!feature.is_whole() && own.any(|lost| lost.features.contains(feature)))
+                && ((!feature.is_whole() && own.any(|lost| lost.has(*feature)))
                     || self.repeated().contains(feature))
         });
         rivals
@@ -319,6 +379,6 @@
 impl SuspectCase<'_> {
     /// Whether `lost` is a request with the feature that was lost after the feature last worked.
     fn counts(&self, lost: &crash_record::CrashRecord) -> bool {
-        lost.features.contains(&self.feature) && Some(lost.crashed_at) > self.success
+        lost.has(self.feature) && Some(lost.crashed_at) > self.success
     }
 }
--- a/src/process/gateway/feature_success.rs
+++ b/src/process/gateway/feature_success.rs
@@ -5,8 +5,9 @@
 use crate::process::gateway::boot_clock;
 use crate::request::relay::request_feature;
 
-/// Half of the maximum number of features of one kind whose successes are kept.
-const SUCCESS_GENERATION: usize = 4_096;
+/// Half of the maximum number of features of one kind whose successes are kept, of some 25 bytes each. A
+/// prompt may have many parts, and a sound part whose success is forgotten is suspected sooner.
+const SUCCESS_GENERATION: usize = 16_384;
 
 /// When a request with a feature was last answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/request/relay/request_feature.rs
+++ b/src/request/relay/request_feature.rs
@@ -11,6 +11,9 @@
 /// Bits of the hash in a fingerprint.
 const WHOLE_HASH_BITS: u32 = 48;
 
+/// Maximum number of features in a log line, which has some 600 bytes of them then.
+const MAX_LOGGED: usize = 32;
+
 /// Identifies a part of a prompt by the ID that callers give it, or a whole request by a hash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestFeature(pub u64);
@@ -73,9 +76,14 @@
     }
 }
 
-/// Formats features for a log line, separated by commas.
+/// Formats features for a log line, separated by commas; of more than 32, the number of the
+/// others follows after a plus sign.
 #[must_use]
 pub fn join(features: &[RequestFeature]) -> String {
-    let features: Vec<String> = features.iter().map(RequestFeature::to_string).collect();
-    features.join(",")
+    let (logged, others) = features.split_at(features.len().min(MAX_LOGGED));
+    let mut texts: Vec<String> = logged.iter().map(RequestFeature::to_string).collect();
+    if !others.is_empty() {
+        texts.push(format!("+{}", others.len()));
+    }
+    texts.join(",")
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod endpoint_notices;
 mod formats;
 mod framing;
+mod long_prompts;
 mod odd_answers;
 mod odd_entries;
 mod permit_replays;
