Count crashes apart when new parts may explain those of a part that worked

Cause: a part that was answered is suspected once its crashes need four other explanations. A crash counted only if its new parts were in no earlier crash, also in those that were not counted. Prompts with new parts of their own that overlap in time connect all crashes, so the count stayed below four. Ruled out: the number of parts alone; with a first part that is new, or further parts that all prompts share, such replays hold. Change: parts of a crash that is not counted do not keep later ones from being counted. Nine replays of long prompts, 40 further shared parts. Follows: a first part that was answered before is found late if its prompts share nothing else.

--- a/src/process/gateway/crash_suspects.rs
+++ b/src/process/gateway/crash_suspects.rs
@@ -336,12 +336,16 @@
         if case.success.is_none() || case.feature.is_whole() {
             return false;
         }
+        // Crashes that have none of these features in common each need one of their own. Those that
+        // are not counted add nothing, as prompts that overlap in time would connect all crashes.
         let mut known = FeatureSet::new();
         let mut separate = 0;
         for index in &case.indices {
             let new = self.new_rivals(&self.crashes[*index], case);
-            separate += usize::from(new.is_disjoint(&known));
-            known.extend(new);
+            if new.is_disjoint(&known) {
+                separate += 1;
+                known.extend(new);
+            }
         }
         !known.is_empty() && separate < MIN_SEPARATE
     }
--- a/tests/gateway/crash_replays.rs
+++ b/tests/gateway/crash_replays.rs
@@ -17,6 +17,7 @@
 
 /// Endpoints and availability zones of a service.
 const PAIR: &[(u64, u64)] = &[(2, 1)];
+const FOUR: &[(u64, u64)] = &[(4, 2)];
 const LARGER: &[(u64, u64)] = &[(4, 2), (4, 3), (12, 3)];
 const ANY_SIZE: &[(u64, u64)] = &[(2, 1), (4, 2), (4, 3), (12, 3)];
 
@@ -36,6 +37,17 @@
     cause: crash_replay::CrashCause,
     sizes: &[(u64, u64)],
     ages: &[PartAges],
+) {
+    only_the_cause_is_blocked_with_tails(cause, crash_replay::PromptTail::Empty, sizes, ages);
+}
+
+/// As [`only_the_cause_is_blocked`], of prompts with this tail. What prompts share by chance must not
+/// hide the cause.
+fn only_the_cause_is_blocked_with_tails(
+    cause: crash_replay::CrashCause,
+    tail: crash_replay::PromptTail,
+    sizes: &[(u64, u64)],
+    ages: &[PartAges],
 ) {
     let first_seed = env::var(FIRST_SEED_VARIABLE).ok();
     let first_seed: u64 = first_seed.map_or(0, |text| text.parse().expect("a number"));
@@ -45,6 +57,7 @@
             for (has_new_first, has_worked) in ages {
                 let cell = crash_replay::CrashCell {
                     cause,
+                    tail,
                     has_new_first: *has_new_first,
                     has_worked: *has_worked,
                     endpoints: *endpoints,
@@ -73,6 +86,9 @@
     crash_replay::CrashCause::Part { place, events }
 }
 
+const OWN: crash_replay::PromptTail = crash_replay::PromptTail::Own;
+const DRAWN: crash_replay::PromptTail = crash_replay::PromptTail::Drawn;
+const DRAWN_BY_KIND: crash_replay::PromptTail = crash_replay::PromptTail::DrawnByKind;
 const ENDPOINT: crash_replay::CrashCause = crash_replay::CrashCause::Endpoint;
 const REQUEST: crash_replay::CrashCause = crash_replay::CrashCause::Request;
 
@@ -91,5 +107,14 @@
     middle_part_after_an_event: only_the_cause_is_blocked(part(1, 1), LARGER, ANY_AGE);
     later_part: only_the_cause_is_blocked(part(12, 0), LARGER, ANY_AGE);
     new_part_at_two: only_the_cause_is_blocked(part(1, 0), PAIR, NEW_CAUSE);
+    first_of_long_own: only_the_cause_is_blocked_with_tails(part(0, 0), OWN, FOUR, NEW_CAUSE);
+    first_of_long_own_that_worked: only_the_cause_is_blocked_with_tails(part(0, 0), OWN, FOUR, WORKED);
+    middle_of_long_own: only_the_cause_is_blocked_with_tails(part(1, 0), OWN, FOUR, NEW_CAUSE);
+    first_of_long_drawn: only_the_cause_is_blocked_with_tails(part(0, 0), DRAWN, FOUR, NEW_CAUSE);
+    first_of_long_drawn_that_worked: only_the_cause_is_blocked_with_tails(part(0, 0), DRAWN, FOUR, WORKED);
+    middle_of_long_drawn: only_the_cause_is_blocked_with_tails(part(1, 0), DRAWN, FOUR, NEW_CAUSE);
+    first_of_long_drawn_by_kind: only_the_cause_is_blocked_with_tails(part(0, 0), DRAWN_BY_KIND, FOUR, NEW_CAUSE);
+    first_of_long_drawn_by_kind_that_worked: only_the_cause_is_blocked_with_tails(part(0, 0), DRAWN_BY_KIND, FOUR, WORKED);
+    middle_of_long_drawn_by_kind: only_the_cause_is_blocked_with_tails(part(1, 0), DRAWN_BY_KIND, FOUR, NEW_CAUSE);
     part_that_worked_at_two: only_the_cause_is_blocked(part(1, 0), PAIR, WORKED);
 }
--- a/tests/gateway/long_prompts.rs
+++ b/tests/gateway/long_prompts.rs
@@ -70,7 +70,7 @@
     assert_eq!(read, expected);
 }
 
-/// The rules compared each part with each other one, which takes minutes for the longest prompts.
+/// Comparing each part with each other one takes too long for the longest prompts.
 fn one_part_of_the_longest_prompts_is_found() {
     let ledger = ledger((0..5).map(|number| crash(number, 10_000 * (number + 1))));
     let began = time::Instant::now();
--- a/tests/gateway/support/crash_replay.rs
+++ b/tests/gateway/support/crash_replay.rs
@@ -54,6 +54,12 @@
 const DEADLY_PART: u64 = 7;
 const MIDDLE_PARTS: u64 = 100;
 const SESSION_PARTS: u64 = 1_000;
+const TAIL_POOL: u64 = 10_000;
+const DEADLY_TAIL_POOL: u64 = 20_000;
+
+/// Shared parts of a long tail, and parts from which they are drawn.
+const TAIL_PARTS: usize = 40;
+const TAIL_POOL_PARTS: u64 = 60;
 
 /// What crashes endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,10 +84,24 @@
     },
 }
 
+/// Shared parts at the end of all prompts, of which there are [`TAIL_PARTS`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptTail {
+    /// None.
+    Empty,
+    /// No two prompts have one of them in common.
+    Own,
+    /// Drawn from a pool for all prompts.
+    Drawn,
+    /// Drawn from a pool for prompts with the cause, and from another one for sound prompts.
+    DrawnByKind,
+}
+
 /// One kind of crash.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashCell {
     pub cause: CrashCause,
+    pub tail: PromptTail,
     /// Whether the first part of all prompts was never answered before the cause acts.
     pub has_new_first: bool,
     /// Whether requests with the cause were answered before it acts.
@@ -289,6 +309,7 @@
                 format!("notes {number}")
             }
         };
+        parts.extend(self.tail(is_deadly));
         let parts = parts.into_iter().map(request_feature::RequestFeature);
         let prompt = ReplayedPrompt {
             number,
@@ -305,6 +326,20 @@
         self.place(prompt);
     }
 
+    fn tail(&mut self, is_deadly: bool) -> Vec<u64> {
+        let pool = match self.cell.tail {
+            PromptTail::Empty => return Vec::new(),
+            PromptTail::Own => {
+                let own = std::iter::repeat_with(|| self.random.u64(..));
+                return own.take(TAIL_PARTS).collect();
+            }
+            PromptTail::DrawnByKind if is_deadly => DEADLY_TAIL_POOL,
+            PromptTail::Drawn | PromptTail::DrawnByKind => TAIL_POOL,
+        };
+        self.random
+            .choose_multiple(pool..pool + TAIL_POOL_PARTS, TAIL_PARTS)
+    }
+
     fn is_deadly_now(&self, prompt: &ReplayedPrompt) -> bool {
         prompt.is_deadly && self.now_ms >= CHANGE_MS
     }
