Decide on waits and Retry-After of calls that full endpoints refuse

Cause: a call that all endpoints refuse as full is refused at once, and all callers are told 500 ms. They come back into the same burst and have then used their only return.

A replay of the burst (134 routers, 3 endpoints with 6 slots and a queue of 24) compares them with the fixed delay.

--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -1,11 +1,13 @@
 //! Relays one caller's request to endpoints: endpoint selection, retries and delivery of the
 //! response.
 //!
-//! `selection`, `events`, `report`, `retry` and `stall` hold decisions that do no I/O;
+//! `call_wait`, `events`, `report`, `retry`, `retry_delay`, `selection` and `stall` hold decisions
+//! that do no I/O;
 //! `buffered` and `stream` carry them out.
 
 pub mod attempt;
 pub mod buffered;
+pub mod call_wait;
 pub mod context;
 mod crash_report;
 pub mod dialect;
@@ -19,6 +21,7 @@
 pub mod request_rate;
 pub mod response_memory;
 pub mod retry;
+pub mod retry_delay;
 pub mod selection;
 pub mod stall;
 pub mod stream;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod broken_streams;
 mod burst;
 mod cached_state;
+mod call_queues;
 mod changed_configuration;
 mod crash_evidence;
 mod crash_replays;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Shared code for tests of gateway processes: the processes, callers, and fakes of everything
 //! else.
 
+pub mod call_burst;
 pub mod call_load;
 pub mod caller;
 pub mod crash_features;
