Hold or refuse calls at full endpoints by measured load

Change: buffered relays wait by call_wait before they try the endpoints again. After the wait, a call that can no longer meet its goal is refused instead of taking a place. A route without a goal waits never. The verdict still follows from the possible runs; only calls all of whose attempts were refused as full are refused with the measured delay. Two log lines, counters relay.call_waited, relay.call_not_held and relay.call_refused_full.

Tests: full_calls with real gateways; full_then_free fails without the wait, as the call is then refused while an endpoint becomes free.

--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -201,6 +201,7 @@
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&adapters.requests),
         budget: sync::Arc::new(budget),
+        loads: sync::Arc::default(),
         permits: sync::Arc::clone(&permits) as _,
         guard: sync::Arc::clone(&guard) as _,
         counters: sync::Arc::clone(&metrics) as _,
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -16,6 +16,9 @@
 #[derive(Debug, Default)]
 struct AttemptTracker {
     possible_runs: atomic::AtomicU32,
+    attempts: atomic::AtomicU32,
+    /// Attempts that endpoints refused because they are full.
+    full_refusals: atomic::AtomicU32,
 }
 
 impl AttemptTracker {
@@ -25,6 +28,24 @@
         }
         verdict::RunVerdict::MayHaveRun
     }
+
+    /// Whether all attempts so far were refused by endpoints that are full.
+    fn is_refused_as_full(&self) -> bool {
+        let attempts = self.attempts.load(atomic::Ordering::Relaxed);
+        attempts > 0 && attempts == self.full_refusals.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Refusal for the request, which no endpoint answered.
+    fn refuse(
+        &self,
+        context: &context::RelayContext,
+        request: &context::RelayRequest,
+    ) -> verdict::RequestRefusal {
+        if self.is_refused_as_full() {
+            return context.refuse_full(request);
+        }
+        context.refuse_unserved(&request.service, self.verdict())
+    }
 }
 
 /// Relays `request` and delivers the response; nothing is written when the outcome is a refusal.
@@ -66,11 +87,12 @@
 ) -> verdict::Result<attempt::FullResponse> {
     let mut excluded = Vec::new();
     let mut fallback = None;
+    let mut waits = 0;
     loop {
         if let Some(refusal) = context.refuse_blocked(request, tracker.verdict()) {
             return fallback.ok_or(refusal);
         }
-        let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
+        let attempts = tracker.attempts.load(atomic::Ordering::Relaxed);
         let is_allowed = attempts == 0 || take_retry(context, request);
         let lease = if is_allowed {
             acquire(context, request, &excluded).await
@@ -78,14 +100,20 @@
             None
         };
         let Some(lease) = lease else {
-            return fallback
-                .ok_or_else(|| context.refuse_unserved(&request.service, tracker.verdict()));
+            let is_full = is_allowed && !excluded.is_empty() && tracker.is_refused_as_full();
+            if is_full && context.wait_for_capacity(request, waits).await {
+                waits += 1;
+                excluded.clear();
+                continue;
+            }
+            return fallback.ok_or_else(|| tracker.refuse(context, request));
         };
         // The request may have been blocked while it waited for a permit.
         if let Some(refusal) = context.refuse_blocked(request, tracker.verdict()) {
             return fallback.ok_or(refusal);
         }
         excluded.push(lease.endpoint.key);
+        tracker.attempts.fetch_add(1, atomic::Ordering::Relaxed);
         let (outcome, response) = try_endpoint(context, request, &lease, tracker).await;
         let state = retry::RetryState {
             kind: request.route.kind,
@@ -105,12 +133,8 @@
         fallback = response.or(fallback);
         match step {
             retry::NextStep::Repeat => context.counters.count("relay.repeated"),
-            retry::NextStep::Deliver => {
-                return fallback
-                    .ok_or_else(|| context.refuse_unserved(&request.service, tracker.verdict()));
-            }
-            retry::NextStep::GiveUp(verdict) => {
-                return fallback.ok_or_else(|| context.refuse_unserved(&request.service, verdict));
+            retry::NextStep::Deliver | retry::NextStep::GiveUp(_) => {
+                return fallback.ok_or_else(|| tracker.refuse(context, request));
             }
         }
     }
@@ -190,6 +214,11 @@
             tracker
                 .possible_runs
                 .fetch_sub(1, atomic::Ordering::Relaxed);
+            if response.head.status == 503 {
+                tracker
+                    .full_refusals
+                    .fetch_add(1, atomic::Ordering::Relaxed);
+            }
             lease.observe(refusal_observation(response.head.status));
             (outcome, None)
         }
@@ -197,7 +226,13 @@
             lease.observe(fleet::EndpointObservation::Failed);
             (outcome, None)
         }
-        retry::AttemptOutcome::Answered(_) => {
+        retry::AttemptOutcome::Answered(status) => {
+            // Failures say nothing about how long the service takes.
+            if status < 500 {
+                let now = time::Instant::now();
+                let service = request.service.as_str();
+                context.loads.record_answer(service, now - sent_at, now);
+            }
             lease.observe(fleet::EndpointObservation::Answered);
             context.guard.record_success(&request.features);
             (outcome, Some(response))
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -6,7 +6,7 @@
 use crate::connection::h1::head;
 use crate::process::view;
 use crate::request::relay::{
-    dialect, fleet, permit, request_feature, request_guard, response_memory,
+    dialect, fleet, permit, request_feature, request_guard, response_memory, service_load,
 };
 use crate::request::verdict;
 use crate::version::traffic;
@@ -43,6 +43,8 @@
     pub guard: sync::Arc<dyn request_guard::RequestGuard>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
+    /// Durations and refusals of calls, by service.
+    pub loads: sync::Arc<service_load::ServiceLoads>,
     /// Receives counts and durations.
     pub counters: sync::Arc<dyn view::CounterSink>,
     /// Memory budget for responses that are buffered whole.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod endpoint_notices;
 mod formats;
 mod framing;
+mod full_calls;
 mod odd_answers;
 mod odd_entries;
 mod permit_replays;
