Queue no prompt behind two others while a probed engine is free

Cause: an engine with room is preferred to one without, however many prompts wait there. A prompt then waits for two others, about two seconds, while another engine has none and gets room sooner.

Change: within the wait limit as before, such a prompt searches on. choose_engine_by takes the rule that says which engines a prompt may go to; choose_engine is the present rule (RoomRule). An engine that reports no memory counts as one that a run can fit, which matters only to other rules.

Test: behind_two.

--- a/src/request/relay/selection.rs
+++ b/src/request/relay/selection.rs
@@ -6,6 +6,7 @@
 //! cache: a prompt that does not fit evicts another run, and both prompts are prefilled again.
 //! Free memory is therefore checked before load, and KV copies are left out before runs are.
 
+use std::fmt;
 use std::time;
 
 use crate::request::relay::report;
@@ -24,6 +25,10 @@
 /// show it until then.
 const MIN_RUNS_BESIDE_COPY: u64 = 3;
 
+/// Prompts at an engine behind which another one is not queued while an engine has none; two take
+/// about two seconds, half of the shortest goals.
+const LONG_QUEUE: u32 = 2;
+
 /// Probe rounds with new engines before the same engines are probed again.
 pub const MAX_PROBE_ROUNDS: u32 = 3;
 
@@ -72,14 +77,23 @@
     /// Whether a run of `tokens` fits once other runs have ended.
     fn can_ever_fit(&self, tokens: u64) -> bool {
         let report = self.report.as_ref();
-        report.is_some_and(|report| report.memory_total >= tokens)
+        report.is_some_and(|report| report.memory_total == 0 || report.memory_total >= tokens)
+    }
+
+    /// Prompts that wait or are in prefill, with those that this router just sent; `None` without a
+    /// report.
+    #[must_use]
+    pub fn pending_prompts(&self) -> Option<u32> {
+        let report = self.report.as_ref()?;
+        let known = report.waiting.saturating_add(report.prefilling());
+        Some(known.saturating_add(self.recent_requests))
     }
 
-    fn class(&self, tokens: u64) -> EngineClass {
+    fn class(&self, rule: &dyn SelectionRule, tokens: u64) -> EngineClass {
         match &self.report {
             None => EngineClass::NoReport,
             Some(report) if report.is_leaving => EngineClass::Leaving,
-            Some(_) if self.has_room_for(tokens) => EngineClass::Available,
+            Some(_) if rule.admits(self, tokens) => EngineClass::Available,
             Some(_) => EngineClass::Full,
         }
     }
@@ -113,6 +127,22 @@
     }
 }
 
+/// Which engines a prompt may be sent to before its wait limit is over.
+pub trait SelectionRule: fmt::Debug + Send + Sync {
+    /// Whether the prompt, whose run occupies `tokens`, may be sent to an engine with a report.
+    fn admits(&self, engine: &EngineCandidate, tokens: u64) -> bool;
+}
+
+/// Admits a prompt wherever its run fits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoomRule;
+
+impl SelectionRule for RoomRule {
+    fn admits(&self, engine: &EngineCandidate, tokens: u64) -> bool {
+        engine.has_room_for(tokens)
+    }
+}
+
 /// Suitability of an engine for a prompt, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EngineClass {
@@ -144,10 +174,21 @@
     pub is_first: bool,
 }
 
-/// Returns the next step for a prompt after `engines` were probed.
+/// Returns the next step by [`RoomRule`] for a prompt after `engines` were probed.
 #[must_use]
 pub fn choose_engine(engines: &[EngineCandidate], params: SelectionParams) -> SelectionStep {
-    let Some(best) = order_by_load(engines, params.tokens).first().copied() else {
+    choose_engine_by(&RoomRule, engines, params)
+}
+
+/// Returns the next step by `rule` for a prompt after `engines` were probed.
+#[must_use]
+pub fn choose_engine_by(
+    rule: &dyn SelectionRule,
+    engines: &[EngineCandidate],
+    params: SelectionParams,
+) -> SelectionStep {
+    let order = order_by(rule, engines, params.tokens);
+    let Some(best) = order.first().copied() else {
         return if params.is_first {
             SelectionStep::NoEngine
         } else {
@@ -155,11 +196,12 @@
         };
     };
     let engine = &engines[best];
-    let has_better_choice = match engine.class(params.tokens) {
+    let has_better_choice = match engine.class(rule, params.tokens) {
         EngineClass::Full => params.may_wait && engine.can_ever_fit(params.tokens),
         // An earlier round found engines that at least responded.
         EngineClass::NoReport => !params.is_first,
-        EngineClass::Available | EngineClass::Leaving => false,
+        EngineClass::Available => params.may_wait && is_behind_others(engine, &order, engines),
+        EngineClass::Leaving => false,
     };
     if has_better_choice {
         return SelectionStep::ProbeOthers;
@@ -171,11 +213,29 @@
 /// `tokens` first, then full ones, then those without a report; by load within each group.
 #[must_use]
 pub fn order_by_load(engines: &[EngineCandidate], tokens: u64) -> Vec<usize> {
-    let is_staying = |index: &usize| engines[*index].class(tokens) != EngineClass::Leaving;
+    order_by(&RoomRule, engines, tokens)
+}
+
+/// Whether a prompt would stand behind two others at `engine` while another one of `order` has
+/// none. It has no room now, but gets some sooner than two prompts are prefilled.
+fn is_behind_others(
+    engine: &EngineCandidate,
+    order: &[usize],
+    engines: &[EngineCandidate],
+) -> bool {
+    let is_free = |index: &usize| engines[*index].pending_prompts() == Some(0);
+    engine.pending_prompts() >= Some(LONG_QUEUE) && order.iter().any(is_free)
+}
+
+fn order_by(rule: &dyn SelectionRule, engines: &[EngineCandidate], tokens: u64) -> Vec<usize> {
+    let is_staying = |index: &usize| engines[*index].class(rule, tokens) != EngineClass::Leaving;
     let mut order: Vec<usize> = (0..engines.len()).filter(is_staying).collect();
     order.sort_by_key(|&index| {
         let engine = &engines[index];
-        (engine.class(tokens), engine.load().unwrap_or(u64::MAX))
+        (
+            engine.class(rule, tokens),
+            engine.load().unwrap_or(u64::MAX),
+        )
     });
     order
 }
--- a/tests/gateway/burst.rs
+++ b/tests/gateway/burst.rs
@@ -210,6 +210,23 @@
     );
 }
 
+/// A prompt is not queued behind two others while another engine has none, even if that one has no
+/// room yet; once it may not wait any more, it is.
+fn no_prompt_waits_behind_two_while_an_engine_is_free() {
+    let mut busy = idle_candidate();
+    busy.recent_requests = 2;
+    let step = |engines: &[selection::EngineCandidate], may_wait| {
+        selection::choose_engine(engines, params(RUN_TOKENS, may_wait))
+    };
+    let engines = [full_candidate(), busy.clone()];
+    assert_eq!(step(&engines, true), selection::SelectionStep::ProbeOthers);
+    assert_eq!(step(&engines, false), selection::SelectionStep::Send(1));
+    assert_eq!(
+        step(&[busy.clone(), busy], true),
+        selection::SelectionStep::Send(0)
+    );
+}
+
 /// Starts a thread that requests a stream whose run occupies 9,000 tokens.
 fn start_stream(system: &System) -> thread::JoinHandle<Option<caller::Answer>> {
     let ip = system.ip();
@@ -255,6 +272,7 @@
     waits_for_room: a_prompt_waits_for_room();
     no_room: a_prompt_without_room_is_sent_after_the_wait_limit();
     burst: a_burst_overfills_no_engine();
+    behind_two: no_prompt_waits_behind_two_while_an_engine_is_free();
     full_engine: a_full_engine_is_used_as_a_last_resort();
     unreported_engine: full_engines_are_preferred_to_unreported_ones();
     leaving_engine: leaving_and_unreported_engines_rank_last();
