Reserve room at engines for prompts of higher priority

Cause: no router sees a queue, so prompts of all priorities take any engine with room, and urgent ones with short goals are late more often than others.

Change: TrunkReservation, a selection rule beside RoomRule. A prompt of rank r leaves room for r further runs, goes only where one prompt at most waits or is in prefill, and where none does while it reserves more than half a run. The reserve falls to 0 with the wait limit (a third of the goal, as before), so no prompt starves. Retries and resumed streams reserve nothing. Switch: the stream routes of a service have different priorities, derived when a version is applied; without it RoomRule holds. Counter relay.prompt_held and log line "prompt searches further engines".

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -332,6 +332,10 @@
             caller_timeout.min(route.timeout)
         });
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let priority = priority.unwrap_or(route.priority);
+    let stream_rank = version
+        .stream_rank(&service, priority)
+        .filter(|_rank| route.kind.is_stream());
     let features = features(&head, &body, &terms, workspace.as_ref());
     Some(context::RelayRequest {
         head,
@@ -341,7 +345,8 @@
         has_moves: profile.is_some_and(|profile| profile.has_moves),
         health_path: profile.and_then(|profile| profile.health_path.clone()),
         features,
-        priority: priority.unwrap_or(route.priority),
+        priority,
+        stream_rank,
         workspace: workspace.map(|workspace| workspace.name),
         service,
         route,
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -79,6 +79,9 @@
     pub workspace: Option<String>,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Number of higher priorities that compete for engines of the service; `None` for calls, and if
+    /// all streams of the service have the same priority.
+    pub stream_rank: Option<u32>,
     /// When the request had been read.
     pub arrived: time::Instant,
     /// Earlier of the caller's deadline and the route's timeout.
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -1,8 +1,8 @@
 //! Relays one caller's request to endpoints: endpoint selection, retries and delivery of the
 //! response.
 //!
-//! `call_wait`, `events`, `report`, `retry`, `retry_delay`, `selection` and `stall` hold decisions
-//! that do no I/O;
+//! `call_wait`, `events`, `report`, `retry`, `retry_delay`, `selection`, `stall` and
+//! `trunk_reservation` hold decisions that do no I/O;
 //! `buffered` and `stream` carry them out.
 
 pub mod attempt;
@@ -31,3 +31,4 @@
 mod stream_loss;
 mod stream_placement;
 mod stream_reader;
+pub mod trunk_reservation;
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -5,7 +5,9 @@
 use async_std::task;
 use futures::future as futures_future;
 
-use crate::request::relay::{attempt, context, dialect, fleet, kv_copy, retry, selection, stream};
+use crate::request::relay::{
+    attempt, context, dialect, fleet, kv_copy, retry, selection, stream, trunk_reservation,
+};
 
 /// Delay before the next search when no engine is available for an interrupted stream.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -129,6 +131,7 @@
         let began = time::Instant::now();
         let until = self.wait_limit();
         let mut search = EngineSearch::default();
+        let mut is_held = false;
         loop {
             let (endpoints, candidates) = self.probe_engines(&search).await;
             let params = selection::SelectionParams {
@@ -136,9 +139,14 @@
                 may_wait: time::Instant::now() < until,
                 is_first: search.probed.is_empty(),
             };
-            match selection::choose_engine(&candidates, params) {
+            let rule = self.selection_rule(until);
+            match selection::choose_engine_by(rule.as_ref(), &candidates, params) {
                 selection::SelectionStep::NoEngine => return None,
                 selection::SelectionStep::ProbeOthers => {
+                    if !is_held {
+                        is_held = true;
+                        self.log_hold(&candidates, rule.as_ref());
+                    }
                     if search.restarts_after(&endpoints) {
                         task::sleep(selection::REPROBE_INTERVAL.mul_f64(1.0 + fastrand::f64()))
                             .await;
@@ -156,6 +164,32 @@
         }
     }
 
+    /// Which engines the prompt may go to while it may wait until `until`.
+    fn selection_rule(&self, until: time::Instant) -> Box<dyn selection::SelectionRule> {
+        let Some(rank) = self.request.stream_rank else {
+            return Box::new(selection::RoomRule);
+        };
+        let left = until.saturating_duration_since(time::Instant::now());
+        let limit = until.saturating_duration_since(self.request.arrived);
+        Box::new(trunk_reservation::TrunkReservation::new(rank, left, limit))
+    }
+
+    fn log_hold(
+        &self,
+        candidates: &[selection::EngineCandidate],
+        rule: &dyn selection::SelectionRule,
+    ) {
+        self.context.counters.count("relay.prompt_held");
+        log::info!(
+            request = self.request.metadata.id.as_str(),
+            priority = self.request.priority,
+            rule:? = rule,
+            tokens = self.request.metadata.tokens,
+            pending:? = candidates.iter().map(selection::EngineCandidate::pending_prompts).collect::<Vec<_>>();
+            "prompt searches further engines"
+        );
+    }
+
     fn log_selection(
         &self,
         endpoint: &fleet::ChosenEndpoint,
--- a/src/version/traffic.rs
+++ b/src/version/traffic.rs
@@ -136,6 +136,8 @@
     routes: Vec<TrafficRoute>,
     by_host: collections::HashMap<String, Vec<usize>>,
     services: collections::HashMap<String, ServiceProfile>,
+    /// Priorities of the stream routes of each service, the highest first.
+    stream_priorities: collections::HashMap<String, collections::BTreeSet<u8>>,
     keys: Option<collections::HashMap<String, usize>>,
     workspaces: Vec<WorkspaceProfile>,
     limits: CallerLimits,
@@ -151,6 +153,14 @@
             // Longest prefix first, so that the first match is the longest one.
             indexes.sort_by_key(|index| std::cmp::Reverse(parts.routes[*index].prefix.len()));
         }
+        let mut stream_priorities: collections::HashMap<String, collections::BTreeSet<u8>> =
+            collections::HashMap::new();
+        for route in parts.routes.iter().filter(|route| route.kind.is_stream()) {
+            for share in &route.services {
+                let priorities = stream_priorities.entry(share.service.clone());
+                priorities.or_default().insert(route.priority);
+            }
+        }
         let mut keys = parts
             .workspaces
             .as_ref()
@@ -169,6 +179,7 @@
             number: parts.number,
             routes: parts.routes,
             by_host,
+            stream_priorities,
             services: services
                 .map(|profile| (profile.name.clone(), profile))
                 .collect(),
@@ -223,6 +234,17 @@
         self.workspaces.get(*index)
     }
 
+    /// Number of priorities above `priority` that stream routes of `service` have; `None` unless
+    /// its stream routes have different priorities.
+    #[must_use]
+    pub fn stream_rank(&self, service: &str, priority: u8) -> Option<u32> {
+        let priorities = self.stream_priorities.get(service)?;
+        if priorities.len() < 2 {
+            return None;
+        }
+        u32::try_from(priorities.range(..priority).count()).ok()
+    }
+
     /// Looks up a service by name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceProfile> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod permit_replays;
 mod permits;
 mod planned_stops;
+mod prompt_queues;
 mod repeated_requests;
 mod restored_store;
 mod silent_calls;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -14,6 +14,7 @@
 pub mod limit_judge;
 pub mod load;
 pub mod planned_stop;
+pub mod prompt_burst;
 pub mod router;
 pub mod run_log;
 pub mod silent_endpoint;
