Test that the routes of a service switch the rule for prompts

The rule was tested apart from the router only. Two streams of different priority on one service get TrunkReservation, two of the same get RoomRule, and a prompt that fits nowhere is sent once its wait limit is over.

--- a/tests/gateway/prompt_queues.rs
+++ b/tests/gateway/prompt_queues.rs
@@ -7,7 +7,8 @@
 use kumquatpulley::version::traffic;
 
 use crate::common;
-use crate::support::prompt_burst;
+use crate::support::system::System;
+use crate::support::{caller, fakes, prompt_burst};
 
 const BASELINE: prompt_burst::RuleSource = |_rank, _left, _limit| Box::new(selection::RoomRule);
 const RESERVATION: prompt_burst::RuleSource =
@@ -104,7 +105,37 @@
     assert_eq!(version.stream_rank("other", 0), None);
 }
 
+/// Guards against a rule that routers have but do not use, and against one that is in force where
+/// all streams have the same priority.
+fn the_routes_switch_the_rule(other_priority: u8, rule: &str) {
+    let config = format!(
+        r#"{{"version":1,"routes":[
+        {{"name":"late","host":"h","prefix":"/late/","kind":"stream","timeout_ms":20000,"goal_ms":1500,
+         "service":"m","attempts":5,"can_resume":true,"gap_goal_ms":700,"priority":2}},
+        {{"name":"soon","host":"h","prefix":"/soon/","kind":"stream","timeout_ms":20000,"goal_ms":1500,
+         "service":"m","attempts":5,"can_resume":true,"gap_goal_ms":700,"priority":{other_priority}}}],
+        "services":[{{"name":"m","engine":{{"backups":true,"moves":true}}}}],
+        "limits":{{"max_header_bytes":4096,"max_body_bytes":10000,"header_timeout_ms":1000,"idle_timeout_ms":5000}},
+        "tenants":[{{"name":"w","api_keys":["k"]}}]}}"#
+    );
+    let system = System::start_configured(1, &config);
+    system.set_modes(fakes::EndpointMode::MemoryInUse);
+    let tokens = "Kumquatpulley-Token-Counts: 8000,2000\r\nKumquatpulley-Length-Hint: 1000\r\n";
+    let text = caller::request("/late/1", "r1", "k");
+    let text = text.replace("Content-Length", &format!("{tokens}Content-Length"));
+    let answer = caller::exchange((system.ip(), 8227).into(), text.as_bytes());
+    let logs = system.logs();
+    // Full engines get the prompt once its wait limit is over.
+    assert!(answer.expect("an answer").is_complete, "{logs}");
+    let held = logs
+        .lines()
+        .find(|line| line.contains("prompt searches further engines"));
+    assert!(held.is_some_and(|line| line.contains(rule)), "{logs}");
+}
+
 common::cases! {
+    different_priorities: the_routes_switch_the_rule(0, "TrunkReservation { rank: 1");
+    same_priority: the_routes_switch_the_rule(2, "RoomRule");
     prompt_burst: urgent_prompts_are_served_no_worse();
     prompt_order: a_higher_priority_has_no_smaller_share();
     ranks: ranks_follow_the_routes();
