Bound the prompts that wait because of a reserve

Cause: each waiting prompt holds its body, and nothing bounded their number.

Change: at services with several priorities, 64 prompts wait at a router at most; a further one is sent as if its wait limit were over, counted in relay.prompt_not_held. Services without priorities are not bounded, as before.

--- a/src/request/relay/full_call.rs
+++ b/src/request/relay/full_call.rs
@@ -20,7 +20,7 @@
         let may_try = match wait {
             None => false,
             Some(wait) => {
-                let _waiting = self.loads.start_wait();
+                let _waiting = self.loads.calls.start();
                 task::sleep(wait).await;
                 call_wait::can_meet_goal(&self.full_call(request, waits))
             }
@@ -51,7 +51,7 @@
             time_left: request.time_left(),
             usual_duration: self.loads.usual_duration(&request.service),
             waits,
-            waiting_calls: self.loads.waiting_calls(),
+            waiting_calls: self.loads.calls.count(),
         }
     }
 
--- a/src/request/relay/service_load.rs
+++ b/src/request/relay/service_load.rs
@@ -1,4 +1,4 @@
-//! What this router measured of the calls of each service, and the calls that wait here.
+//! What this router measured of the calls of each service, and the requests that wait here.
 
 use std::collections;
 use std::sync;
@@ -11,7 +11,29 @@
 #[derive(Debug, Default)]
 pub struct ServiceLoads {
     services: parking_lot::Mutex<collections::HashMap<String, ServiceLoad>>,
-    waiting: atomic::AtomicUsize,
+    /// Calls that wait now, for all services.
+    pub calls: WaitCounter,
+    /// Prompts that search further engines now, at services with several priorities.
+    pub prompts: WaitCounter,
+}
+
+/// Number of requests that wait at this router.
+#[derive(Clone, Debug, Default)]
+pub struct WaitCounter(sync::Arc<atomic::AtomicUsize>);
+
+impl WaitCounter {
+    /// Requests that wait now.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Counts a request as waiting until the result is dropped.
+    #[must_use]
+    pub fn start(&self) -> WaitGuard {
+        self.0.fetch_add(1, atomic::Ordering::Relaxed);
+        WaitGuard(sync::Arc::clone(&self.0))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -21,13 +43,13 @@
     recent: retry_delay::RecentCalls,
 }
 
-/// Counts a call as waiting until it is dropped.
+/// Counts a request as waiting until it is dropped.
 #[derive(Debug)]
-pub struct WaitingCall(sync::Arc<ServiceLoads>);
+pub struct WaitGuard(sync::Arc<atomic::AtomicUsize>);
 
-impl Drop for WaitingCall {
+impl Drop for WaitGuard {
     fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
@@ -54,17 +76,4 @@
     pub fn usual_duration(&self, service: &str) -> Option<time::Duration> {
         self.services.lock().get(service)?.durations.longest()
     }
-
-    /// Calls that wait now, for all services.
-    #[must_use]
-    pub fn waiting_calls(&self) -> usize {
-        self.waiting.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Counts a call as waiting until the result is dropped.
-    #[must_use]
-    pub fn start_wait(self: &sync::Arc<Self>) -> WaitingCall {
-        self.waiting.fetch_add(1, atomic::Ordering::Relaxed);
-        WaitingCall(sync::Arc::clone(self))
-    }
 }
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -129,9 +129,15 @@
     /// nowhere waits, and goes to the least loaded engine when its wait limit is over.
     async fn acquire_least_loaded(&mut self) -> Option<context::EndpointLease> {
         let began = time::Instant::now();
-        let until = self.wait_limit();
+        let mut until = self.wait_limit();
         let mut search = EngineSearch::default();
-        let mut is_held = false;
+        let is_ranked = self.request.stream_rank.is_some();
+        let prompts = &self.context.loads.prompts;
+        if is_ranked && prompts.count() >= trunk_reservation::MAX_WAITING_PROMPTS {
+            self.context.counters.count("relay.prompt_not_held");
+            until = began;
+        }
+        let mut waiting = None;
         loop {
             let (endpoints, candidates) = self.probe_engines(&search).await;
             let params = selection::SelectionParams {
@@ -143,8 +149,8 @@
             match selection::choose_engine_by(rule.as_ref(), &candidates, params) {
                 selection::SelectionStep::NoEngine => return None,
                 selection::SelectionStep::ProbeOthers => {
-                    if !is_held {
-                        is_held = true;
+                    if waiting.is_none() {
+                        waiting = Some(is_ranked.then(|| prompts.start()));
                         self.log_hold(&candidates, rule.as_ref());
                     }
                     if search.restarts_after(&endpoints) {
--- a/src/request/relay/trunk_reservation.rs
+++ b/src/request/relay/trunk_reservation.rs
@@ -12,6 +12,10 @@
 /// two, a prompt at an engine of half the speed misses a goal of four seconds.
 const MAX_PENDING: u32 = 1;
 
+/// Prompts that wait at one router at a time because of a reserve. Each holds its body, and each
+/// router gets one every few seconds; a further one is sent as if its wait limit were over.
+pub const MAX_WAITING_PROMPTS: usize = 64;
+
 /// Reserved runs above which the prompt goes only to engines where no prompt waits or is in
 /// prefill. Rank 1 leaves that place for half of its wait, rank 2 for three quarters.
 const FREE_ENGINE_RESERVE: f64 = 0.5;
--- a/tests/gateway/prompt_queues.rs
+++ b/tests/gateway/prompt_queues.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use kumquatpulley::request::relay::selection::SelectionRule as _;
-use kumquatpulley::request::relay::{report, selection, trunk_reservation};
+use kumquatpulley::request::relay::{report, selection, service_load, trunk_reservation};
 use kumquatpulley::version::traffic;
 
 use crate::common;
@@ -133,7 +133,17 @@
     assert!(held.is_some_and(|line| line.contains(rule)), "{logs}");
 }
 
+/// Guards against a count that leaks: it would end all waits for good.
+fn waits_are_counted_until_they_end() {
+    let loads = service_load::ServiceLoads::default();
+    let waits = [loads.prompts.start(), loads.prompts.start()];
+    assert_eq!((loads.prompts.count(), loads.calls.count()), (2, 0));
+    drop(waits);
+    assert_eq!(loads.prompts.count(), 0);
+}
+
 common::cases! {
+    wait_count: waits_are_counted_until_they_end();
     different_priorities: the_routes_switch_the_rule(0, "TrunkReservation { rank: 1");
     same_priority: the_routes_switch_the_rule(2, "RoomRule");
     prompt_burst: urgent_prompts_are_served_no_worse();
