--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -1,16 +1,19 @@
 //! Relays one caller's request to endpoints: endpoint selection, retries and delivery of the
 //! response.
 //!
-//! `selection`, `events`, `report`, `retry` and `stall` hold decisions that do no I/O;
+//! `call_wait`, `events`, `report`, `retry`, `retry_delay`, `selection`, `stall` and
+//! `trunk_reservation` hold decisions that do no I/O;
 //! `buffered` and `stream` carry them out.
 
 pub mod attempt;
 pub mod buffered;
+pub mod call_wait;
 pub mod context;
 mod crash_report;
 pub mod dialect;
 pub mod events;
 pub mod fleet;
+mod full_call;
 pub mod kv_copy;
 pub mod permit;
 pub mod report;
@@ -19,10 +22,13 @@
 pub mod request_rate;
 pub mod response_memory;
 pub mod retry;
+pub mod retry_delay;
 pub mod selection;
+pub mod service_load;
 pub mod stall;
 pub mod stream;
 mod stream_end;
 mod stream_loss;
 mod stream_placement;
 mod stream_reader;
+pub mod trunk_reservation;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Shared code for tests of gateway processes: the processes, callers, and fakes of everything
 //! else.
 
+pub mod call_burst;
 pub mod call_load;
 pub mod caller;
 pub mod crash_features;
@@ -13,6 +14,7 @@
 pub mod limit_judge;
 pub mod load;
 pub mod planned_stop;
+pub mod prompt_burst;
 pub mod router;
 pub mod run_log;
 pub mod silent_endpoint;
