Leave out engines whose report is of another incarnation

Cause: an engine that crashed is back at its address, under a new name or with a new start time, before the routers read its new entry.

Change: reports carry the engine's start time (`born`). A probe whose report names another one than the entry drops the engine for prompts, resumed streams and moves of copies, and records it as replaced; 0 or a missing value on either side excludes nothing. Others are probed when all probed engines are dropped. A copy at a replaced holder is not resumed from.

Ruled out: a probe of the holder before each resumption from a copy (one round trip each), and taking the start time from the report into the entry (the name may have changed as well).

--- a/src/platform/report_wire.rs
+++ b/src/platform/report_wire.rs
@@ -19,7 +19,9 @@
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
 struct ReportWire<'a> {
+    /// Start of the engine, in milliseconds since the Unix epoch; the same as in its entry.
     #[serde(borrow)]
+    born: Option<&'a serde_json::value::RawValue>,
     state: Option<&'a serde_json::value::RawValue>,
     /// Requests waiting in the queue.
     queued: Option<&'a serde_json::value::RawValue>,
@@ -103,6 +105,7 @@
 impl From<ReportWire<'_>> for report::EngineReport {
     fn from(wire: ReportWire<'_>) -> Self {
         Self {
+            incarnation: number(wire.born),
             is_leaving: wire.state.and_then(text).as_deref() == Some(LEAVING_STATE),
             waiting: u32::try_from(number(wire.queued)).unwrap_or(u32::MAX),
             running: u32::try_from(number(wire.active)).unwrap_or(u32::MAX),
--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -225,6 +225,7 @@
         Some(fleet::ChosenEndpoint {
             key,
             name: entry.record.name.clone(),
+            incarnation: entry.record.incarnation,
             address: entry.record.address,
             zone: entry.record.zone.clone(),
             is_limited: entry.notice.limit.rate().is_some(),
@@ -253,7 +254,15 @@
         let state = self.state.lock();
         let entry = state.entries.get(key);
         let now = time::Instant::now();
-        entry.is_some_and(|entry| entry.is_open(now) && entry.failures == 0)
+        entry.is_some_and(|entry| {
+            entry.is_open(now) && entry.failures == 0 && !entry.is_replaced(now)
+        })
+    }
+
+    fn is_replaced(&self, key: fleet::EndpointKey) -> bool {
+        let state = self.state.lock();
+        let entry = state.entries.get(key);
+        entry.is_none_or(|entry| entry.is_replaced(time::Instant::now()))
     }
 
     fn recent_requests(&self, key: fleet::EndpointKey, now: time::Instant) -> u32 {
--- a/src/process/gateway/fleet_entry.rs
+++ b/src/process/gateway/fleet_entry.rs
@@ -45,6 +45,8 @@
     pub(super) in_flight: u32,
     pub(super) failures: u32,
     avoided_until: Option<time::Instant>,
+    /// Whether the last observation was of another endpoint at the address.
+    was_replaced: bool,
     pub(super) notice: endpoint_notice::EndpointNotice,
     /// Until when no permit is asked for; only used while the endpoint limits its rate.
     pub(super) permits_denied_until: Option<time::Instant>,
@@ -65,6 +67,7 @@
             in_flight: 0,
             failures: 0,
             avoided_until: None,
+            was_replaced: false,
             notice,
             permits_denied_until: None,
             open_asks: 0,
@@ -91,6 +94,7 @@
             fleet::EndpointObservation::Answered => {
                 self.failures = 0;
                 self.avoided_until = None;
+                self.was_replaced = false;
             }
             fleet::EndpointObservation::Full => self.avoided_until = Some(now + FULL_AVOIDANCE),
             fleet::EndpointObservation::Failed => {
@@ -105,6 +109,7 @@
             }
             fleet::EndpointObservation::Replaced => {
                 self.avoided_until = Some(now + REPLACED_AVOIDANCE);
+                self.was_replaced = true;
                 log::warn!(
                     endpoint = self.record.name.as_str();
                     "another endpoint answers at the address"
@@ -172,6 +177,11 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the endpoint is avoided because another one answers at its address.
+    pub(super) fn is_replaced(&self, now: time::Instant) -> bool {
+        self.was_replaced && self.is_avoided(now)
+    }
+
     pub(super) fn status(&self, now: time::Instant) -> status::EndpointStatus {
         let state = if self.is_leaving() {
             endpoint_entry::EndpointState::Leaving
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -18,6 +18,8 @@
     pub key: EndpointKey,
     /// Name, which the endpoint compares with that in the request.
     pub name: String,
+    /// Start time that its entry names, in milliseconds since the Unix epoch; 0 when unknown.
+    pub incarnation: u64,
     /// Address and port for requests.
     pub address: net::SocketAddr,
     /// Name of its availability zone.
@@ -69,6 +71,10 @@
     /// Whether the endpoint is known, accepts new requests and did not fail at its last attempt.
     fn is_healthy(&self, key: EndpointKey) -> bool;
 
+    /// Whether another endpoint, or another incarnation, was observed at the address lately, or the
+    /// endpoint is not known any more. A KV copy there is lost.
+    fn is_replaced(&self, key: EndpointKey) -> bool;
+
     /// Requests that this router sent to the endpoint so recently that its report may not include
     /// them.
     fn recent_requests(&self, key: EndpointKey, now: time::Instant) -> u32;
--- a/src/request/relay/kv_copy.rs
+++ b/src/request/relay/kv_copy.rs
@@ -13,7 +13,8 @@
 use futures::FutureExt as _;
 use futures::future;
 
-use crate::request::relay::{attempt, context, dialect, fleet, report, selection};
+use crate::process::view;
+use crate::request::relay::{attempt, context, dialect, fleet, incarnation, report, selection};
 
 /// Interval between checks of the copy; short compared with the seconds between two failures.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -161,7 +162,7 @@
             CopyAction::Replace => sample_holders(run, holder, PROBED_HOLDERS),
         };
         let moving = move_copy(
-            sync::Arc::clone(&run.context.dialect),
+            MoveContext::of(run.context),
             run.engine.address,
             (run.request.to_owned(), run.tokens),
             holders,
@@ -223,19 +224,40 @@
     run.context.fleet.sample(&query, count)
 }
 
+/// What a move needs of the [`context::RelayContext`]; it runs beside the request.
+struct MoveContext {
+    dialect: sync::Arc<dyn dialect::RequestDialect>,
+    fleet: sync::Arc<dyn fleet::EndpointFleet>,
+    counters: sync::Arc<dyn view::CounterSink>,
+}
+
+impl MoveContext {
+    fn of(context: &context::RelayContext) -> Self {
+        Self {
+            dialect: sync::Arc::clone(&context.dialect),
+            fleet: sync::Arc::clone(&context.fleet),
+            counters: sync::Arc::clone(&context.counters),
+        }
+    }
+}
+
 /// Copies the KV cache of `request`, which occupies `tokens` at its end, from `source` to the
 /// first of `holders` with room.
 async fn move_copy(
-    dialect: sync::Arc<dyn dialect::RequestDialect>,
+    context: MoveContext,
     source: net::SocketAddr,
     (request, tokens): (String, u64),
     holders: Vec<fleet::ChosenEndpoint>,
 ) -> Option<HeldCopy> {
+    let dialect = &context.dialect;
     let probes = holders
         .iter()
         .map(|holder| attempt::report(holder.address, dialect.as_ref(), attempt::REPORT_TIMEOUT));
     let reports = future::join_all(probes).await;
-    let mut candidates = holders.into_iter().zip(reports);
+    let engines = holders.into_iter().zip(reports).collect();
+    let (fleet, counters) = (context.fleet.as_ref(), context.counters.as_ref());
+    let candidates = incarnation::drop_replaced(fleet, counters, &request, engines);
+    let mut candidates = candidates.into_iter();
     let has_room = |report: &Option<report::EngineReport>| {
         let candidate = selection::EngineCandidate {
             report: report.clone(),
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod events;
 pub mod fleet;
+pub mod incarnation;
 pub mod kv_copy;
 pub mod permit;
 pub mod report;
--- a/src/request/relay/report.rs
+++ b/src/request/relay/report.rs
@@ -14,6 +14,8 @@
 /// State of an engine; a few hundred milliseconds old when it arrives.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Start time of the engine, in milliseconds since the Unix epoch; 0 when it reports none.
+    pub incarnation: u64,
     /// Whether the engine is shutting down.
     pub is_leaving: bool,
     /// Queued requests.
@@ -29,6 +31,12 @@
 }
 
 impl EngineReport {
+    /// Whether the report is of another incarnation than `expected`; an unknown one, 0, matches any.
+    #[must_use]
+    pub const fn is_of_other(&self, expected: u64) -> bool {
+        self.incarnation != 0 && expected != 0 && self.incarnation != expected
+    }
+
     /// Running requests still in prefill; all running requests when the engine does not list them.
     #[must_use]
     pub fn prefilling(&self) -> u32 {
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -5,7 +5,9 @@
 use async_std::task;
 use futures::future as futures_future;
 
-use crate::request::relay::{attempt, context, dialect, fleet, kv_copy, retry, selection, stream};
+use crate::request::relay::{
+    attempt, context, dialect, fleet, incarnation, kv_copy, report, retry, selection, stream,
+};
 
 /// Delay before the next search when no engine is available for an interrupted stream.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -64,7 +66,9 @@
         if self.attempts > 0 && !self.withdraw_retry().await {
             return None;
         }
-        if let Some(copy) = self.copies.take() {
+        let copy = self.copies.take();
+        let copy = copy.filter(|copy| !self.context.fleet.is_replaced(copy.holder.key));
+        if let Some(copy) = copy {
             let source = copy.source(&self.request.metadata.id);
             if let Some(lease) = self.acquire(Some(copy.holder.key)).await {
                 return Some((lease, Some(source)));
@@ -192,22 +196,8 @@
         &mut self,
         search: &EngineSearch,
     ) -> (Vec<fleet::ChosenEndpoint>, Vec<selection::EngineCandidate>) {
-        let excluded = [self.excluded.as_slice(), search.probed.as_slice()].concat();
-        let query = fleet::EndpointQuery {
-            service: &self.request.service,
-            excluded: &excluded,
-            avoid_zone_of: None,
-            only: None,
-            is_unlimited: search.refusals >= MAX_REFUSALS,
-        };
-        let fleet = &self.context.fleet;
-        let endpoints = fleet.sample(&query, selection::PROBED_ENGINES);
-        let dialect = self.context.dialect.as_ref();
-        let pending = endpoints
-            .iter()
-            .map(|endpoint| attempt::report(endpoint.address, dialect, PROBE_TIMEOUT));
-        let reports = futures_future::join_all(pending).await;
-        let now = time::Instant::now();
+        let (endpoints, reports) = self.probe_current(search).await;
+        let (fleet, now) = (&self.context.fleet, time::Instant::now());
         let candidates = endpoints.iter().zip(reports);
         let candidates = candidates.map(|(endpoint, report)| selection::EngineCandidate {
             report,
@@ -224,6 +214,43 @@
         (endpoints, candidates)
     }
 
+    /// Probes engines until one of them is still the one of its entry, or none is left.
+    async fn probe_current(
+        &self,
+        search: &EngineSearch,
+    ) -> (
+        Vec<fleet::ChosenEndpoint>,
+        Vec<Option<report::EngineReport>>,
+    ) {
+        let mut excluded = [self.excluded.as_slice(), search.probed.as_slice()].concat();
+        let (fleet, counters) = (&self.context.fleet, &self.context.counters);
+        let dialect = self.context.dialect.as_ref();
+        loop {
+            let query = fleet::EndpointQuery {
+                service: &self.request.service,
+                excluded: &excluded,
+                avoid_zone_of: None,
+                only: None,
+                is_unlimited: search.refusals >= MAX_REFUSALS,
+            };
+            let endpoints = fleet.sample(&query, selection::PROBED_ENGINES);
+            let keys: Vec<fleet::EndpointKey> =
+                endpoints.iter().map(|endpoint| endpoint.key).collect();
+            let pending = endpoints
+                .iter()
+                .map(|endpoint| attempt::report(endpoint.address, dialect, PROBE_TIMEOUT));
+            let reports = futures_future::join_all(pending).await;
+            let probed = endpoints.into_iter().zip(reports).collect();
+            let request = self.request.metadata.id.as_str();
+            let current =
+                incarnation::drop_replaced(fleet.as_ref(), counters.as_ref(), request, probed);
+            if !current.is_empty() || keys.is_empty() {
+                return current.into_iter().unzip();
+            }
+            excluded.extend(keys);
+        }
+    }
+
     pub(super) fn maintain_copy(&mut self, lease: &context::EndpointLease) {
         if !self.request.has_moves || !self.request.route.kind.may_repeat() {
             return;
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -64,6 +64,7 @@
     };
     selection::EngineCandidate {
         report: Some(report::EngineReport {
+            incarnation: 0,
             is_leaving: false,
             waiting,
             running: prefilling + generating,
@@ -182,6 +183,7 @@
         events: 1,
     });
     report::EngineReport {
+        incarnation: 0,
         is_leaving: false,
         waiting,
         running,
@@ -404,6 +406,7 @@
         holder: fleet::ChosenEndpoint {
             key: fleet::EndpointKey::default(),
             name: "e1".to_owned(),
+            incarnation: 1,
             address,
             zone: "z1".to_owned(),
             is_limited: false,
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -195,6 +195,14 @@
     assert_eq!(report.runs.expect("a list of runs")[0].request, "r1");
 }
 
+/// A report without a usable start time must not exclude an engine that works.
+fn the_start_time_of_a_report_is(field: &str, expected: u64) {
+    let text = format!(r#"{{{field}"queued":1,"active":2,"kv_used":10,"kv_total":90,"runs":[]}}"#);
+    let report = report_wire::decode(text.as_bytes()).expect("a valid report");
+    assert_eq!(report.incarnation, expected);
+    assert_eq!((report.waiting, report.running), (1, 2));
+}
+
 const SETTINGS: &str = "node: v1\nip: 127.0.0.1\nzone: z1\nnew_field: {a: 1}\n\
     listen: {front: '127.0.0.1:1', ready: '127.0.0.1:2', control: '127.0.0.1:3'}\n\
     seeds: ['127.0.0.1:3', '127.0.0.1:3']\nlimits: {memory_mb: 96, max_fds: 2870}\n\
@@ -346,6 +354,11 @@
     entry_of_another_type: entry_is_refused(r#"{"service":5,"addr":"10.0.0.1:80","zone":"z","slots":1,"state":"ready"}"#);
     entry_not_json: entry_is_refused("\u{1}\u{2}");
     report: a_report_is_read();
+    report_with_start_time: the_start_time_of_a_report_is(r#""born":1765040000123,"#, 1_765_040_000_123);
+    report_without_start_time: the_start_time_of_a_report_is("", 0);
+    report_with_start_time_zero: the_start_time_of_a_report_is(r#""born":0,"#, 0);
+    report_with_start_time_as_text: the_start_time_of_a_report_is(r#""born":"12","#, 0);
+    report_with_start_time_as_list: the_start_time_of_a_report_is(r#""born":[12],"#, 0);
     settings: settings_are_read();
     settings_errors: all_settings_errors_are_reported_at_once();
     info_requests: info_requests_are_parsed();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod permits;
 mod planned_stops;
 mod repeated_requests;
+mod restarted_engines;
 mod restored_store;
 mod silent_calls;
 mod silent_engines;
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -160,6 +160,9 @@
 /// Delay of each answer in the mode `Slow`.
 const SLOW_ANSWER: time::Duration = time::Duration::from_millis(200);
 
+/// Start time in the entries of endpoints.
+const ENTRY_BORN: u64 = 1;
+
 /// Memory of each engine, in tokens.
 const ENGINE_MEMORY_TOKENS: u64 = 88_000;
 
@@ -197,6 +200,8 @@
 struct EndpointState {
     /// Name of the current process; a new one may have another.
     name: sync::Mutex<String>,
+    /// Start time in its reports.
+    born: atomic::AtomicU64,
     mode: sync::Mutex<EndpointMode>,
     received: sync::Mutex<Vec<ReceivedRequest>>,
     is_dead: atomic::AtomicBool,
@@ -243,6 +248,7 @@
         let address = listener.local_addr().expect("bound");
         let state = sync::Arc::new(EndpointState {
             name: sync::Mutex::new(name.to_owned()),
+            born: atomic::AtomicU64::new(ENTRY_BORN),
             mode: sync::Mutex::new(EndpointMode::Healthy),
             received: sync::Mutex::default(),
             is_dead: atomic::AtomicBool::default(),
@@ -333,6 +339,11 @@
         crashes.crashed_at.clone()
     }
 
+    /// Names another start time in its reports from now on, as an engine that has restarted.
+    pub fn restart(&self) {
+        self.state.born.fetch_add(1, atomic::Ordering::SeqCst);
+    }
+
     /// Refuses requests to any other name from now on.
     pub fn rename(&self, name: &str) {
         name.clone_into(&mut self.state.name.lock().expect("not poisoned"));
@@ -358,7 +369,7 @@
     pub fn entry_at(address: net::SocketAddr, service: &str, zone: &str, state: &str) -> Vec<u8> {
         let entry = serde_json::json!({"service": service, "addr": address.to_string(),
             "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-            "seq": 1, "born": 1});
+            "seq": 1, "born": ENTRY_BORN});
         entry.to_string().into_bytes()
     }
 }
@@ -425,7 +436,8 @@
         }
         let used = u64::from(mode == EndpointMode::MemoryInUse) * ENGINE_MEMORY_TOKENS;
         let report = serde_json::json!({"queued": 0, "active": 1, "kv_used": used,
-            "kv_total": ENGINE_MEMORY_TOKENS, "runs": []});
+            "kv_total": ENGINE_MEMORY_TOKENS, "runs": [],
+            "born": state.born.load(atomic::Ordering::SeqCst)});
         return write_json(stream, 200, &report);
     }
     if is_dead {
