Let routers give retry tokens to others whose streams wait

Cause: each router may use only its own share of the operators' retry limit. With many routers a share holds three tokens for broken streams; when several streams of one router break, they wait while the shares of others lie unused.

Change: a router with a waiting broken stream asks two random ready routers for a token (RetryTokens, a new last variant of the queries). The token is withdrawn before the reply leaves. A router gives only what it holds beyond its likely need, and only while its uses and gifts of the last window fit into 0.9 of its own share. Received tokens expire after 1 s. Questions are limited to one at a time, 100 ms apart, and 200 to 800 ms apart while they bring none.

Ruled out: one owner of all retries per service (a round trip for each retry, none while it is lost); larger shares (their sum exceeds the limit); giving whatever is saved (saved tokens of all routers could be used in one window).

Where the limit is too low for all streams, as many wait as before.

The test with three gateways fails when the questions are switched off. 109 tests of the gateway that touch the peer link, budgets and broken streams, and the tests of peer_link passed.

--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -77,6 +77,18 @@
     RequestCrash(crash_wire::RequestCrashWire),
     /// Tells that requests are blocked.
     BlockedRequests(Vec<crash_wire::BlockedRequestWire>),
+    /// Asks for retry tokens that the peer does not need.
+    RetryTokens(RetryTokensWire),
+}
+
+/// A question for retry tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct RetryTokensWire {
+    /// Name of the service whose streams wait for them.
+    pub service: String,
+    /// Most tokens that the sender can use.
+    pub wanted: u32,
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -164,6 +176,8 @@
     CrashEvidence(crash_wire::CrashEvidenceWire),
     /// The blocked requests were taken.
     BlockedRequests,
+    /// Number of retry tokens that were withdrawn from the peer's share for the sender of the query.
+    RetryTokens(u32),
 }
 
 /// A gossip message; the reply has the same type.
--- a/src/process/gateway/budgets.rs
+++ b/src/process/gateway/budgets.rs
@@ -1,14 +1,15 @@
 //! This router's share of the retry limit that applies to all routers together.
 //!
 //! Each router allows retries in proportion to its own requests, so the routers need no messages
-//! to coordinate.
+//! to coordinate. Tokens that one of them does not need may be given to another; see
+//! `token_exchange`.
 
 use std::collections;
 use std::sync;
 use std::time;
 
 use crate::process::gateway::settings;
-use crate::process::limits::budget;
+use crate::process::limits::{budget, token_transfer};
 use crate::process::view;
 use crate::request::relay::context;
 
@@ -16,6 +17,10 @@
 /// counted elsewhere, or later than the limit counts them.
 const USED_LIMIT_SHARE: f64 = 0.6;
 
+/// Fraction of this router's whole share of the limit up to which it gives tokens away. What it used
+/// itself and is likely to need counts too; the rest is the margin for the time that a token travels.
+const GIFT_LIMIT_SHARE: f64 = 0.9;
+
 /// Fraction of the retries that is reserved for streams that broke off.
 const BROKEN_STREAM_SHARE: f64 = 0.5;
 
@@ -48,6 +53,18 @@
     routers: usize,
     broken_streams: budget::RetryBudget,
     fresh_requests: budget::RetryBudget,
+    uses: token_transfer::ShareUse,
+    received: token_transfer::ReceivedTokens,
+    asks: token_transfer::AskSchedule,
+}
+
+/// Tokens that were withdrawn for another router.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenGift {
+    /// Number of tokens.
+    pub given: u32,
+    /// What decided about it.
+    pub params: token_transfer::GiftParams,
 }
 
 impl ServiceBudgets {
@@ -78,6 +95,9 @@
                     routers,
                     broken_streams: budget::RetryBudget::new(broken),
                     fresh_requests: budget::RetryBudget::new(fresh),
+                    uses: token_transfer::ShareUse::new(now, self.bounds.retry_window),
+                    received: token_transfer::ReceivedTokens::default(),
+                    asks: token_transfer::AskSchedule::default(),
                 })
         });
         if budget.routers != routers {
@@ -88,6 +108,49 @@
         budget
     }
 
+    /// Whether to ask other routers for tokens for broken streams of `service` now; if so,
+    /// [`ServiceBudgets::finish_ask`] has to follow.
+    #[must_use]
+    pub fn begin_ask(&self, service: &str, now: time::Instant) -> bool {
+        self.budget_of(service, now).asks.begin(now)
+    }
+
+    /// Records the tokens that each of the asked routers gave.
+    pub fn finish_ask(&self, service: &str, given: &[u32], now: time::Instant) {
+        let mut budget = self.budget_of(service, now);
+        let mut total = 0;
+        for tokens in given {
+            budget.received.add(*tokens, now);
+            total += (*tokens).min(token_transfer::WANTED_TOKENS);
+        }
+        budget.asks.finish(total, fastrand::f64(), now);
+    }
+
+    /// Withdraws tokens for another router that asks for `wanted`; returns how many it gets.
+    #[must_use]
+    pub fn give(&self, service: &str, wanted: u32, now: time::Instant) -> TokenGift {
+        let mut budget = self.budget_of(service, now);
+        let routers = f64::from(u32::try_from(budget.routers).unwrap_or(u32::MAX));
+        let requests = f64::from(budget.uses.requests(now));
+        let share = self.bounds.retry_slack / routers + self.bounds.retry_ratio * requests;
+        let params = token_transfer::GiftParams {
+            wanted: wanted.min(token_transfer::WANTED_TOKENS),
+            available: budget.broken_streams.available(now) + budget.fresh_requests.available(now),
+            used: budget.uses.used(now),
+            share: share * GIFT_LIMIT_SHARE,
+            expected_demand: budget.uses.expected_demand(now),
+        };
+        let count = token_transfer::tokens_to_give(&params);
+        let mut given = 0;
+        for _token in 0..count {
+            let is_withdrawn =
+                budget.fresh_requests.withdraw(now) || budget.broken_streams.withdraw(now);
+            given += u32::from(is_withdrawn);
+        }
+        budget.uses.record_use(given, now);
+        TokenGift { given, params }
+    }
+
     /// This router's share for broken streams and for other retries, among so many routers.
     fn share_limits(&self, routers: usize) -> [budget::BudgetLimits; 2] {
         let routers = u32::try_from(routers).map_or(f64::from(u32::MAX), f64::from);
@@ -116,18 +179,22 @@
 
 impl context::RetryLimiter for ServiceBudgets {
     fn deposit(&self, service: &str, now: time::Instant) {
-        let budget = self.budget_of(service, now);
+        let mut budget = self.budget_of(service, now);
+        budget.uses.record_request(now);
         budget.broken_streams.deposit(now);
         budget.fresh_requests.deposit(now);
     }
 
     fn withdraw(&self, service: &str, urgency: context::RetryUrgency, now: time::Instant) -> bool {
-        let budget = self.budget_of(service, now);
-        match urgency {
-            context::RetryUrgency::Broken => {
-                budget.broken_streams.withdraw(now) || budget.fresh_requests.withdraw(now)
-            }
-            context::RetryUrgency::Fresh => budget.fresh_requests.withdraw(now),
+        let mut budget = self.budget_of(service, now);
+        let is_broken = urgency == context::RetryUrgency::Broken;
+        // Its giver has counted a received token.
+        if is_broken && budget.received.take(now) {
+            return true;
         }
+        let is_granted = (is_broken && budget.broken_streams.withdraw(now))
+            || budget.fresh_requests.withdraw(now);
+        budget.uses.record_use(u32::from(is_granted), now);
+        is_granted
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -40,4 +40,5 @@
 mod store_role;
 pub mod store_watch;
 pub mod stream_duration;
+pub mod token_exchange;
 mod unfinished_request;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -9,7 +9,7 @@
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
     freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
-    stream_duration, unfinished_request,
+    stream_duration, token_exchange, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -74,6 +74,8 @@
     pub codec: sync::Arc<dyn rows::RowCodec>,
     /// Permits for requests to endpoints that limit their rate.
     pub permits: sync::Arc<permits::RouterPermits>,
+    /// Exchange of retry tokens with other routers.
+    pub tokens: sync::Arc<token_exchange::TokenExchange>,
     /// Requests that are blocked because they crash endpoints.
     pub guard: sync::Arc<request_guard::RouterRequestGuard>,
     /// Resources that all relayed requests share.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -99,6 +99,9 @@
                     self.guard.merge_blocks(blocked, "peer");
                     peer_wire::ReplyBody::BlockedRequests
                 }
+                peer_wire::QueryBody::RetryTokens(query) => {
+                    peer_wire::ReplyBody::RetryTokens(self.tokens.answer_ask(&query))
+                }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
         }
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -16,6 +16,7 @@
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
     peers, permits, readers, reload, request_guard, rows, settings, stop, store_watch,
+    token_exchange,
 };
 use crate::process::members::{gossip, peering};
 use crate::process::start;
@@ -174,6 +175,13 @@
         Box::new(placement::PrefixPlacement::default()),
     ));
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
+    let tokens = token_exchange::TokenExchange::new(
+        sync::Arc::new(budget),
+        sync::Arc::clone(&members),
+        sync::Arc::clone(&link),
+        sync::Arc::clone(&metrics) as _,
+    );
+    let tokens = sync::Arc::new(tokens);
     let pace = readers::ReadTiming::new(settings.bounds.propagation_limit);
     let own_address = settings.peer_listen.to_string();
     let is_seed = settings.seeds.contains(&own_address);
@@ -200,7 +208,7 @@
         )),
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&adapters.requests),
-        budget: sync::Arc::new(budget),
+        budget: sync::Arc::clone(&tokens) as _,
         permits: sync::Arc::clone(&permits) as _,
         guard: sync::Arc::clone(&guard) as _,
         counters: sync::Arc::clone(&metrics) as _,
@@ -230,6 +238,7 @@
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
         permits,
+        tokens,
         guard,
         relay,
         is_draining: atomic::AtomicBool::default(),
--- a/src/process/limits/budget.rs
+++ b/src/process/limits/budget.rs
@@ -71,6 +71,14 @@
             .add(limits.retries_per_success, limits.max_tokens);
     }
 
+    /// Tokens that are available at `now`.
+    #[must_use]
+    pub fn available(&self, now: time::Instant) -> f64 {
+        let mut state = self.state.lock();
+        state.refill(now);
+        state.bucket.tokens()
+    }
+
     /// Takes one token for a retry at `now`; returns false if none is available.
     #[must_use]
     pub fn withdraw(&self, now: time::Instant) -> bool {
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -7,3 +7,4 @@
 pub mod limit_split;
 pub mod share;
 pub mod token_bucket;
+pub mod token_transfer;
--- a/src/process/limits/token_bucket.rs
+++ b/src/process/limits/token_bucket.rs
@@ -42,6 +42,12 @@
         true
     }
 
+    /// Tokens that it holds.
+    #[must_use]
+    pub const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// Tokens missing until one can be taken.
     #[must_use]
     pub fn missing(&self) -> f64 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,4 +35,5 @@
 mod stop_rules;
 mod stray_refusals;
 mod support;
+mod token_transfers;
 mod whole;
--- a/tests/gateway/support/router.rs
+++ b/tests/gateway/support/router.rs
@@ -10,6 +10,9 @@
 /// Grace period of gateways in tests that do not set one.
 pub const USUAL_GRACE: time::Duration = time::Duration::from_secs(4);
 
+/// Retries that gateways may send in tests that do not set their number.
+pub const USUAL_RETRY_SLACK: u32 = 300;
+
 static NEXT_NET: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
 /// Returns a loopback prefix of one test, so that concurrent tests can use the same ports.
@@ -54,6 +57,9 @@
     pub kind: StartKind,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
+    /// Retries that all gateways together may send in each window, beyond those in proportion to
+    /// requests.
+    pub retry_slack: u32,
 }
 
 impl GatewayStart {
@@ -62,6 +68,7 @@
         Self {
             kind,
             grace: USUAL_GRACE,
+            retry_slack: USUAL_RETRY_SLACK,
         }
     }
 }
@@ -78,13 +85,14 @@
     let seed = net::IpAddr::from([net[0], net[1], net[2], 1]);
     let is_first = start.kind == StartKind::First;
     let grace_s = start.grace.as_secs_f64();
+    let retry_slack = start.retry_slack;
     let settings = format!(
         "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\n\
          listen: {{front: '{ip}:8227', ready: '{ip}:8220', \
          control: '{ip}:8229', directory: '{ip}:8224'}}\nseeds: ['{seed}:8229']\n\
          limits: {{memory_mb: 96, max_fds: 2870}}\nbounds: {{strict_revoke: true, \
-         revoke_ms: 4000, grace_s: {grace_s}, ttl_max_s: 5, budget_ratio: 0.8, budget_slack: 300, \
-         budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n"
+         revoke_ms: 4000, grace_s: {grace_s}, ttl_max_s: 5, budget_ratio: 0.8, \
+         budget_slack: {retry_slack}, budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n"
     );
     let file = folder.join(format!("g{number}.yaml"));
     fs::write(&file, settings).expect("a file");
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -22,6 +22,8 @@
     pub gateways: Vec<router::GatewayProcess>,
     /// Grace period of the gateways.
     pub grace: time::Duration,
+    /// Retries that all gateways together may send in each window.
+    pub retry_slack: u32,
 }
 
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
@@ -41,15 +43,27 @@
     }
 
     pub fn start_with_grace(gateways: u8, grace: time::Duration) -> Self {
-        Self::start_system(gateways, grace, &Self::config(1, r#""k""#))
+        let slack = router::USUAL_RETRY_SLACK;
+        Self::start_system(gateways, (grace, slack), &Self::config(1, r#""k""#))
+    }
+
+    /// Starts gateways that together may send so few retries in each window.
+    pub fn start_with_retry_slack(gateways: u8, slack: u32) -> Self {
+        let config = Self::config(1, r#""k""#);
+        Self::start_system(gateways, (router::USUAL_GRACE, slack), &config)
     }
 
     /// Starts gateways with this configuration.
     pub fn start_configured(gateways: u8, config: &str) -> Self {
-        Self::start_system(gateways, router::USUAL_GRACE, config)
+        let bounds = (router::USUAL_GRACE, router::USUAL_RETRY_SLACK);
+        Self::start_system(gateways, bounds, config)
     }
 
-    fn start_system(gateways: u8, grace: time::Duration, config: &str) -> Self {
+    fn start_system(
+        gateways: u8,
+        (grace, retry_slack): (time::Duration, u32),
+        config: &str,
+    ) -> Self {
         let net = router::loopback_net();
         let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
         let store = fake_store::FakeStore::new(ip(250));
@@ -61,6 +75,7 @@
             second: fakes::FakeEndpoint::start(ip(241), "e2"),
             gateways: Vec::new(),
             grace,
+            retry_slack,
         };
         system.store.put("op", "config", config.as_bytes());
         system
@@ -73,7 +88,11 @@
             let store_address = system.store.open_listener();
             let kind = router::StartKind::First;
             let folder = system.folder.path();
-            let start = router::GatewayStart { kind, grace };
+            let start = router::GatewayStart {
+                kind,
+                grace,
+                retry_slack,
+            };
             let gateway = router::spawn(folder, system.net, number, store_address, start);
             system.gateways.push(gateway);
         }
@@ -101,6 +120,7 @@
         let start = router::GatewayStart {
             kind: router::StartKind::Later,
             grace: self.grace,
+            retry_slack: self.retry_slack,
         };
         let gateway = router::spawn(self.folder.path(), self.net, number, store_address, start);
         self.gateways.insert(index, gateway);
