Keep streams without a copy at an engine that is only silent

Cause: a stream leaves an engine that holds it and answers its probes after 0.72 of the gap goal, also when no other engine has its KV copy. The other engine then prefills the prompt for a second or more.

Change: without a copy at a healthy engine, the stream stays until the silence is as long as such a prefill: the time that its own first event took, 2 to 4 s. The engine is probed each 500 ms meanwhile; a probe that fails ends the attempt as before. With a copy nothing changes. `stream lost` has the key `has_copy`; two counters tell silences with and without a copy.

Ruled out: no limit at all (an engine that never goes on would hold the stream until its deadline), and waiting although there is a copy.

--- a/src/request/relay/kv_copy.rs
+++ b/src/request/relay/kv_copy.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Engine that holds the copy, if there is one.
+    #[must_use]
+    pub fn holder(&self) -> Option<fleet::EndpointKey> {
+        self.held.as_ref().map(|held| held.holder.key)
+    }
+
     /// Returns the copy and stops tracking it and any move in progress.
     pub fn take(&mut self) -> Option<HeldCopy> {
         self.moving = None;
--- a/src/request/relay/stall.rs
+++ b/src/request/relay/stall.rs
@@ -16,6 +16,13 @@
 /// Time within which an engine answers a probe, which occupies no slot there.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
+/// Shortest time assumed for a prompt to be prefilled again elsewhere: one second for 8,000 tokens, and
+/// as much behind another prompt.
+const MIN_PREFILL_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Longest time assumed for it, however long the first event of the stream took.
+const MAX_PREFILL_TIME: time::Duration = time::Duration::from_secs(4);
+
 /// Most doublings of the limits.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -65,6 +72,19 @@
         }
     }
 
+    /// Limits for a stream without a KV copy at a healthy engine. Another engine would prefill the
+    /// prompt first, so its own one is abandoned only after a silence as long as that.
+    /// `first_event` is the time that the first event took, if it came after a prefill.
+    #[must_use]
+    pub fn without_copy(self, first_event: Option<time::Duration>) -> Self {
+        let prefill = first_event.unwrap_or_default();
+        let prefill = prefill.clamp(MIN_PREFILL_TIME, MAX_PREFILL_TIME);
+        Self {
+            abandon_after: self.abandon_after.max(prefill),
+            ..self
+        }
+    }
+
     /// Limits for a stream that no other engine can resume: its engine is neither probed nor
     /// abandoned, as a silent engine may still go on and nothing else can.
     #[must_use]
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -30,6 +30,8 @@
     pub(super) copies: kv_copy::CopyManager,
     /// Engines that responded to the last probe round, least loaded first.
     pub(super) responding: Vec<(fleet::ChosenEndpoint, selection::EngineCandidate)>,
+    /// Time from the first attempt that had an event to that event.
+    first_event: Option<time::Duration>,
     pub(super) possible_runs: u32,
     pub(super) attempts: u32,
     /// Attempts that were lost because the engine was silent.
@@ -55,6 +57,7 @@
         excluded: Vec::new(),
         copies: kv_copy::CopyManager::default(),
         responding: Vec::new(),
+        first_event: None,
         possible_runs: 0,
         attempts: 0,
         silences: 0,
@@ -253,6 +256,8 @@
                 if !event.is_comment && std::mem::take(&mut is_first) {
                     // The engine makes the copy only after prefill, which the first event marks.
                     self.copies = kv_copy::CopyManager::new(holder.take());
+                    self.first_event
+                        .get_or_insert(self.progress.sent_at.elapsed());
                     let elapsed = self.request.arrived.elapsed();
                     self.context.counters.time("relay.first_event", elapsed);
                     log::info!(
@@ -338,7 +343,17 @@
         if !self.request.route.kind.may_repeat() {
             return limits.until_reported();
         }
-        limits.after_silences(self.silences)
+        let limits = limits.after_silences(self.silences);
+        if self.has_healthy_copy() {
+            return limits;
+        }
+        limits.without_copy(self.first_event)
+    }
+
+    /// Whether the stream can resume from a KV copy at an engine that is healthy.
+    pub(super) fn has_healthy_copy(&self) -> bool {
+        let holder = self.copies.holder();
+        holder.is_some_and(|holder| self.context.fleet.is_healthy(holder))
     }
 
     async fn write_events(&mut self, events: &[u8]) -> std::io::Result<()> {
--- a/src/request/relay/stream_loss.rs
+++ b/src/request/relay/stream_loss.rs
@@ -84,6 +84,13 @@
 
     pub(super) fn log_loss(&self, lease: &context::EndpointLease, cause: LossCause) {
         let elapsed = self.progress.sent_at.elapsed();
+        if cause == LossCause::Unresponsive {
+            self.context.counters.count(if self.has_healthy_copy() {
+                "relay.silent_with_copy"
+            } else {
+                "relay.silent_without_copy"
+            });
+        }
         log::info!(
             request = self.request.metadata.id.as_str(),
             endpoint = lease.endpoint.name.as_str(),
@@ -91,6 +98,7 @@
             has_head = self.progress.has_head,
             events = self.progress.events,
             partial_bytes = self.progress.partial_bytes,
+            has_copy = self.has_healthy_copy(),
             elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
             "stream lost"
         );
--- a/src/request/relay/stream_reader.rs
+++ b/src/request/relay/stream_reader.rs
@@ -129,8 +129,9 @@
             Either::Right((true, reading)) => reading,
         };
         let remaining = limits.abandon_after.saturating_sub(last_event_at.elapsed());
-        let read = future::timeout(remaining, reading).await;
-        Ok(read.map_err(|_elapsed| stream_loss::LossCause::Unresponsive)??)
+        // A silence longer than an interval of probes is probed again.
+        let read = future::timeout(remaining, probe.while_alive(reading)).await;
+        Ok(read.map_err(|_elapsed| stream_loss::LossCause::Unresponsive)???)
     }
 }
 
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -374,6 +374,25 @@
     assert!(unresumable.abandon_after > time::Duration::from_secs(5));
 }
 
+/// Guards against streams that leave an engine which is silent for a second although another one
+/// needs longer to prefill their prompt, and against those that stay with it for good.
+fn a_stream_without_a_copy_stays_for_a_prefill(
+    silences: u32,
+    first_event_ms: Option<u64>,
+    expected_ms: u64,
+) {
+    let goal = time::Duration::from_millis(700);
+    let limits = stall::StallLimits::new(Some(goal)).after_silences(silences);
+    let first_event = first_event_ms.map(time::Duration::from_millis);
+    let without_copy = limits.without_copy(first_event);
+    let expected = time::Duration::from_millis(expected_ms);
+    assert_eq!(without_copy.abandon_after, expected);
+    assert!(without_copy.may_abandon());
+    // The engine is probed as early as with a copy.
+    assert_eq!(without_copy.probe_after, limits.probe_after);
+    assert_eq!(without_copy.probe_timeout, limits.probe_timeout);
+}
+
 /// On a slow path the engine of each attempt seemed silent, until all attempts were used up.
 fn limits_double_with_each_silent_engine() {
     let limits = stall::StallLimits::new(Some(time::Duration::from_millis(700)));
@@ -508,6 +527,11 @@
     queued_prompt: is_held_after(&[report_of(1, 1, &["other"]), report_of(1, 1, &["other"])], &[true, true]);
     response_lost_after_listing: is_held_after(&[report_of(1, 0, &["own"]), report_of(1, 0, &["other"])], &[true, false]);
     response_lost_before_listing: is_held_after(&[report_of(1, 0, &["other"]), report_of(1, 0, &["other"])], &[true, false]);
+    without_copy: a_stream_without_a_copy_stays_for_a_prefill(0, None, 2_000);
+    without_copy_short_prefill: a_stream_without_a_copy_stays_for_a_prefill(0, Some(500), 2_000);
+    without_copy_long_prefill: a_stream_without_a_copy_stays_for_a_prefill(0, Some(3_000), 3_000);
+    without_copy_long_queue: a_stream_without_a_copy_stays_for_a_prefill(0, Some(9_000), 4_000);
+    without_copy_silent_engines: a_stream_without_a_copy_stays_for_a_prefill(4, None, 8_064);
     stall_limits: stall_limits_leave_time_to_resume_within_the_gap_goal();
     stopping_router: a_stopping_router_accepts_streams_that_end_in_time();
     zone_reader: one_router_of_a_zone_reads_the_store();
