--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod fleet;
 mod full_call;
+pub mod incarnation;
 pub mod kv_copy;
 pub mod permit;
 pub mod report;
