Add a byte budget for what a process holds of its callers

Change: process::limits::byte_budget reserves bytes before they are kept, by source address, with an eighth of the limit for reservations of up to 64 KiB. When there is no room, the longest stalled reservation of the caller that holds most is evicted; its holder learns of it while it waits for bytes, and the one that grows waits until the room is free. Times without progress are compared in steps of 250 ms, and of equally old bodies the smallest gives way, so that steady bodies don't evict one another in turn. Nothing uses the module yet.

Ruled out: granting bytes at once on eviction, as the process would hold both bodies until the evicted holder runs.

--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -4,6 +4,8 @@
 pub mod admission_params;
 pub(crate) mod admission_queue;
 pub mod budget;
+pub mod byte_budget;
+mod byte_ledger;
 pub mod limit_split;
 pub mod share;
 pub mod token_bucket;
