--- a/tests/caller_crowds/gateway_crowds.rs
+++ b/tests/caller_crowds/gateway_crowds.rs
@@ -259,7 +259,33 @@
     check_process(&mut gateway);
 }
 
+/// Guards against stalled bodies of one address that keep out the body of another one.
+fn a_large_body_is_served_beside_stalled_ones() {
+    let mut gateway = CrowdedGateway::start();
+    let shape = crowd::CrowdShape {
+        clients: CLIENTS,
+        body_bytes: BODY_BYTES,
+        framing: crowd::BodyFraming::Length,
+        pace: crowd::SendPace::Whole,
+        end: crowd::SendEnd::StopsShort,
+        sources: crowd::SourceCount::One,
+    };
+    let ends = crowd::run(gateway.address(), shape, head);
+    let body: &'static [u8] = vec![b'x'; gateway_process::MAX_BODY_BYTES].leak();
+    let text = caller::CallText {
+        body,
+        ..caller::CallText::plain("/once/1")
+    };
+    let answer = caller::exchange(gateway.address(), &text.bytes("largest", None));
+    let status = answer.map(|answer| answer.head.status);
+    assert_eq!(status, Some(200), "{}", gateway.logs());
+    check_process(&mut gateway);
+    drop(ends);
+    check_afterwards(&gateway);
+}
+
 common::cases! {
+    large_body_beside_stalled_ones: a_large_body_is_served_beside_stalled_ones();
     bodies_at_once: a_crowd_is_withstood(crowd::BodyFraming::Length, crowd::SendPace::Whole, crowd::SendEnd::Complete, crowd::SourceCount::One);
     bodies_at_once_from_many: a_crowd_is_withstood(crowd::BodyFraming::Length, crowd::SendPace::Whole, crowd::SendEnd::Complete, crowd::SourceCount::Many);
     bodies_in_pieces: a_crowd_is_withstood(crowd::BodyFraming::Length, crowd::SendPace::Pieces, crowd::SendEnd::Complete, crowd::SourceCount::One);
