Account for bytes read ahead and for progress of answers

Cause: up to 24 KiB that a caller sends ahead of an answer were read without being reserved, and an answer that a caller reads steadily counted as stalled since its first write, so it could be evicted before one that is not read.

Change: while an answer is in flight, bytes are read ahead only into the free part of the read buffer, which is reserved. Each write that the socket takes records progress of the answer's reservation.

caller_crowds (21), byte_budget (8), and of tests/gateway framing, whole, endless_responses (87), changed_configuration and cut_answers (36) pass, one run each. No test shows either fault by itself.

--- a/src/connection/h1/sink.rs
+++ b/src/connection/h1/sink.rs
@@ -63,10 +63,23 @@
     /// # Errors
     /// The socket's error; the caller has disconnected.
     pub async fn send(&mut self, head: &head::ResponseHead, body: &[u8]) -> wire::Result<()> {
+        self.send_watched(head, body, || ()).await
+    }
+
+    /// Writes a complete answer, and calls `on_write` whenever the socket has taken a part of it.
+    ///
+    /// # Errors
+    /// The socket's error; the caller has disconnected.
+    pub async fn send_watched(
+        &mut self,
+        head: &head::ResponseHead,
+        body: &[u8],
+        on_write: impl Fn(),
+    ) -> wire::Result<()> {
         let framing = head::BodyFraming::Length(body.len() as u64);
         let bytes = head::write_response(head, framing, self.is_kept_alive);
         self.state = SinkState::Started;
-        wire::write_parts(&mut self.stream, &[&bytes, body]).await?;
+        wire::write_parts(&mut self.stream, &[&bytes, body], on_write).await?;
         self.state = SinkState::Complete;
         Ok(())
     }
--- a/src/connection/h1/wire.rs
+++ b/src/connection/h1/wire.rs
@@ -20,15 +20,16 @@
 /// Most parts in one write; systems take at least 1,024.
 const MAX_WRITE_PARTS: usize = 1024;
 
-/// Limit of bytes buffered while an answer is in flight; the rest stays in the socket.
-const MAX_AHEAD_BYTES: usize = 16 * 1024;
-
 /// Writes all bytes of `parts` in order, in one write as far as the socket takes them, without copying
-/// them.
+/// them. Calls `on_write` after each write.
 ///
 /// # Errors
 /// The socket's error.
-pub async fn write_parts(stream: &mut net::TcpStream, parts: &[&[u8]]) -> Result<()> {
+pub async fn write_parts(
+    stream: &mut net::TcpStream,
+    parts: &[&[u8]],
+    on_write: impl Fn(),
+) -> Result<()> {
     let slices = parts.iter().filter(|part| !part.is_empty());
     let mut slices: Vec<io::IoSlice<'_>> = slices.map(|part| io::IoSlice::new(part)).collect();
     let mut left = slices.as_mut_slice();
@@ -38,6 +39,7 @@
         if written == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
+        on_write();
         io::IoSlice::advance_slices(&mut left, written);
     }
     Ok(())
@@ -82,10 +84,15 @@
     /// # Errors
     /// The socket's error.
     pub async fn fill(&mut self) -> Result<usize> {
+        self.fill_up_to(READ_BYTES).await
+    }
+
+    async fn fill_up_to(&mut self, limit: usize) -> Result<usize> {
         // The chunk is on the stack during a poll, so the future of an idle connection stays small.
         future::poll_fn(|context| {
             let mut chunk = [0_u8; READ_BYTES];
-            let reading = pin::Pin::new(&mut self.stream).poll_read(context, &mut chunk);
+            let limit = limit.min(READ_BYTES);
+            let reading = pin::Pin::new(&mut self.stream).poll_read(context, &mut chunk[..limit]);
             let count = std::task::ready!(reading)?;
             if self.buffer.capacity() - self.buffer.len() < count {
                 // Grows by one read, as doubling takes more than what is announced to a budget.
@@ -129,14 +136,15 @@
 
     /// Completes when the peer has closed or reset the connection.
     ///
-    /// Bytes of a following request are buffered. Once `MAX_AHEAD_BYTES` are buffered, it stops
-    /// reading and never completes.
+    /// Bytes of a following request are buffered as far as the buffer has room, whose memory is
+    /// accounted for; the rest stays in the socket. Once it is full, this never completes.
     pub async fn closed(&mut self) {
         loop {
-            if self.buffer.len() >= MAX_AHEAD_BYTES {
+            let room = self.buffer.capacity() - self.buffer.len();
+            if room == 0 {
                 return future::pending().await;
             }
-            if matches!(self.fill().await, Ok(0) | Err(_)) {
+            if matches!(self.fill_up_to(room).await, Ok(0) | Err(_)) {
                 return;
             }
         }
@@ -155,7 +163,7 @@
     /// # Errors
     /// The socket's error.
     pub async fn write_parts(&mut self, parts: &[&[u8]]) -> Result<()> {
-        write_parts(&mut self.stream, parts).await
+        write_parts(&mut self.stream, parts, || ()).await
     }
 
     /// Decodes the buffered bytes of a body into `output`.
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -59,8 +59,15 @@
 ) -> context::RelayOutcome {
     response.head.headers.remove_hop_fields();
     let status = response.head.status;
-    let sending = pin::pin!(sink.send(&response.head, &response.body));
-    let evicted = pin::pin!(evicted(response.reservation.as_deref()));
+    let reservation = response.reservation.as_deref();
+    let record_progress = || {
+        if let Some(reservation) = reservation {
+            reservation.record_progress(time::Instant::now());
+        }
+    };
+    let sending = sink.send_watched(&response.head, &response.body, record_progress);
+    let sending = pin::pin!(sending);
+    let evicted = pin::pin!(evicted(reservation));
     match futures_future::select(sending, evicted).await {
         futures_future::Either::Left((Ok(()), _evicted)) => context::RelayOutcome::Served(status),
         futures_future::Either::Left((Err(_gone), _evicted)) => context::RelayOutcome::CallerGone,
