--- a/tests/gateway/prompt_queues.rs
+++ b/tests/gateway/prompt_queues.rs
@@ -49,6 +49,7 @@
     };
     selection::EngineCandidate {
         report: Some(report::EngineReport {
+            incarnation: 0,
             is_leaving: false,
             waiting: pending.saturating_sub(1),
             running: generating + pending.min(1),
--- a/tests/gateway/support/prompt_burst.rs
+++ b/tests/gateway/support/prompt_burst.rs
@@ -119,6 +119,7 @@
         let generating = u32::try_from(self.runs.len()).expect("few");
         let read = PROMPT_TOKENS / 2 * u64::from(prefilling);
         self.reports.push_back(report::EngineReport {
+            incarnation: 0,
             is_leaving: false,
             waiting,
             running: generating + prefilling,
