Add the types that the parts of a roll-out share

The control half (orders, judgement, coordinator) and the data half (choice of versions, counting of answers) of roll-outs are built apart and need the same plan, counts and policy trait.

Nothing uses these types yet.

--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod reload;
 pub mod request_check;
 pub mod request_guard;
+pub mod rollout;
 pub mod rows;
 pub mod settings;
 pub mod start;
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -19,6 +19,7 @@
 pub mod request_rate;
 pub mod response_memory;
 pub mod retry;
+pub mod rollout;
 pub mod selection;
 pub mod stall;
 pub mod stream;
