Count the age of plans on the clock that includes suspension

A router that was suspended during a ramp would have taken its plan for fresh on std::time::Instant, which stops meanwhile. The histogram gains a sum: two constant latencies on both sides of a bucket's bound look a factor of two apart in the interpolated median, and only the mean tells that they are not.

--- a/src/process/gateway/rollout/evidence.rs
+++ b/src/process/gateway/rollout/evidence.rs
@@ -23,6 +23,9 @@
 pub struct LatencyHistogram {
     /// Number of answers in each bucket.
     pub buckets: [u64; BUCKET_COUNT],
+    /// Sum of all latencies, in microseconds. The buckets alone cannot tell a latency just under a bound
+    /// from one just above it, which differ by a factor of two in the median.
+    pub sum_micros: u64,
 }
 
 impl LatencyHistogram {
@@ -31,9 +34,18 @@
         let bucket = bucket_of(latency);
         if let Some(count) = self.buckets.get_mut(bucket) {
             *count = count.saturating_add(1);
+            let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+            self.sum_micros = self.sum_micros.saturating_add(micros);
         }
     }
 
+    /// Mean; `None` without answers.
+    #[must_use]
+    pub fn mean(&self) -> Option<time::Duration> {
+        let mean = self.sum_micros.checked_div(self.total())?;
+        Some(time::Duration::from_micros(mean))
+    }
+
     /// Number of answers.
     #[must_use]
     pub fn total(&self) -> u64 {
@@ -61,10 +73,12 @@
         None
     }
 
-    /// Number of answers in the bucket that holds `latency` and in those above it.
+    /// Number of answers that took about `latency` or longer: those of all buckets from the one with the
+    /// lower bound next to it, which is off by a factor of at most the square root of two.
     #[must_use]
     pub fn at_least(&self, latency: time::Duration) -> u64 {
-        self.buckets.iter().skip(bucket_of(latency)).sum()
+        let near = latency.mul_f64(std::f64::consts::SQRT_2);
+        self.buckets.iter().skip(bucket_of(near)).sum()
     }
 
     /// Adds the counts of another histogram.
@@ -72,6 +86,7 @@
         for (count, added) in self.buckets.iter_mut().zip(other.buckets) {
             *count = count.saturating_add(added);
         }
+        self.sum_micros = self.sum_micros.saturating_add(other.sum_micros);
     }
 
     /// The counts since `earlier`.
@@ -81,6 +96,7 @@
         for (count, before) in rest.buckets.iter_mut().zip(earlier.buckets) {
             *count = count.saturating_sub(before);
         }
+        rest.sum_micros = rest.sum_micros.saturating_sub(earlier.sum_micros);
         rest
     }
 }
--- a/src/process/gateway/rollout/plan_book.rs
+++ b/src/process/gateway/rollout/plan_book.rs
@@ -1,8 +1,12 @@
 //! The plans of roll-outs that this router goes by.
+//!
+//! Ages count on the clock that goes on while the VM is suspended, so that a router that was resumed
+//! does not go by the plan from before.
 
 use std::collections;
 use std::time;
 
+use crate::process::gateway::boot_clock;
 use crate::process::gateway::rollout::plan;
 
 /// Time without a reply of the coordinator after which nothing new is sent to the new version. The
@@ -15,25 +19,25 @@
 #[derive(Clone, Debug)]
 struct KnownPlan {
     plan: plan::RolloutPlan,
-    taken_at: time::Instant,
+    taken_at: boot_clock::BootInstant,
 }
 
 /// The newest plan of each service.
 #[derive(Debug, Default)]
 pub struct PlanBook {
     plans: parking_lot::RwLock<collections::BTreeMap<String, KnownPlan>>,
-    orders_read_at: parking_lot::Mutex<Option<time::Instant>>,
+    orders_read_at: parking_lot::Mutex<Option<boot_clock::BootInstant>>,
 }
 
 impl PlanBook {
     /// The plan to go by at `now`; `None` if no order is known for the service. Without a reply of the
     /// coordinator for [`MAX_PLAN_AGE`] it has no share for the new version.
     #[must_use]
-    pub fn plan(&self, service: &str, now: time::Instant) -> Option<plan::RolloutPlan> {
+    pub fn plan(&self, service: &str, now: boot_clock::BootInstant) -> Option<plan::RolloutPlan> {
         let plans = self.plans.read();
         let known = plans.get(service)?;
         let plan = known.plan.clone();
-        if now.saturating_duration_since(known.taken_at) < MAX_PLAN_AGE {
+        if now.since(known.taken_at) < MAX_PLAN_AGE {
             return Some(plan);
         }
         Some(plan.without_coordinator())
@@ -43,7 +47,7 @@
     ///
     /// An order with a greater version replaces the roll-out. Within one order, `Complete` is final, and
     /// `Reverted` yields to `Complete` only, as the old endpoints stop once the store says complete.
-    pub fn take_plan(&self, plan: plan::RolloutPlan, now: time::Instant) -> bool {
+    pub fn take_plan(&self, plan: plan::RolloutPlan, now: boot_clock::BootInstant) -> bool {
         let mut plans = self.plans.write();
         let Some(known) = plans.get_mut(&plan.service) else {
             let has_room = plans.len() < MAX_SERVICES;
@@ -78,7 +82,7 @@
 
     /// All plans to go by at `now`, in the order of their services.
     #[must_use]
-    pub fn all_plans(&self, now: time::Instant) -> Vec<plan::RolloutPlan> {
+    pub fn all_plans(&self, now: boot_clock::BootInstant) -> Vec<plan::RolloutPlan> {
         let services: Vec<String> = self.plans.read().keys().cloned().collect();
         let plans = services
             .iter()
@@ -87,7 +91,7 @@
     }
 
     /// Records that the orders were read completely by a query that was sent at `asked_at`.
-    pub fn record_orders_read(&self, asked_at: time::Instant) {
+    pub fn record_orders_read(&self, asked_at: boot_clock::BootInstant) {
         let mut read_at = self.orders_read_at.lock();
         *read_at = (*read_at).max(Some(asked_at));
     }
@@ -95,7 +99,7 @@
     /// Whether the orders were read after `learned_at`, when an endpoint of an unknown version was
     /// learned of. Until then an order may exist that forbids its use.
     #[must_use]
-    pub fn has_orders_since(&self, learned_at: time::Instant) -> bool {
+    pub fn has_orders_since(&self, learned_at: boot_clock::BootInstant) -> bool {
         self.orders_read_at
             .lock()
             .is_some_and(|read_at| read_at >= learned_at)
