Decode orders of roll-outs, and write rows on condition of their versions

A roll-out starts with an order in the table that routers already follow, and its state is written by whichever router coordinates it. Two of them may do so at once, so writes name the versions that the rows must have; the store answers 412 otherwise, which is now an error of its own. Batches carry the versions of rows and the clock of the store.

The system's own row names the version of the order's row, since the state for operators does not tell two orders to the same version apart. Both are written in one transaction. The version of an order holds the era of the store above the version of its row, because a restored store gives versions out again; the same row in a new era is no new order.

Taking a removal for the lack of an entry was ruled out: a peer that has not heard of it would bring the order back.

The items of a precondition are taken to be table, part, key and ver, with 0 for a row that must not exist. No test against another store was run.

Nothing reads orders yet.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod info_dialect;
 pub mod report_wire;
 pub mod request_header;
+pub mod rollout_wire;
 pub mod settings_wire;
 pub mod store_client;
 pub mod store_wire;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -78,6 +78,7 @@
         match u16::from(whole.response.status()) {
             200 => Ok(whole),
             410 => Err(rows::RowError::HistoryGone),
+            412 => Err(rows::RowError::Conflict),
             status => Err(rows::RowError::Unavailable(format!("status {status}"))),
         }
     }
@@ -94,6 +95,7 @@
             if all.version == 0 {
                 all.version = page.version;
                 all.era = era;
+                all.now_ms = page.now_ms;
             }
             if all.era != era {
                 return Err(unavailable(
@@ -155,6 +157,7 @@
                 rows: page.rows,
                 version: page.version,
                 era,
+                now_ms: page.now_ms,
             })
         }
         .boxed()
@@ -175,4 +178,18 @@
         }
         .boxed()
     }
+
+    fn put_matching<'a>(
+        &'a self,
+        writes: &'a [rows::RowWrite<'a>],
+    ) -> future::BoxFuture<'a, rows::Result<()>> {
+        async move {
+            let body = store_wire::put_matching_rows(writes);
+            let method = http_types::Method::Post;
+            let wait = time::Duration::ZERO;
+            let call = self.call(method, "/rows-tx", Some(&body), wait);
+            call.await.map(|_response| ())
+        }
+        .boxed()
+    }
 }
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -5,7 +5,8 @@
 use base64::Engine as _;
 use base64::engine::general_purpose;
 
-use crate::platform::{block_wire, config_wire, entry_wire};
+use crate::platform::{block_wire, config_wire, entry_wire, rollout_wire};
+use crate::process::gateway::rollout::{order, record};
 use crate::process::gateway::{block_list, endpoint_registry, rows};
 use crate::version::traffic;
 
@@ -38,12 +39,18 @@
     has_more: bool,
     /// Version of the whole store at the time of the response, not of a single row.
     ver: u64,
+    /// Monotonic clock of the store.
+    #[serde(default)]
+    now_ms: Option<serde_json::Value>,
 }
 
 #[derive(Debug)]
 #[derive(serde::Deserialize)]
 struct RowKeyWire {
     key: String,
+    /// Version of the row; read leniently, as only the rows of roll-outs need it.
+    #[serde(default)]
+    ver: Option<serde_json::Value>,
 }
 
 #[derive(Debug, Default)]
@@ -63,6 +70,8 @@
     pub(super) rows: Vec<rows::RowChange>,
     /// Version of the whole store.
     pub(super) version: u64,
+    /// Monotonic clock of the store, in milliseconds; 0 if the response does not name it.
+    pub(super) now_ms: u64,
     has_more: bool,
 }
 
@@ -79,6 +88,7 @@
         Ok(Self {
             rows: wire.rows.into_iter().filter_map(decode_row).collect(),
             version: wire.ver,
+            now_ms: whole_number(wire.now_ms.as_ref()),
             has_more: wire.has_more,
         })
     }
@@ -100,8 +110,8 @@
 
 fn decode_row(row: &serde_json::value::RawValue) -> Option<rows::RowChange> {
     let named: serde_json::Result<RowKeyWire> = serde_json::from_str(row.get());
-    let key = match named {
-        Ok(named) => named.key,
+    let (key, version) = match named {
+        Ok(named) => (named.key, whole_number(named.ver.as_ref())),
         Err(error) => {
             log::warn!(cause = error.to_string().as_str(); "row without a key left out");
             return None;
@@ -112,7 +122,16 @@
         log::warn!(key = key.as_str(), cause = cause.as_str(); "row without a readable value");
         None
     });
-    Some(rows::RowChange { key, value })
+    Some(rows::RowChange {
+        key,
+        value,
+        version,
+    })
+}
+
+fn whole_number(value: Option<&serde_json::Value>) -> u64 {
+    let number = value.and_then(serde_json::Value::as_u64);
+    number.unwrap_or_default()
 }
 
 fn decode_value(row: &serde_json::value::RawValue) -> Result<Option<Vec<u8>>> {
@@ -132,6 +151,8 @@
         rows::RowTopic::Endpoints => "servers",
         rows::RowTopic::Routers => "routers",
         rows::RowTopic::BlockedRequests => "blocked_prompts",
+        rows::RowTopic::Rollouts => "rollouts",
+        rows::RowTopic::RolloutStatus => "status",
     }
 }
 
@@ -149,6 +170,32 @@
     })
 }
 
+/// Builds the transaction that writes rows if they still have the versions that they must have.
+pub(super) fn put_matching_rows(writes: &[rows::RowWrite<'_>]) -> serde_json::Value {
+    let named = |write: &rows::RowWrite<'_>| {
+        serde_json::json!({
+            "table": table_name(write.topic),
+            "part": "",
+            "key": write.key,
+        })
+    };
+    let conditions = writes.iter().map(|write| {
+        let mut condition = named(write);
+        condition["ver"] = write.expected.into();
+        condition
+    });
+    let puts = writes.iter().map(|write| {
+        let mut put = named(write);
+        put["value"] = general_purpose::STANDARD.encode(write.value).into();
+        put
+    });
+    serde_json::json!({
+        "precondition": conditions.collect::<Vec<_>>(),
+        "puts": puts.collect::<Vec<_>>(),
+        "delete": [],
+    })
+}
+
 /// Decodes the values of the platform store's rows.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreCodec;
@@ -191,4 +238,36 @@
     fn encode_blocked_request(&self, entry: &block_list::BlockedRequest) -> Vec<u8> {
         block_wire::encode(entry)
     }
+
+    fn order_service<'a>(&self, key: &'a str) -> Option<&'a str> {
+        rollout_wire::service(key)
+    }
+
+    fn order(&self, key: &str, value: &[u8]) -> Option<order::OrderContent> {
+        let decoded = rollout_wire::decode_order(key, value);
+        if let Err(error) = &decoded {
+            let cause = error.to_string();
+            log::error!(key, cause = cause.as_str(); "cannot decode a roll-out order; it is taken as absent");
+        }
+        decoded.ok()
+    }
+
+    fn rollout_record(&self, value: &[u8]) -> Option<record::RolloutRecord> {
+        let decoded = rollout_wire::decode_record(value);
+        if let Err(error) = &decoded {
+            log::warn!(cause = error.to_string().as_str(); "cannot decode the row of a roll-out");
+        }
+        decoded.ok()
+    }
+
+    fn encode_rollout_record(&self, record: &record::RolloutRecord) -> Vec<u8> {
+        rollout_wire::encode_record(record)
+    }
+
+    fn rollout_status(&self, service: &str, record: &record::RolloutRecord) -> (String, Vec<u8>) {
+        (
+            rollout_wire::key(service),
+            rollout_wire::encode_status(record),
+        )
+    }
 }
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -5,6 +5,7 @@
 
 use futures::future;
 
+use crate::process::gateway::rollout::{order, record};
 use crate::process::gateway::{block_list, endpoint_registry};
 use crate::version::traffic;
 
@@ -16,6 +17,8 @@
 pub enum RowError {
     /// The store no longer keeps the requested changes; a full read is needed.
     HistoryGone,
+    /// A row did not have the version that the write required, so that nothing was written.
+    Conflict,
     /// The store did not answer, or answered with an error; holds the cause.
     Unavailable(String),
 }
@@ -26,6 +29,9 @@
             Self::HistoryGone => f.write_str(
                 "the store no longer keeps the requested changes; a full read is needed",
             ),
+            Self::Conflict => f.write_str(
+                "a row has another version than the write requires; read it again first",
+            ),
             Self::Unavailable(cause) => write!(f, "the store is unavailable: {cause}"),
         }
     }
@@ -44,6 +50,10 @@
     Routers,
     /// Requests that are blocked because they crash endpoints.
     BlockedRequests,
+    /// Starts and states of roll-outs, keyed by service.
+    Rollouts,
+    /// States of roll-outs for the operators.
+    RolloutStatus,
 }
 
 /// A row that was added or changed, or the removal of a row.
@@ -53,6 +63,21 @@
     pub key: String,
     /// Content; `None` when the row was removed or its content cannot be read.
     pub value: Option<Vec<u8>>,
+    /// Version of the row, or of its removal; 0 if the store did not name it.
+    pub version: u64,
+}
+
+/// A row to be written if it still has a certain version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowWrite<'a> {
+    /// Set of rows that it belongs to. Only the system's own topics can be written.
+    pub topic: RowTopic,
+    /// Key, unique within its topic.
+    pub key: &'a str,
+    /// New content.
+    pub value: &'a [u8],
+    /// Version that the row must have; 0 if it must not exist.
+    pub expected: u64,
 }
 
 /// Rows as of one version of the store.
@@ -65,6 +90,8 @@
     /// Number of times that the store was restored from a copy. Versions of different eras cannot be
     /// compared, as a copy gives the same versions out again.
     pub era: u64,
+    /// Monotonic clock of the store when it answered, in milliseconds.
+    pub now_ms: u64,
 }
 
 /// A client of the platform's store.
@@ -87,6 +114,10 @@
         key: &'a str,
         value: &'a [u8],
     ) -> future::BoxFuture<'a, Result<()>>;
+
+    /// Writes all rows, or none and fails with [`RowError::Conflict`] if one of them does not have the
+    /// version that it must have. After [`RowError::Unavailable`] they may have been written.
+    fn put_matching<'a>(&'a self, writes: &'a [RowWrite<'a>]) -> future::BoxFuture<'a, Result<()>>;
 }
 
 /// Decodes the contents of rows.
@@ -105,4 +136,19 @@
 
     /// Encodes a blocked request.
     fn encode_blocked_request(&self, entry: &block_list::BlockedRequest) -> Vec<u8>;
+
+    /// Service whose order a row of [`RowTopic::Config`] holds; `None` for other rows.
+    fn order_service<'a>(&self, key: &'a str) -> Option<&'a str>;
+
+    /// Decodes the order of a row; `None`, after a log line, if the content is not valid.
+    fn order(&self, key: &str, value: &[u8]) -> Option<order::OrderContent>;
+
+    /// Decodes the row of a roll-out; `None` if the content is not valid.
+    fn rollout_record(&self, value: &[u8]) -> Option<record::RolloutRecord>;
+
+    /// Encodes the row of a roll-out.
+    fn encode_rollout_record(&self, record: &record::RolloutRecord) -> Vec<u8>;
+
+    /// Key and content of the row that tells operators of a roll-out's state.
+    fn rollout_status(&self, service: &str, record: &record::RolloutRecord) -> (String, Vec<u8>);
 }
--- a/src/process/gateway/store_role.rs
+++ b/src/process/gateway/store_role.rs
@@ -59,7 +59,10 @@
         let index = match topic {
             rows::RowTopic::Config => 0,
             rows::RowTopic::Endpoints => 1,
-            rows::RowTopic::Routers | rows::RowTopic::BlockedRequests => return,
+            rows::RowTopic::Routers
+            | rows::RowTopic::BlockedRequests
+            | rows::RowTopic::Rollouts
+            | rows::RowTopic::RolloutStatus => return,
         };
         self.store_answered_at.lock()[index] = boot_clock::BootInstant::now();
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,8 @@
 mod planned_stops;
 mod repeated_requests;
 mod restored_store;
+mod rollout_orders;
+mod rollout_rows;
 mod silent_calls;
 mod silent_engines;
 mod soak;
--- a/tests/gateway/support/fake_store.rs
+++ b/tests/gateway/support/fake_store.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Content of a row; `None` if there is none.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock().expect("not poisoned");
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        row.0.clone()
+    }
+
     /// Keys of the rows of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.lock().expect("not poisoned");
@@ -161,6 +168,18 @@
             .insert((table.to_owned(), key.to_owned()), (value, self.version));
     }
 
+    /// Whether all rows of a precondition have the versions that it names; 0 stands for no row.
+    fn meets(&self, precondition: &serde_json::Value) -> bool {
+        let conditions = precondition.as_array().expect("preconditions");
+        conditions.iter().all(|condition| {
+            let text = |name: &str| condition[name].as_str().expect("text").to_owned();
+            let row = self.rows.get(&(text("table"), text("key")));
+            let present = row.filter(|(value, _version)| value.is_some());
+            let version = present.map_or(0, |(_value, version)| *version);
+            condition["ver"].as_u64() == Some(version)
+        })
+    }
+
     fn restore(&mut self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
         self.era += 1;
         self.version = copy.version;
@@ -255,6 +274,11 @@
         "/rows-tx" => {
             let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
             let mut held = state.lock().expect("not poisoned");
+            if !held.meets(&value["precondition"]) {
+                let era = held.era;
+                drop(held);
+                return write_store_json(stream, era, 412, &serde_json::json!({}));
+            }
             held.version += 1;
             let version = held.version;
             for put in value["puts"].as_array().expect("puts") {
