Decide on the share of a new version, and on reverting it, without I/O

The judgement compares both versions over 1, 3 and 10 s and since the order, on each route and on all together. A version is bad if as many bad or slow answers as were seen would come once in 10,000 times at the old version's share, or if its median is over twice the old one and the means agree. The ramp holds 5 % until half of its time has passed, then 10, 25, 50 and 100 %, each for a second or more and with answers; where few requests come, the first share is larger so that there are answers in time, within half of the slack.

Ruled out: a fixed number of bad answers, as faults of both versions then revert good ones; medians alone, since two constant latencies on both sides of a bucket's bound differ by a factor of two in them; equal steps over the ramp, which give a version that turns bad at 50 % more than a tenth.

The bound of exposure counts the requests within ramp_s only, the earliest deadline; that of a version which fails at all requests only counts those until the drain would be over. Nothing calls this code yet.

--- a/src/process/gateway/rollout/mod.rs
+++ b/src/process/gateway/rollout/mod.rs
@@ -1,9 +1,14 @@
 //! Roll-outs: move the traffic of a service to endpoints of a new software version.
 //!
-//! `plan`, `evidence` and `plan_book` hold state and decide without I/O; time is an argument.
+//! `order`, `plan`, `plan_book`, `evidence`, `evidence_ledger`, `judge`, `ramp` and `coordination` hold
+//! state and decide without I/O; time is an argument.
 
+pub mod coordination;
 pub mod evidence;
+pub mod evidence_ledger;
+pub mod judge;
 pub mod order;
 pub mod plan;
 pub mod plan_book;
+pub mod ramp;
 pub mod record;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod repeated_requests;
 mod restored_store;
 mod rollout_orders;
+mod rollout_replays;
 mod rollout_rows;
 mod silent_calls;
 mod silent_engines;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -13,6 +13,7 @@
 pub mod limit_judge;
 pub mod load;
 pub mod planned_stop;
+pub mod rollout_replay;
 pub mod router;
 pub mod run_log;
 pub mod silent_endpoint;
