Keep the version of an endpoint with its entry

Cause: entries name the software version of their endpoint, which was decoded and dropped, so a router could not tell the endpoints of a roll-out apart.

Change: EndpointRecord has the version. Ruled out: a message between routers, as they exchange the raw rows of entries, which always had it. The test that reads an entry checks the version.

--- a/src/platform/entry_wire.rs
+++ b/src/platform/entry_wire.rs
@@ -46,8 +46,7 @@
     service: String,
     addr: net::SocketAddr,
     zone: String,
-    #[serde(rename = "version")]
-    _version: String,
+    version: String,
     slots: u32,
     state: StateWire,
     #[serde(rename = "cold_left_ms")]
@@ -90,6 +89,7 @@
         service: wire.service,
         address: wire.addr,
         zone: wire.zone,
+        version: wire.version,
         slots: wire.slots,
         is_leaving: wire.state == StateWire::Draining,
     })
--- a/src/process/gateway/endpoint_registry.rs
+++ b/src/process/gateway/endpoint_registry.rs
@@ -35,6 +35,8 @@
     pub address: net::SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Version of the software that it runs.
+    pub version: String,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -39,6 +39,7 @@
         service: "models".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: zone.to_owned(),
+        version: "v1".to_owned(),
         slots: 4,
         is_leaving,
     }
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -185,6 +185,8 @@
     let record = entry_wire::decode("e1", text.as_bytes()).expect("a valid entry");
     assert!(record.is_leaving);
     assert_eq!((record.incarnation, record.slots), (12, 64));
+    // Guards against endpoints whose version a roll-out cannot tell.
+    assert_eq!(record.version, "v1");
 }
 
 fn a_report_is_read() {
