Read the switch and the bounds of roll-outs from the settings

Cause: roll-outs take effect only where the settings say so, and their bounds come from there.

An empty list is no error, as it would stop the process. Ruled out: a switch for each bound, as bounds without the contract have no effect.

--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -32,6 +32,18 @@
 /// is the shortest limit in the platform's documentation.
 const DEFAULT_PROPAGATION_MS: u64 = 2_000;
 
+/// Name in `contracts` under which orders to roll out a software version are followed.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
+/// Share of requests for a bad software version if the file sets no `expose_share`.
+const DEFAULT_EXPOSE_SHARE: f64 = 0.1;
+
+/// Requests for a bad software version beyond its share if the file sets no `expose_slack`.
+const DEFAULT_EXPOSE_SLACK: f64 = 50.0;
+
+/// Time until a bad software version gets nothing more if the file sets no `rollback_ms`.
+const DEFAULT_ROLLBACK_MS: u64 = 5_000;
+
 /// An error in the settings, with a hint on how to fix it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsFault(pub String);
@@ -61,6 +73,8 @@
     bootstrap: bool,
     limits: LimitTable,
     bounds: BoundTable,
+    /// Names of the optional parts that the platform takes part in.
+    contracts: Option<Vec<String>>,
     platform: StoreTable,
 }
 
@@ -102,6 +116,9 @@
     budget_ratio: f64,
     budget_slack: f64,
     budget_window_s: f64,
+    expose_share: Option<f64>,
+    expose_slack: Option<f64>,
+    rollback_ms: Option<u64>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -193,6 +210,7 @@
         }
         let metrics_listen = format!("{}:{METRICS_PORT}", file.ip);
         let seeds: collections::BTreeSet<String> = file.seeds.into_iter().collect();
+        let contracts = file.contracts.unwrap_or_default();
         let settings = Self {
             router: file.node,
             zone: file.zone,
@@ -206,6 +224,7 @@
             memory_bytes: file.limits.memory_mb * 1024 * 1024,
             max_descriptors: file.limits.max_fds,
             is_first_start: file.bootstrap,
+            follows_rollouts: contracts.iter().any(|name| name == ROLLOUT_CONTRACT),
             bounds: settings::GatewayBounds::from(&file.bounds),
         };
         if reader.faults.is_empty() {
@@ -223,6 +242,7 @@
         let changes = [table.drain_ms, table.config_ms];
         let change_ms = changes.into_iter().flatten().min();
         let change_ms = change_ms.unwrap_or(DEFAULT_PROPAGATION_MS);
+        let rollback_ms = table.rollback_ms.unwrap_or(DEFAULT_ROLLBACK_MS);
         Self {
             propagation_limit: time::Duration::from_millis(change_ms),
             max_key_age: table.strict_revoke.then_some(key_age),
@@ -232,6 +252,9 @@
             retry_ratio: table.budget_ratio,
             retry_slack: table.budget_slack,
             retry_window: seconds(table.budget_window_s.max(1.0)),
+            expose_share: table.expose_share.unwrap_or(DEFAULT_EXPOSE_SHARE),
+            expose_slack: table.expose_slack.unwrap_or(DEFAULT_EXPOSE_SLACK),
+            rollback_limit: time::Duration::from_millis(rollback_ms),
         }
     }
 }
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -30,6 +30,8 @@
     pub max_descriptors: u64,
     /// Whether the whole system starts for the first time, so that no router has any state yet.
     pub is_first_start: bool,
+    /// Whether orders to roll out a software version are followed.
+    pub follows_rollouts: bool,
     /// Limits that the platform's operators set.
     pub bounds: GatewayBounds,
 }
@@ -53,4 +55,10 @@
     pub retry_slack: f64,
     /// Window in which retries are counted.
     pub retry_window: time::Duration,
+    /// Share of a service's requests that a bad software version may get, from 0 to 1.
+    pub expose_share: f64,
+    /// Requests that a bad software version may get beyond its share.
+    pub expose_slack: f64,
+    /// Time from the 50th bad answer of a software version until nothing more is sent to it.
+    pub rollback_limit: time::Duration,
 }
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -615,6 +615,9 @@
         retry_ratio: 0.8,
         retry_slack: 300.0,
         retry_window: time::Duration::from_secs(10),
+        expose_share: 0.1,
+        expose_slack: 50.0,
+        rollback_limit: time::Duration::from_secs(5),
     };
     budgets::ServiceBudgets::new(bounds, sync::Arc::clone(members) as _)
 }
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -213,6 +213,22 @@
     );
 }
 
+/// Guards against a roll-out where the settings do not switch it on, and against bounds other than
+/// those of the file.
+fn rollout_settings_are_read(extra: &str, follows: bool, bounds: (f64, f64, u64)) {
+    let text = SETTINGS.replace("grace_s: 8}", &format!("grace_s: 8{extra}"));
+    let settings = settings_wire::parse(&text).expect("valid settings");
+    assert_eq!(settings.follows_rollouts, follows);
+    let (share, slack, rollback_ms) = bounds;
+    let read = settings.bounds;
+    assert!((read.expose_share - share).abs() < f64::EPSILON);
+    assert!((read.expose_slack - slack).abs() < f64::EPSILON);
+    assert_eq!(
+        read.rollback_limit,
+        time::Duration::from_millis(rollback_ms)
+    );
+}
+
 fn all_settings_errors_are_reported_at_once() {
     let text = "node: ''\nlisten: {front: nonsense}\nplatform: {addr: ''}\n";
     let errors = settings_wire::parse(text).expect_err("invalid settings");
@@ -349,6 +365,17 @@
     entry_not_json: entry_is_refused("\u{1}\u{2}");
     report: a_report_is_read();
     settings: settings_are_read();
+    settings_without_contracts: rollout_settings_are_read("}", false, (0.1, 50.0, 5_000));
+    settings_with_empty_contracts: rollout_settings_are_read("}\ncontracts:", false, (0.1, 50.0, 5_000));
+    settings_with_other_contracts:
+        rollout_settings_are_read("}\ncontracts: [rollouts]", false, (0.1, 50.0, 5_000));
+    settings_with_rollout:
+        rollout_settings_are_read("}\ncontracts: [x, rollout]", true, (0.1, 50.0, 5_000));
+    settings_with_rollout_bounds: rollout_settings_are_read(
+        ", expose_share: 0.2, expose_slack: 7, rollback_ms: 300}\ncontracts: ['rollout']",
+        true,
+        (0.2, 7.0, 300)
+    );
     settings_errors: all_settings_errors_are_reported_at_once();
     info_requests: info_requests_are_parsed();
 }
