Compare a version with the old one's failures since the order, too

Its share in a period now starts from 100 answers with its share since the order.

Ruled out: a larger least number of answers, as the last steps are too short for it; and a prior of normal answers only, which is what failed.

--- a/src/process/gateway/rollout/judge.rs
+++ b/src/process/gateway/rollout/judge.rs
@@ -20,10 +20,14 @@
 /// Share of bad answers that is always taken for normal, as single endpoints may fail.
 const NORMAL_SHARE: f64 = 0.01;
 
-/// Answers with [`NORMAL_SHARE`] that are added to those of the old version, so that a few of them do
-/// not decide alone.
+/// Answers with [`NORMAL_SHARE`] that are added to those of the old version since the order, so that a
+/// few of them do not decide alone.
 const PRIOR_ANSWERS: f64 = 20.0;
 
+/// Answers with the old version's share since the order that are added to those of a period. At the
+/// end of the ramp the old version answers so little that it may have no failure by chance.
+const PERIOD_PRIOR_ANSWERS: f64 = 100.0;
+
 /// The share of bad answers must be this times that of the old version, plus [`NORMAL_SHARE`]. Callers
 /// do not notice smaller differences, which show as significant among many answers.
 const MIN_RATIO: f64 = 1.5;
@@ -120,13 +124,14 @@
 ) -> Option<BadVersion> {
     let mut sum = Comparison::default();
     for (route, counts) in &period.routes {
-        let old = baseline(route, &counts.old, whole);
-        let slow = old.latencies.median().map(|median| median * SLOW_FACTOR);
-        let comparison = compare(&counts.new, &old, |counts| bad_answers(counts, slow));
+        let old = Baseline::new(route, &counts.old, whole);
+        let slow = old.usual.latencies.median();
+        let slow = slow.map(|median| median * SLOW_FACTOR);
+        let comparison = old.compare(&counts.new, |counts| bad_answers(counts, slow));
         if comparison.is_worse() {
             return Some(comparison.finding(VersionFault::BadAnswers, Some(route)));
         }
-        if let Some(slower) = compare_medians(&counts.new, &old) {
+        if let Some(slower) = old.compare_medians(&counts.new) {
             return Some(slower.finding(VersionFault::SlowMedian, Some(route)));
         }
         sum.bad += comparison.bad;
@@ -137,53 +142,71 @@
     is_worse.then(|| sum.finding(VersionFault::BadAnswers, None))
 }
 
-/// Counts of the old version that the new one is compared with.
-fn baseline(
-    route: &str,
-    period: &evidence::AnswerCounts,
-    whole: &evidence_ledger::EvidenceTotals,
-) -> evidence::AnswerCounts {
-    let known = whole.routes.get(route).map(|counts| counts.old);
-    let known = known.filter(|_old| period.answers() < MIN_BASELINE);
-    known.unwrap_or(*period)
+/// What the new version is compared with on one route.
+struct Baseline {
+    /// Counts of the old version in the period.
+    period: evidence::AnswerCounts,
+    /// Its counts since the order.
+    whole: evidence::AnswerCounts,
+    /// Those of the two that its latencies are taken from.
+    usual: evidence::AnswerCounts,
 }
 
-fn bad_answers(counts: &evidence::AnswerCounts, slow: Option<time::Duration>) -> u64 {
-    let slow = slow.map_or(0, |slow| counts.latencies.at_least(slow));
-    counts.bad.saturating_add(slow)
-}
-
-fn compare(
-    new: &evidence::AnswerCounts,
-    old: &evidence::AnswerCounts,
-    bad: impl Fn(&evidence::AnswerCounts) -> u64,
-) -> Comparison {
-    let answers = new.answers();
-    let old_bad = number(bad(old)) + PRIOR_ANSWERS * NORMAL_SHARE;
-    let old_share = old_bad / (number(old.answers()) + PRIOR_ANSWERS);
-    Comparison {
-        bad: bad(new),
-        answers,
-        expected: number(answers) * old_share.max(NORMAL_SHARE),
+impl Baseline {
+    fn new(
+        route: &str,
+        period: &evidence::AnswerCounts,
+        whole: &evidence_ledger::EvidenceTotals,
+    ) -> Self {
+        let whole = whole.routes.get(route).map(|counts| counts.old);
+        let whole = whole.unwrap_or(*period);
+        let is_enough = period.answers() >= MIN_BASELINE;
+        Self {
+            period: *period,
+            whole,
+            usual: if is_enough { *period } else { whole },
+        }
     }
-}
 
-/// The answers over [`MEDIAN_FACTOR`] times the old median, if the new median is and that is no chance.
-fn compare_medians(
-    new: &evidence::AnswerCounts,
-    old: &evidence::AnswerCounts,
-) -> Option<Comparison> {
-    let counted = new.latencies.total().min(old.latencies.total());
-    if counted < MIN_MEDIAN_ANSWERS {
-        return None;
+    fn compare(
+        &self,
+        new: &evidence::AnswerCounts,
+        bad: impl Fn(&evidence::AnswerCounts) -> u64,
+    ) -> Comparison {
+        let share = |counts: &evidence::AnswerCounts, prior_share: f64, prior_answers: f64| {
+            (number(bad(counts)) + prior_share * prior_answers)
+                / (number(counts.answers()) + prior_answers)
+        };
+        let usual = share(&self.whole, NORMAL_SHARE, PRIOR_ANSWERS);
+        let usual = share(&self.period, usual, PERIOD_PRIOR_ANSWERS);
+        let answers = new.answers();
+        Comparison {
+            bad: bad(new),
+            answers,
+            expected: number(answers) * usual.max(NORMAL_SHARE),
+        }
     }
-    let limit = old.latencies.median()? * MEDIAN_FACTOR;
-    let mean_limit = old.latencies.mean()?.mul_f64(MEAN_FACTOR);
-    if new.latencies.median()? <= limit || new.latencies.mean()? <= mean_limit {
-        return None;
+
+    /// The answers over [`MEDIAN_FACTOR`] times the old median, if the new median is and that is no
+    /// chance.
+    fn compare_medians(&self, new: &evidence::AnswerCounts) -> Option<Comparison> {
+        let old = &self.usual.latencies;
+        if new.latencies.total().min(old.total()) < MIN_MEDIAN_ANSWERS {
+            return None;
+        }
+        let limit = old.median()? * MEDIAN_FACTOR;
+        let mean_limit = old.mean()?.mul_f64(MEAN_FACTOR);
+        if new.latencies.median()? <= limit || new.latencies.mean()? <= mean_limit {
+            return None;
+        }
+        let slower = self.compare(new, |counts| counts.latencies.at_least(limit));
+        slower.is_worse().then_some(slower)
     }
-    let slower = compare(new, old, |counts| counts.latencies.at_least(limit));
-    slower.is_worse().then_some(slower)
+}
+
+fn bad_answers(counts: &evidence::AnswerCounts, slow: Option<time::Duration>) -> u64 {
+    let slow = slow.map_or(0, |slow| counts.latencies.at_least(slow));
+    counts.bad.saturating_add(slow)
 }
 
 /// Probability of at least `bad` bad answers among `answers` if each is bad with probability `share`.
