--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -30,6 +30,7 @@
 pub mod platform_client;
 pub mod platform_wire;
 pub mod refusal;
+pub mod rollout_wire;
 pub mod service;
 pub mod sse;
 pub mod store_view_wire;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::connection::{crash_wire, store_view_wire};
+use crate::connection::{crash_wire, rollout_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
 /// Encodes a duration for a message, in microseconds.
@@ -77,6 +77,8 @@
     RequestCrash(crash_wire::RequestCrashWire),
     /// Tells that requests are blocked.
     BlockedRequests(Vec<crash_wire::BlockedRequestWire>),
+    /// Asks or tells about roll-outs.
+    Rollout(Box<rollout_wire::RolloutQueryWire>),
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -164,6 +166,8 @@
     CrashEvidence(crash_wire::CrashEvidenceWire),
     /// The blocked requests were taken.
     BlockedRequests,
+    /// Reply about roll-outs.
+    Rollout(Box<rollout_wire::RolloutReplyWire>),
 }
 
 /// A gossip message; the reply has the same type.
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -264,10 +264,11 @@
         rollout_wire::encode_record(record)
     }
 
-    fn rollout_status(&self, service: &str, record: &record::RolloutRecord) -> (String, Vec<u8>) {
-        (
-            rollout_wire::key(service),
-            rollout_wire::encode_status(record),
-        )
+    fn rollout_status_key(&self, service: &str) -> String {
+        rollout_wire::key(service)
+    }
+
+    fn encode_rollout_status(&self, record: &record::RolloutRecord) -> Vec<u8> {
+        rollout_wire::encode_status(record)
     }
 }
--- a/src/process/gateway/rollout/coordination.rs
+++ b/src/process/gateway/rollout/coordination.rs
@@ -44,6 +44,25 @@
     pub replaces: StoredRows,
 }
 
+/// Counts of a roll-out for a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CoordinationSummary {
+    /// Requests to the service since the order.
+    pub requests: u64,
+    /// Requests sent to the new version.
+    pub sent_new: u64,
+    /// Answers of the new version.
+    pub answers_new: u64,
+    /// Failures of the new version.
+    pub bad_new: u64,
+    /// Answers of the old version.
+    pub answers_old: u64,
+    /// Failures of the old version.
+    pub bad_old: u64,
+    /// Routers that reported recently.
+    pub routers: usize,
+}
+
 /// What to ask the store next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreTask {
@@ -64,6 +83,7 @@
     /// Final state that was decided here or that the store has.
     decided: Option<record::RecordState>,
     fault: Option<judge::BadVersion>,
+    summary: CoordinationSummary,
     /// Rows as last read; `None` when they have to be read again.
     stored: Option<StoredRows>,
     /// Whether a read has ended, with rows or without.
@@ -90,6 +110,7 @@
             plan,
             decided: None,
             fault: None,
+            summary: CoordinationSummary::default(),
             stored: None,
             has_asked_store: false,
             store_answered_at: None,
@@ -114,6 +135,12 @@
         self.fault.as_ref()
     }
 
+    /// The counts as of the last decision.
+    #[must_use]
+    pub const fn summary(&self) -> CoordinationSummary {
+        self.summary
+    }
+
     /// Takes a router's report of this order.
     pub fn take_report(&mut self, report: evidence::RouterReport, now: boot_clock::BootInstant) {
         if report.order_version == self.order.version {
@@ -139,6 +166,7 @@
     ) -> &plan::RolloutPlan {
         let totals = self.ledger.totals();
         let periods = self.ledger.periods(&totals, now);
+        self.summary = self.summarize(&totals, now);
         self.ledger.keep_snapshot(&totals, now);
         if !self.is_settled() && self.decided != Some(record::RecordState::Reverted) {
             self.fault = judge::find_fault(&periods);
@@ -249,6 +277,23 @@
             .is_some_and(|answered_at| now.since(answered_at) < STORE_AGE)
     }
 
+    fn summarize(
+        &self,
+        totals: &evidence_ledger::EvidenceTotals,
+        now: boot_clock::BootInstant,
+    ) -> CoordinationSummary {
+        let counts = totals.all_routes();
+        CoordinationSummary {
+            requests: totals.requests,
+            sent_new: counts.new.sent,
+            answers_new: counts.new.answers(),
+            bad_new: counts.new.bad,
+            answers_old: counts.old.answers(),
+            bad_old: counts.old.bad,
+            routers: self.ledger.fresh_count(now),
+        }
+    }
+
     fn ramp_input(
         &self,
         totals: &evidence_ledger::EvidenceTotals,
--- a/src/process/gateway/rollout/plan_book.rs
+++ b/src/process/gateway/rollout/plan_book.rs
@@ -96,6 +96,13 @@
         *read_at = (*read_at).max(Some(asked_at));
     }
 
+    /// Time since the orders were last known to be complete; `None` if they never were.
+    #[must_use]
+    pub fn orders_age(&self, now: boot_clock::BootInstant) -> Option<time::Duration> {
+        let read_at = *self.orders_read_at.lock();
+        read_at.map(|read_at| now.since(read_at))
+    }
+
     /// Whether the orders were read after `learned_at`, when an endpoint of an unknown version was
     /// learned of. Until then an order may exist that forbids its use.
     #[must_use]
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -149,6 +149,9 @@
     /// Encodes the row of a roll-out.
     fn encode_rollout_record(&self, record: &record::RolloutRecord) -> Vec<u8>;
 
-    /// Key and content of the row that tells operators of a roll-out's state.
-    fn rollout_status(&self, service: &str, record: &record::RolloutRecord) -> (String, Vec<u8>);
+    /// Key of the row that tells operators of the state of a service's roll-out.
+    fn rollout_status_key(&self, service: &str) -> String;
+
+    /// Encodes the row that tells operators of a roll-out's state.
+    fn encode_rollout_status(&self, record: &record::RolloutRecord) -> Vec<u8>;
 }
