Choose endpoints by version while one is rolled out, and count how the versions do

Cause: an order moves the traffic of a service to a new version by shares, but endpoints were chosen without regard to their version.

Change: one filter (relay/version_choice) goes with each query to the fleet: calls, prompts, probes, retries, copies and moved copies. A request draws once and leaves the new version after a failure there, so repeats cannot raise its share. A stream that began stays with its version while that has an endpoint left and the plan allows it, its copy too. Endpoints of a version that is new to its service wait until the orders were read since (rollout/known_versions). rollout/version_policy counts requests, bad answers and latencies by version and route while an order is open; requests in flight come from the fleet, so they include those sent before the order. Without the contract nothing is held back and all versions are allowed.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -1,15 +1,17 @@
 //! The endpoints that requests may be sent to, with this router's own observations of each.
 
 use std::collections;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use crate::process::endpoints::placement;
+use crate::process::gateway::rollout::{known_versions, plan_book};
 use crate::process::gateway::{
     boot_clock, endpoint_limit, endpoint_notice, endpoint_registry, fleet_entry,
 };
 use crate::process::telemetry::status;
-use crate::request::relay::{fleet, request_rate};
+use crate::request::relay::{fleet, request_rate, version_choice};
 
 #[derive(Debug, Default)]
 struct FleetState {
@@ -17,6 +19,9 @@
     by_service: collections::HashMap<String, Vec<fleet::EndpointKey>>,
     by_incarnation: collections::HashMap<endpoint_notice::EndpointIncarnation, fleet::EndpointKey>,
     removed_notices: endpoint_notice::RemovedNotices,
+    /// Orders of roll-outs; `None` where none are followed.
+    orders: Option<sync::Arc<plan_book::PlanBook>>,
+    versions: known_versions::KnownVersions,
 }
 
 /// Endpoints of all services, as one router sees them, with its in-flight requests at each.
@@ -40,6 +45,24 @@
         }
     }
 
+    /// Holds back endpoints of a version that is new to its service until the orders in `book` have been
+    /// read.
+    #[must_use]
+    pub fn with_orders(self, book: sync::Arc<plan_book::PlanBook>) -> Self {
+        self.state.lock().orders = Some(book);
+        self
+    }
+
+    /// Requests in flight at the endpoints of `service` with other versions than `version`.
+    #[must_use]
+    pub fn in_flight_besides(&self, service: &str, version: &str) -> u64 {
+        let state = self.state.lock();
+        let keys = state.by_service.get(service).into_iter().flatten();
+        let entries = keys.map(|key| &state.entries[*key]);
+        let others = entries.filter(|entry| entry.record.version != version);
+        others.map(|entry| u64::from(entry.in_flight)).sum()
+    }
+
     /// Replaces the endpoints by those of the registry. What this router observed of an endpoint
     /// is kept as long as its incarnation is the same.
     pub fn update<'a>(&self, records: impl Iterator<Item = &'a endpoint_registry::EndpointRecord>) {
@@ -73,6 +96,7 @@
             state.entries.insert(entry);
         }
         state.rebuild_index();
+        state.hold_new_versions();
         drop(state);
         // Set last: callers send requests as soon as this makes the router ready.
         self.is_initialized.store(true, atomic::Ordering::SeqCst);
@@ -165,7 +189,9 @@
     ) -> Option<fleet::EndpointKey> {
         if let Some(key) = query.only {
             let entry = state.entries.get(key)?;
-            return entry.suits(query, time::Instant::now()).then_some(key);
+            return state
+                .suits(entry, query, time::Instant::now())
+                .then_some(key);
         }
         let keys = state.eligible(query);
         let candidates: Vec<placement::Candidate> = keys
@@ -189,13 +215,10 @@
             return Vec::new();
         };
         let is_allowed = |key: &&fleet::EndpointKey| {
-            !query.excluded.contains(key) && self.entries[**key].suits(query, now)
+            !query.excluded.contains(key) && self.suits(&self.entries[**key], query, now)
         };
         let open: Vec<fleet::EndpointKey> = keys.iter().filter(is_allowed).copied().collect();
-        let is_healthy = |key: &&fleet::EndpointKey| !self.entries[**key].is_avoided(now);
-        let healthy: Vec<fleet::EndpointKey> = open.iter().filter(is_healthy).copied().collect();
-        // An endpoint that recently failed is better than none.
-        let keys = if healthy.is_empty() { open } else { healthy };
+        let keys = self.best_rank(&open, query.versions, now);
         let avoided_zone = query.avoid_zone_of.and_then(|key| self.entries.get(key));
         let avoided_zone = avoided_zone.map(|entry| entry.record.zone.as_str());
         let is_elsewhere = |key: &&fleet::EndpointKey| {
@@ -210,6 +233,62 @@
         }
     }
 
+    /// Whether a request may be sent to the endpoint of `entry`.
+    fn suits(
+        &self,
+        entry: &fleet_entry::FleetEntry,
+        query: &fleet::EndpointQuery<'_>,
+        now: time::Instant,
+    ) -> bool {
+        entry.suits(query, now) && !self.is_held(entry)
+    }
+
+    /// Whether an order that forbids the use of the endpoint may be unknown.
+    fn is_held(&self, entry: &fleet_entry::FleetEntry) -> bool {
+        let (Some(orders), Some(since)) = (&self.orders, entry.held_since) else {
+            return false;
+        };
+        !orders.has_orders_since(since)
+    }
+
+    /// The best of `open`. An endpoint that recently failed is better than none, and better than one of
+    /// another version only for a stream that has begun.
+    fn best_rank(
+        &self,
+        open: &[fleet::EndpointKey],
+        versions: &version_choice::VersionFilter,
+        now: time::Instant,
+    ) -> Vec<fleet::EndpointKey> {
+        let rank = |key: fleet::EndpointKey| {
+            let entry = &self.entries[key];
+            let is_avoided = entry.is_avoided(now);
+            let is_other = !versions.drawn.allows(&entry.record.version);
+            if versions.is_pinned {
+                (is_other, is_avoided)
+            } else {
+                (is_avoided, is_other)
+            }
+        };
+        let ranked: Vec<_> = open.iter().map(|key| (rank(*key), *key)).collect();
+        let best = ranked.iter().map(|(rank, _key)| *rank).min();
+        let ranked = ranked.into_iter();
+        let keys = ranked.filter(|(rank, _key)| Some(*rank) == best);
+        keys.map(|(_rank, key)| key).collect()
+    }
+
+    /// Marks endpoints of versions that are new to their service.
+    fn hold_new_versions(&mut self) {
+        if self.orders.is_none() {
+            return;
+        }
+        let records = self.entries.values().map(|entry| &entry.record);
+        self.versions.learn(records, boot_clock::BootInstant::now());
+        for entry in self.entries.values_mut() {
+            let record = &entry.record;
+            entry.held_since = self.versions.learned_at(&record.service, &record.version);
+        }
+    }
+
     fn rebuild_index(&mut self) {
         self.by_service.clear();
         self.by_incarnation.clear();
@@ -227,6 +306,7 @@
             name: entry.record.name.clone(),
             address: entry.record.address,
             zone: entry.record.zone.clone(),
+            version: entry.record.version.clone(),
             is_limited: entry.notice.limit.rate().is_some(),
         })
     }
--- a/src/process/gateway/fleet_entry.rs
+++ b/src/process/gateway/fleet_entry.rs
@@ -44,6 +44,8 @@
     pub(super) record: endpoint_registry::EndpointRecord,
     pub(super) in_flight: u32,
     pub(super) failures: u32,
+    /// When the version of the endpoint was learned of, if an order that forbids its use may be unknown.
+    pub(super) held_since: Option<boot_clock::BootInstant>,
     avoided_until: Option<time::Instant>,
     pub(super) notice: endpoint_notice::EndpointNotice,
     /// Until when no permit is asked for; only used while the endpoint limits its rate.
@@ -64,6 +66,7 @@
             record,
             in_flight: 0,
             failures: 0,
+            held_since: None,
             avoided_until: None,
             notice,
             permits_denied_until: None,
@@ -150,7 +153,10 @@
     /// Whether a request may be sent, or a permit for it be asked for if `query` allows that.
     pub(super) fn suits(&self, query: &fleet::EndpointQuery<'_>, now: time::Instant) -> bool {
         let is_limited = self.notice.limit.rate().is_some();
-        self.is_open(now) && self.permit_wait(now).is_none() && !(is_limited && query.is_unlimited)
+        self.is_open(now)
+            && self.permit_wait(now).is_none()
+            && !(is_limited && query.is_unlimited)
+            && query.versions.allows(&self.record.version)
     }
 
     /// Time until a permit may be asked for; `None` when it may be now or none is needed.
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -6,6 +6,7 @@
 
 use crate::connection::h1::{head, sink};
 use crate::connection::peer;
+use crate::process::gateway::rollout::{plan_book, version_policy};
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
     freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
@@ -76,6 +77,10 @@
     pub permits: sync::Arc<permits::RouterPermits>,
     /// Requests that are blocked because they crash endpoints.
     pub guard: sync::Arc<request_guard::RouterRequestGuard>,
+    /// Plans of the roll-outs; empty where none are followed.
+    pub plans: sync::Arc<plan_book::PlanBook>,
+    /// Draws versions and counts how they do; `None` where roll-outs are not followed.
+    pub versions: Option<sync::Arc<version_policy::RolloutPolicy>>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
@@ -234,6 +239,7 @@
             return self.refuse(sink, &refusal, Some(&id)).await;
         }
         self.relay.budget.deposit(&request.service, arrived);
+        self.relay.versions.record_request(&request.service);
         let unfinished = unfinished_request::UnfinishedRequest::new(self, &request);
         let end = if request.route.kind.is_stream() {
             stream::relay(&self.relay, &request, sink).await
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
+use crate::process::gateway::rollout::{plan_book, version_policy};
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
     peers, permits, readers, reload, request_guard, rows, settings, stop, store_watch,
@@ -20,7 +21,7 @@
 use crate::process::members::{gossip, peering};
 use crate::process::start;
 use crate::process::telemetry::{metrics, timeline};
-use crate::request::relay::{context, dialect, response_memory};
+use crate::request::relay::{context, dialect, response_memory, rollout};
 
 /// The process's memory divided by this is the limit for completely buffered responses. A large
 /// response is held twice while it is assembled.
@@ -169,10 +170,8 @@
         gossip,
         members,
     } = peering::PeerComponents::new(identity(&settings), settings.seeds.clone());
-    let fleet = sync::Arc::new(endpoint_fleet::RouterFleet::new(
-        settings.zone.clone(),
-        Box::new(placement::PrefixPlacement::default()),
-    ));
+    let plans = sync::Arc::<plan_book::PlanBook>::default();
+    let (fleet, versions) = versioned_fleet(&settings, &plans);
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
     let pace = readers::ReadTiming::new(settings.bounds.propagation_limit);
     let own_address = settings.peer_listen.to_string();
@@ -200,6 +199,10 @@
         )),
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&adapters.requests),
+        versions: versions.clone().map_or_else(
+            || sync::Arc::new(rollout::AnyVersion) as _,
+            |versions| versions as _,
+        ),
         budget: sync::Arc::new(budget),
         permits: sync::Arc::clone(&permits) as _,
         guard: sync::Arc::clone(&guard) as _,
@@ -231,6 +234,8 @@
         codec: sync::Arc::clone(&adapters.codec),
         permits,
         guard,
+        plans,
+        versions,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
@@ -242,6 +247,25 @@
     })
 }
 
+/// The fleet, and the policy by which it is used where roll-outs are followed.
+fn versioned_fleet(
+    settings: &settings::GatewaySettings,
+    plans: &sync::Arc<plan_book::PlanBook>,
+) -> (
+    sync::Arc<endpoint_fleet::RouterFleet>,
+    Option<sync::Arc<version_policy::RolloutPolicy>>,
+) {
+    let policy = Box::new(placement::PrefixPlacement::default());
+    let fleet = endpoint_fleet::RouterFleet::new(settings.zone.clone(), policy);
+    if !settings.follows_rollouts {
+        return (sync::Arc::new(fleet), None);
+    }
+    let fleet = sync::Arc::new(fleet.with_orders(sync::Arc::clone(plans)));
+    let versions =
+        version_policy::RolloutPolicy::new(sync::Arc::clone(plans), sync::Arc::clone(&fleet));
+    (fleet, Some(sync::Arc::new(versions)))
+}
+
 fn identity(settings: &settings::GatewaySettings) -> gossip::MemberIdentity {
     gossip::MemberIdentity {
         router: settings.router.clone(),
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -8,7 +8,8 @@
 
 use crate::connection::h1::sink;
 use crate::request::relay::{
-    attempt, context, crash_report, dialect, fleet, request_feature, retry,
+    attempt, context, crash_report, dialect, fleet, request_feature, retry, rollout,
+    version_choice, version_trial,
 };
 use crate::request::verdict;
 
@@ -66,6 +67,7 @@
 ) -> verdict::Result<attempt::FullResponse> {
     let mut excluded = Vec::new();
     let mut fallback = None;
+    let mut versions = version_choice::VersionChoice::new(fastrand::f64());
     loop {
         if let Some(refusal) = context.refuse_blocked(request, tracker.verdict()) {
             return fallback.ok_or(refusal);
@@ -73,7 +75,8 @@
         let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
         let is_allowed = attempts == 0 || take_retry(context, request);
         let lease = if is_allowed {
-            acquire(context, request, &excluded).await
+            let versions = versions.filter(context.versions.as_ref(), &request.service);
+            acquire(context, request, &excluded, &versions).await
         } else {
             None
         };
@@ -87,6 +90,9 @@
         }
         excluded.push(lease.endpoint.key);
         let (outcome, response) = try_endpoint(context, request, &lease, tracker).await;
+        if !matches!(outcome, retry::AttemptOutcome::Answered(status) if status < 500) {
+            versions.record_failure(&lease.endpoint.version);
+        }
         let state = retry::RetryState {
             kind: request.route.kind,
             possible_runs: tracker.possible_runs.load(atomic::Ordering::Relaxed),
@@ -126,6 +132,7 @@
     context: &context::RelayContext,
     request: &context::RelayRequest,
     excluded: &[fleet::EndpointKey],
+    versions: &version_choice::VersionFilter,
 ) -> Option<context::EndpointLease> {
     let query = fleet::EndpointQuery {
         service: &request.service,
@@ -133,6 +140,7 @@
         avoid_zone_of: None,
         only: None,
         is_unlimited: false,
+        versions,
     };
     context.acquire(&request.metadata.id, &query).await
 }
@@ -160,11 +168,13 @@
         .fetch_add(1, atomic::Ordering::Relaxed);
     context.counters.count("relay.attempt");
     let sent_at = time::Instant::now();
+    let mut trial = version_trial::VersionTrial::begin(context, request, lease);
     let sent = attempt::send(lease.endpoint.address, &bytes).await;
     let Ok(mut open) = sent else {
         tracker
             .possible_runs
             .fetch_sub(1, atomic::Ordering::Relaxed);
+        trial.record(rollout::VersionOutcome::Lost);
         lease.observe(fleet::EndpointObservation::Failed);
         return (retry::AttemptOutcome::NotRun, None);
     };
@@ -179,6 +189,7 @@
     let response = match response {
         Ok(response) => response,
         Err(error) => {
+            trial.record(rollout::VersionOutcome::Lost);
             lease.observe(fleet::EndpointObservation::Failed);
             examine_loss(context, request, lease, error, sent_at).await;
             return (retry::AttemptOutcome::Lost, None);
@@ -187,6 +198,7 @@
     let outcome = classify_response(context, request, &response);
     match outcome {
         retry::AttemptOutcome::NotRun => {
+            trial.exempt();
             tracker
                 .possible_runs
                 .fetch_sub(1, atomic::Ordering::Relaxed);
@@ -194,10 +206,12 @@
             (outcome, None)
         }
         retry::AttemptOutcome::Lost => {
+            trial.record(rollout::VersionOutcome::Lost);
             lease.observe(fleet::EndpointObservation::Failed);
             (outcome, None)
         }
-        retry::AttemptOutcome::Answered(_) => {
+        retry::AttemptOutcome::Answered(status) => {
+            trial.record(rollout::VersionOutcome::Status(status));
             lease.observe(fleet::EndpointObservation::Answered);
             context.guard.record_success(&request.features);
             (outcome, Some(response))
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -6,7 +6,7 @@
 use crate::connection::h1::head;
 use crate::process::view;
 use crate::request::relay::{
-    dialect, fleet, permit, request_feature, request_guard, response_memory,
+    dialect, fleet, permit, request_feature, request_guard, response_memory, version_choice,
 };
 use crate::request::verdict;
 use crate::version::traffic;
@@ -41,6 +41,8 @@
     pub permits: sync::Arc<dyn permit::PermitSource>,
     /// Keeps requests from endpoints that would crash on them.
     pub guard: sync::Arc<dyn request_guard::RequestGuard>,
+    /// Software versions that attempts may use while one is rolled out.
+    pub versions: sync::Arc<dyn version_choice::VersionRules>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Receives counts and durations.
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::time;
 
-use crate::request::relay::request_rate;
+use crate::request::relay::{request_rate, version_choice};
 
 slotmap::new_key_type! {
     /// Identifies one incarnation of an endpoint; a restarted endpoint gets a new key.
@@ -22,6 +22,8 @@
     pub address: net::SocketAddr,
     /// Name of its availability zone.
     pub zone: String,
+    /// Version of its software.
+    pub version: String,
     /// Whether it limits the rate of requests, so that each one needs a permit.
     pub is_limited: bool,
 }
@@ -39,6 +41,8 @@
     pub only: Option<EndpointKey>,
     /// Restricts the choice to endpoints that need no permit.
     pub is_unlimited: bool,
+    /// Restricts the choice to endpoints of these software versions.
+    pub versions: &'a version_choice::VersionFilter,
 }
 
 /// What an attempt revealed about an endpoint.
--- a/src/request/relay/kv_copy.rs
+++ b/src/request/relay/kv_copy.rs
@@ -13,7 +13,7 @@
 use futures::FutureExt as _;
 use futures::future;
 
-use crate::request::relay::{attempt, context, dialect, fleet, report, selection};
+use crate::request::relay::{attempt, context, dialect, fleet, report, selection, version_choice};
 
 /// Interval between checks of the copy; short compared with the seconds between two failures.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -108,6 +108,18 @@
     pub excluded: &'a [fleet::EndpointKey],
     /// Tokens that the run occupies at its end.
     pub tokens: u64,
+    /// Software versions that the request may use.
+    pub versions: &'a version_choice::VersionChoice,
+}
+
+impl CopiedRun<'_> {
+    /// Software versions that may hold the copy.
+    #[must_use]
+    pub fn holder_versions(&self) -> version_choice::VersionFilter {
+        let rules = self.context.versions.as_ref();
+        let version = &self.engine.version;
+        self.versions.copy_filter(rules, self.service, version)
+    }
 }
 
 /// Maintains the copy of one running request.
@@ -154,7 +166,10 @@
             self.finish_move(moved, run, now);
         }
         let holder = self.held.as_ref().map(|held| held.holder.key);
-        let is_healthy = holder.is_some_and(|key| run.context.fleet.is_healthy(key));
+        let versions = run.holder_versions();
+        let is_allowed = |held: &HeldCopy| versions.allows(&held.holder.version);
+        let is_healthy = holder.is_some_and(|key| run.context.fleet.is_healthy(key))
+            && self.held.as_ref().is_some_and(is_allowed);
         let holders = match copy_action(self.held.as_ref(), is_healthy, now) {
             CopyAction::Keep => return,
             CopyAction::Refresh => self.held.iter().map(|held| held.holder.clone()).collect(),
@@ -219,6 +234,7 @@
         avoid_zone_of: Some(run.engine.key),
         only: None,
         is_unlimited: false,
+        versions: &run.holder_versions(),
     };
     run.context.fleet.sample(&query, count)
 }
--- a/src/request/relay/mod.rs
+++ b/src/request/relay/mod.rs
@@ -27,3 +27,5 @@
 mod stream_loss;
 mod stream_placement;
 mod stream_reader;
+pub mod version_choice;
+mod version_trial;
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -8,7 +8,8 @@
 use crate::connection::h1::{body, head, sink};
 use crate::request::relay::{
     attempt, buffered, context, dialect, events, fleet, kv_copy, request_feature, request_guard,
-    retry, selection, stall, stream_end, stream_loss, stream_reader,
+    retry, rollout, selection, stall, stream_end, stream_loss, stream_reader, version_choice,
+    version_trial,
 };
 use crate::request::verdict;
 
@@ -27,6 +28,8 @@
     /// Response head for the caller, from the first engine whose events were relayed.
     head: Option<head::ResponseHead>,
     pub(super) excluded: Vec<fleet::EndpointKey>,
+    /// Software versions that the attempts may use.
+    pub(super) versions: version_choice::VersionChoice,
     pub(super) copies: kv_copy::CopyManager,
     /// Engines that responded to the last probe round, least loaded first.
     pub(super) responding: Vec<(fleet::ChosenEndpoint, selection::EngineCandidate)>,
@@ -53,6 +56,7 @@
         cursor: events::EventCursor::after(request.metadata.last_event),
         head: None,
         excluded: Vec::new(),
+        versions: version_choice::VersionChoice::new(fastrand::f64()),
         copies: kv_copy::CopyManager::default(),
         responding: Vec::new(),
         possible_runs: 0,
@@ -179,8 +183,10 @@
         self.is_sent = true;
         self.progress = stream_loss::AttemptProgress::new();
         self.context.counters.count("relay.attempt");
+        let mut trial = version_trial::VersionTrial::begin(self.context, self.request, lease);
         let sent = attempt::send(lease.endpoint.address, &bytes).await;
         let Ok(open) = sent else {
+            trial.record(rollout::VersionOutcome::Lost);
             return stream_end::StreamEnd::Unsent;
         };
         let mut reader = stream_reader::StreamReader::new(
@@ -189,8 +195,10 @@
             &self.context.dialect,
             &self.request.metadata.id,
         );
-        let reading = self.read_response(&mut reader, lease, holder).await;
-        reading.unwrap_or_else(stream_end::StreamEnd::Lost)
+        let reading = self.read_response(&mut reader, lease, holder, &mut trial);
+        let end = reading.await.unwrap_or_else(stream_end::StreamEnd::Lost);
+        trial.record_end(&end);
+        end
     }
 
     async fn read_response(
@@ -198,6 +206,7 @@
         reader: &mut stream_reader::StreamReader<'_>,
         lease: &context::EndpointLease,
         holder: Option<fleet::ChosenEndpoint>,
+        trial: &mut version_trial::VersionTrial<'_>,
     ) -> stream_loss::Result<stream_end::StreamEnd> {
         let head = reader.first_head(self.stall_limits()).await?;
         self.progress.has_head = true;
@@ -225,14 +234,18 @@
             self.head = Some(relayed);
         }
         let decoder = body::BodyDecoder::new(framing);
-        self.relay_events(reader, lease, holder, decoder).await
+        self.relay_events(reader, lease, (holder, trial), decoder)
+            .await
     }
 
     async fn relay_events(
         &mut self,
         reader: &mut stream_reader::StreamReader<'_>,
         lease: &context::EndpointLease,
-        mut holder: Option<fleet::ChosenEndpoint>,
+        (mut holder, trial): (
+            Option<fleet::ChosenEndpoint>,
+            &mut version_trial::VersionTrial<'_>,
+        ),
         mut decoder: body::BodyDecoder,
     ) -> stream_loss::Result<stream_end::StreamEnd> {
         let mut splitter = events::EventSplitter::default();
@@ -251,6 +264,8 @@
                     self.record_success();
                 }
                 if !event.is_comment && std::mem::take(&mut is_first) {
+                    trial.record_first_event(self.cursor.last().is_some());
+                    self.versions.record_start(&lease.endpoint.version);
                     // The engine makes the copy only after prefill, which the first event marks.
                     self.copies = kv_copy::CopyManager::new(holder.take());
                     let elapsed = self.request.arrived.elapsed();
--- a/src/request/relay/stream_end.rs
+++ b/src/request/relay/stream_end.rs
@@ -31,6 +31,9 @@
         end: StreamEnd,
         is_from_copy: bool,
     ) -> AttemptConclusion {
+        if !matches!(end, StreamEnd::Complete | StreamEnd::CallerGone) {
+            self.versions.record_failure(&lease.endpoint.version);
+        }
         let outcome = match end {
             StreamEnd::Complete => {
                 self.record_success();
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -5,7 +5,9 @@
 use async_std::task;
 use futures::future as futures_future;
 
-use crate::request::relay::{attempt, context, dialect, fleet, kv_copy, retry, selection, stream};
+use crate::request::relay::{
+    attempt, context, dialect, fleet, kv_copy, retry, selection, stream, version_choice,
+};
 
 /// Delay before the next search when no engine is available for an interrupted stream.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -117,6 +119,7 @@
             avoid_zone_of: None,
             only,
             is_unlimited: false,
+            versions: &self.allowed_versions(),
         };
         self.context
             .acquire(&self.request.metadata.id, &query)
@@ -187,6 +190,12 @@
         self.request.arrived + goal.mul_f64(selection::MAX_WAIT_FRACTION)
     }
 
+    /// Software versions that the next attempt may use, by the newest plan.
+    fn allowed_versions(&self) -> version_choice::VersionFilter {
+        let rules = self.context.versions.as_ref();
+        self.versions.filter(rules, &self.request.service)
+    }
+
     /// Probes a few engines that `search` has not probed yet.
     async fn probe_engines(
         &mut self,
@@ -199,6 +208,7 @@
             avoid_zone_of: None,
             only: None,
             is_unlimited: search.refusals >= MAX_REFUSALS,
+            versions: &self.allowed_versions(),
         };
         let fleet = &self.context.fleet;
         let endpoints = fleet.sample(&query, selection::PROBED_ENGINES);
@@ -228,7 +238,8 @@
         if !self.request.has_moves || !self.request.route.kind.may_repeat() {
             return;
         }
-        let run = copied_run(self.context, self.request, lease, &self.excluded);
+        let shared = (self.context, self.request);
+        let run = copied_run(shared, lease, &self.excluded, &self.versions);
         self.copies.poll(run);
     }
 
@@ -243,7 +254,12 @@
         // Prefers engines that have just responded; the endpoint list may be seconds out of date.
         let (zone, tokens) = (&lease.endpoint.zone, self.request.metadata.tokens);
         let mut candidates = std::mem::take(&mut self.responding);
-        candidates.retain(|(endpoint, _candidate)| endpoint.zone != *zone);
+        let shared = (self.context, self.request);
+        let run = copied_run(shared, lease, &self.excluded, &self.versions);
+        let versions = run.holder_versions();
+        candidates.retain(|(endpoint, _candidate)| {
+            endpoint.zone != *zone && versions.drawn.allows(&endpoint.version)
+        });
         let mut with_room = candidates
             .iter()
             .filter(|(_endpoint, candidate)| candidate.has_room_for_copy(tokens));
@@ -255,16 +271,15 @@
             self.context.counters.count("relay.copy_left_out");
             return None;
         }
-        let run = copied_run(self.context, self.request, lease, &self.excluded);
         kv_copy::sample_holders(run, None, 1).pop()
     }
 }
 
 fn copied_run<'a>(
-    context: &'a context::RelayContext,
-    request: &'a context::RelayRequest,
+    (context, request): (&'a context::RelayContext, &'a context::RelayRequest),
     lease: &'a context::EndpointLease,
     excluded: &'a [fleet::EndpointKey],
+    versions: &'a version_choice::VersionChoice,
 ) -> kv_copy::CopiedRun<'a> {
     kv_copy::CopiedRun {
         context,
@@ -273,5 +288,6 @@
         engine: &lease.endpoint,
         excluded,
         tokens: request.metadata.tokens,
+        versions,
     }
 }
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -15,7 +15,7 @@
 use kumquatpulley::request::key;
 use kumquatpulley::request::relay::context::RetryLimiter as _;
 use kumquatpulley::request::relay::fleet::EndpointFleet as _;
-use kumquatpulley::request::relay::{context, fleet};
+use kumquatpulley::request::relay::{context, fleet, version_choice};
 use kumquatpulley::version::traffic;
 use proptest::prelude::*;
 
@@ -636,6 +636,7 @@
         avoid_zone_of: None,
         only: None,
         is_unlimited: false,
+        versions: &version_choice::VersionFilter::ANY,
     }
 }
 
--- a/tests/gateway/decisions.rs
+++ b/tests/gateway/decisions.rs
@@ -406,6 +406,7 @@
             name: "e1".to_owned(),
             address,
             zone: "z1".to_owned(),
+            version: "v1".to_owned(),
             is_limited: false,
         },
         moved: moved_at.map(|at| kv_copy::MovedCopy {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,4 +34,5 @@
 mod stop_rules;
 mod stray_refusals;
 mod support;
+mod version_choice;
 mod whole;
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -13,7 +13,7 @@
 use kumquatpulley::process::view;
 use kumquatpulley::request::relay::fleet::EndpointFleet as _;
 use kumquatpulley::request::relay::permit::PermitSource as _;
-use kumquatpulley::request::relay::{fleet, request_rate};
+use kumquatpulley::request::relay::{fleet, request_rate, version_choice};
 
 use crate::cached_state;
 use crate::common;
@@ -98,6 +98,7 @@
             avoid_zone_of: None,
             only: None,
             is_unlimited,
+            versions: &version_choice::VersionFilter::ANY,
         })
     }
 
