--- a/src/process/gateway/rollout/ramp.rs
+++ b/src/process/gateway/rollout/ramp.rs
@@ -13,7 +13,7 @@
 /// Parts of the ramp's time before which the steps do not start. The larger shares come late and are
 /// short, so that a version that turns bad has got little. The rest of the time covers the delay with
 /// which the order and the replies arrive.
-const STEP_STARTS: [f64; 5] = [0.0, 0.5, 0.65, 0.75, 0.85];
+const STEP_STARTS: [f64; 5] = [0.0, 0.6, 0.7, 0.78, 0.86];
 
 /// Shortest time of a step: two reports of each router, with the answers to the first requests.
 const MIN_STEP_TIME: time::Duration = time::Duration::from_secs(1);
