Follow roll-outs where the settings have the contract

Orders come with the rows that are already read for the configuration, and peers are asked for theirs with each query for their state of the store. The coordinator and the reporter run only with the contract; without it no message is sent and no row of roll-outs is read.

A full read with nothing but orders still counts as one without a configuration, as before.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -6,7 +6,7 @@
 
 use crate::connection::h1::{head, sink};
 use crate::connection::peer;
-use crate::process::gateway::rollout::{plan_book, version_policy};
+use crate::process::gateway::rollout::{control, plan_book, version_policy};
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
     freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
@@ -81,6 +81,8 @@
     pub plans: sync::Arc<plan_book::PlanBook>,
     /// Draws versions and counts how they do; `None` where roll-outs are not followed.
     pub versions: Option<sync::Arc<version_policy::RolloutPolicy>>,
+    /// Orders and plans of roll-outs; `None` where they are not followed.
+    pub rollouts: Option<control::RolloutControl>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -10,7 +10,7 @@
 use futures::future;
 use stop_token::future::FutureExt as _;
 
-use crate::connection::{peer, peer_wire, store_view_wire};
+use crate::connection::{peer, peer_wire, rollout_wire, store_view_wire};
 use crate::process::gateway::{boot_clock, endpoint_registry, endpoint_rows, node, readers};
 
 /// Timeout of one query to a peer.
@@ -99,6 +99,14 @@
                     self.guard.merge_blocks(blocked, "peer");
                     peer_wire::ReplyBody::BlockedRequests
                 }
+                peer_wire::QueryBody::Rollout(query) => {
+                    let rollouts = self.rollouts.as_ref();
+                    let reply = rollouts
+                        .map_or(rollout_wire::RolloutReplyWire::NotFollowed, |rollouts| {
+                            rollouts.answer(*query)
+                        });
+                    peer_wire::ReplyBody::Rollout(Box::new(reply))
+                }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
         }
@@ -209,6 +217,13 @@
         }
     }
 
+    /// Queries one peer for its orders of roll-outs, where they are followed.
+    async fn query_orders(&self, address: &str) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.query_orders(address).await;
+        }
+    }
+
     /// Fetches the deltas of some parts from a peer; `None` if a query failed.
     async fn query_parts(&self, address: &str, parts: &[u8]) -> Option<PeerDeltas> {
         let mut deltas = PeerDeltas::default();
@@ -332,7 +347,9 @@
                 has_recent_answer,
                 &mut fastrand::Rng::new(),
             );
-            let queries = selection.peers.iter().map(|peer| node.query_peer(peer));
+            let queries = selection.peers.iter().map(|peer| {
+                future::join(node.query_peer(peer), node.query_orders(&peer.peer_address))
+            });
             future::join_all(queries).await;
             let interval = if node.version_number().is_some() {
                 selection.interval
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -13,7 +13,7 @@
 
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
-use crate::process::gateway::rollout::{plan_book, version_policy};
+use crate::process::gateway::rollout::{control, coordinator, plan_book, ramp, version_policy};
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
     peers, permits, readers, reload, request_guard, rows, settings, stop, store_watch,
@@ -209,6 +209,22 @@
         counters: sync::Arc::clone(&metrics) as _,
         aborting,
     };
+    let rollouts = settings.follows_rollouts.then(|| {
+        control::RolloutControl::new(coordinator::CoordinatorParts {
+            owners: sync::Arc::clone(&gossip) as _,
+            members: sync::Arc::clone(&members),
+            link: sync::Arc::clone(&link),
+            store: sync::Arc::clone(&adapters.store),
+            codec: sync::Arc::clone(&adapters.codec),
+            counters: sync::Arc::clone(&metrics) as _,
+            plans: sync::Arc::clone(&plans),
+            orders: sync::Arc::default(),
+            bounds: ramp::ExposureBounds {
+                share: settings.bounds.expose_share,
+                slack: settings.bounds.expose_slack,
+            },
+        })
+    });
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
     let stop_grace = parking_lot::Mutex::new(settings.bounds.stop_grace);
     sync::Arc::new(node::GatewayNode {
@@ -236,6 +252,7 @@
         guard,
         plans,
         versions,
+        rollouts,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
@@ -318,6 +335,12 @@
     ));
     task::spawn(store_watch::watch_routers(sync::Arc::clone(node), token()));
     task::spawn(peers::poll_peers(sync::Arc::clone(node), token()));
+    if let (Some(rollouts), Some(versions)) = (&node.rollouts, &node.versions) {
+        let router = node.settings.router.clone();
+        let reporter = rollouts.reporter(router, sync::Arc::clone(versions) as _);
+        task::spawn(sync::Arc::clone(rollouts.coordinator()).run(token()));
+        task::spawn(reporter.run(token()));
+    }
     task::spawn(announce_ready(sync::Arc::clone(node)));
 }
 
--- a/src/process/gateway/store_watch.rs
+++ b/src/process/gateway/store_watch.rs
@@ -45,8 +45,12 @@
         rows::RowTopic::Config,
         wait,
         |batch, asked_at, is_full| {
+            if let Some(rollouts) = &node.rollouts {
+                rollouts.apply_rows(&batch, asked_at, is_full);
+            }
             if is_full {
-                stored = batch.rows.is_empty().then_some(0);
+                let is_order = |row: &rows::RowChange| node.codec.order_service(&row.key).is_some();
+                stored = batch.rows.iter().all(is_order).then_some(0);
             }
             for row in &batch.rows {
                 if let Some(value) = &row.value {
