--- a/src/bin/kumquatpulley/status.rs
+++ b/src/bin/kumquatpulley/status.rs
@@ -83,6 +83,13 @@
     for endpoint in &status.endpoints {
         write_endpoint(f, endpoint)?;
     }
+    for rollout in &status.rollouts {
+        writeln!(
+            f,
+            "  roll-out {:<14} to {:<10} {:<10} share {} of 1000",
+            rollout.service, rollout.to, rollout.phase, rollout.share_millis
+        )?;
+    }
     for workspace in &status.workspaces {
         writeln!(
             f,
--- a/src/process/gateway/info_server.rs
+++ b/src/process/gateway/info_server.rs
@@ -186,5 +186,9 @@
     metrics.gauge("requests.in_flight", in_flight);
     let body_bytes = node.body_bytes.load(atomic::Ordering::Relaxed);
     metrics.gauge("requests.body_bytes", body_bytes);
-    metrics.text()
+    let shares = node.rollout_statuses().into_iter().map(|rollout| {
+        let labels = [rollout.service, rollout.to, rollout.phase];
+        (labels, u64::from(rollout.share_millis))
+    });
+    metrics.text_with("rollout.share_millis", ["service", "to", "phase"], shares)
 }
--- a/src/process/gateway/status.rs
+++ b/src/process/gateway/status.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic;
 use std::time;
 
-use crate::process::gateway::node;
+use crate::process::gateway::{boot_clock, node};
 use crate::process::telemetry::status;
 use crate::process::view::MemberView as _;
 
@@ -46,12 +46,25 @@
             members: members.map(status::MemberStatus::from).collect(),
             endpoints: self.fleet.statuses(time::Instant::now()),
             workspaces: Vec::new(),
+            rollouts: self.rollout_statuses(),
             counters: counters
                 .map(|(name, count)| (name.to_owned(), count))
                 .collect(),
         }
     }
 
+    /// The plans that this router goes by now.
+    pub(super) fn rollout_statuses(&self) -> Vec<status::RolloutStatus> {
+        let plans = self.plans.all_plans(boot_clock::BootInstant::now());
+        let statuses = plans.into_iter().map(|plan| status::RolloutStatus {
+            service: plan.service,
+            to: plan.to,
+            phase: plan.phase.name().to_owned(),
+            share_millis: plan.share_millis,
+        });
+        statuses.collect()
+    }
+
     fn state_name(&self) -> &'static str {
         if self.is_draining.load(atomic::Ordering::SeqCst) {
             return "draining";
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -170,6 +170,7 @@
                 .collect(),
             endpoints: endpoints.collect(),
             workspaces: self.workspace_statuses(),
+            rollouts: Vec::new(),
             counters: counters
                 .into_iter()
                 .map(|(name, count)| (name.to_owned(), count))
--- a/src/process/telemetry/metrics.rs
+++ b/src/process/telemetry/metrics.rs
@@ -142,11 +142,35 @@
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let encoded = prometheus::TextEncoder::new().encode_to_string(&self.registry.gather());
-        encoded.unwrap_or_else(|error| {
-            log::error!(cause = error.to_string().as_str(); "metrics cannot be written as text");
-            String::new()
-        })
+        encode(&self.registry.gather())
+    }
+
+    /// Returns all metrics as [`Self::text`], and a gauge with labels whose values are `samples`. Values
+    /// of labels that are not among them any more are left out.
+    #[must_use]
+    pub fn text_with<const LABELS: usize>(
+        &self,
+        name: &'static str,
+        labels: [&str; LABELS],
+        samples: impl Iterator<Item = ([String; LABELS], u64)>,
+    ) -> String {
+        let options = prometheus::Opts::new(text_name(name), name);
+        let gauge = match prometheus::IntGaugeVec::new(options, &labels) {
+            Ok(gauge) => gauge,
+            Err(error) => {
+                log::error!(name, cause = error.to_string().as_str(); "metric left out");
+                return self.text();
+            }
+        };
+        for (values, sample) in samples {
+            let values: Vec<&str> = values.iter().map(String::as_str).collect();
+            let sample = i64::try_from(sample).unwrap_or(i64::MAX);
+            gauge.with_label_values(&values).set(sample);
+        }
+        let mut families = self.registry.gather();
+        families.extend(prometheus::core::Collector::collect(&gauge));
+        families.retain(|family| !family.get_metric().is_empty());
+        encode(&families)
     }
 
     /// Registers a new metric and returns it with its name, or logs the error.
@@ -172,6 +196,15 @@
     }
 }
 
+/// Encodes metrics in the Prometheus text format.
+fn encode(families: &[prometheus::proto::MetricFamily]) -> String {
+    let encoded = prometheus::TextEncoder::new().encode_to_string(families);
+    encoded.unwrap_or_else(|error| {
+        log::error!(cause = error.to_string().as_str(); "metrics cannot be written as text");
+        String::new()
+    })
+}
+
 /// Converts a metric name to its Prometheus form.
 fn text_name(name: &str) -> String {
     format!("{METRIC_PREFIX}_{}", name.replace(['.', '-'], "_"))
--- a/src/process/telemetry/status.rs
+++ b/src/process/telemetry/status.rs
@@ -26,6 +26,9 @@
     pub endpoints: Vec<EndpointStatus>,
     /// Workspaces in the active configuration version.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// Roll-outs that the router knows; absent in the status of earlier versions.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutStatus>,
     /// Counter values since process start, by name.
     pub counters: collections::BTreeMap<String, u64>,
 }
@@ -119,6 +122,20 @@
     }
 }
 
+/// A roll-out as one router goes by it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct RolloutStatus {
+    /// Service name.
+    pub service: String,
+    /// Version that the traffic moves to.
+    pub to: String,
+    /// `waiting`, `ramping`, `draining`, `complete` or `reverted`.
+    pub phase: String,
+    /// Share of new requests for the version, in thousandths.
+    pub share_millis: u16,
+}
+
 /// Concurrency limit and usage of one workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -92,3 +92,18 @@
         assert!(text.lines().any(|held| held == line), "{line} in {text}");
     }
 }
+
+/// A roll-out changes its phase; the metric must not go on showing the one before.
+#[test]
+fn a_labelled_gauge_shows_the_present_labels_only() {
+    let metrics = metrics::RouterMetrics::new(None).unwrap();
+    metrics.gauge("members.ready", 3);
+    let text = |phase: Option<&str>| {
+        let samples = phase.map(|phase| ([phase.to_owned()], 50));
+        metrics.text_with("rollout.share_millis", ["phase"], samples.into_iter())
+    };
+    let ramping = "kumquatpulley_rollout_share_millis{phase=\"ramping\"} 50";
+    assert!(text(Some("ramping")).contains(ramping));
+    assert!(!text(Some("reverted")).contains("ramping"));
+    assert_eq!(text(None), metrics.text());
+}
