--- a/tests/gateway/rollout_replays.rs
+++ b/tests/gateway/rollout_replays.rs
@@ -4,8 +4,9 @@
 use kumquatpulley::process::gateway::rollout::plan;
 
 use crate::common;
+use crate::support::rollout_conditions::{Behaviour, Conditions, Disturbance, GOOD};
 use crate::support::rollout_replay;
-use crate::support::rollout_replay::{BOUNDS, Behaviour, Conditions, Disturbance, GOOD};
+use crate::support::rollout_replay::BOUNDS;
 
 /// Seeds of one run; `KUMQUATPULLEY_REPLAY_FIRST` names the first one.
 const SEEDS: u64 = 4;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -13,6 +13,7 @@
 pub mod limit_judge;
 pub mod load;
 pub mod planned_stop;
+pub mod rollout_conditions;
 pub mod rollout_replay;
 pub mod rollout_world;
 pub mod router;
