Test roll-outs with real gateways

Cause: the parts of a roll-out were only tested alone.

Change: two gateways, four endpoints and the fake store, under calls and streams: a good version takes over and nothing is lost when the old endpoints stop at once; a version that answers 500 is reverted within the exposure bound and gets nothing later than the time to roll back; without the contract an order has no effect; an endpoint of a new version gets nothing while the table op cannot be read. The fake store names a clock that goes on, and can refuse the reads of one table.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod rollout_orders;
 mod rollout_replays;
 mod rollout_rows;
+mod rollouts;
 mod silent_calls;
 mod silent_engines;
 mod soak;
--- a/tests/gateway/support/fake_store.rs
+++ b/tests/gateway/support/fake_store.rs
@@ -39,6 +39,8 @@
     unavailable: collections::HashSet<net::SocketAddr>,
     /// Listeners that leave requests unanswered and connections open.
     hung: collections::HashSet<net::SocketAddr>,
+    /// Tables whose reads are answered with 503.
+    unreadable: collections::HashSet<String>,
 }
 
 /// Fake of the platform's store.
@@ -48,6 +50,13 @@
     state: sync::Arc<sync::Mutex<StoreState>>,
 }
 
+/// Clock that the store's answers name, in milliseconds.
+fn now_ms() -> u64 {
+    static STARTED: sync::OnceLock<time::Instant> = sync::OnceLock::new();
+    let elapsed = STARTED.get_or_init(time::Instant::now).elapsed();
+    u64::try_from(elapsed.as_millis()).expect("a short time") + 1
+}
+
 impl FakeStore {
     pub fn new(ip: net::IpAddr) -> Self {
         let state = sync::Arc::default();
@@ -111,13 +120,6 @@
         }
     }
 
-    /// Content of a row; `None` if there is none.
-    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
-        let state = self.state.lock().expect("not poisoned");
-        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
-        row.0.clone()
-    }
-
     /// Keys of the rows of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.state.lock().expect("not poisoned");
@@ -144,6 +146,23 @@
         }
     }
 
+    /// Makes all reads of a table answer with 503, or serves them again.
+    pub fn set_unreadable(&self, table: &str, is_unreadable: bool) {
+        let mut state = self.state.lock().expect("not poisoned");
+        if is_unreadable {
+            state.unreadable.insert(table.to_owned());
+        } else {
+            state.unreadable.remove(table);
+        }
+    }
+
+    /// Content of a row; `None` if there is none.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock().expect("not poisoned");
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        row.0.clone()
+    }
+
     /// Makes the listener at `address` leave all requests unanswered from now on.
     pub fn hang(&self, address: net::SocketAddr) {
         self.state
@@ -205,11 +224,9 @@
         return;
     };
     let is_unavailable = || {
-        state
-            .lock()
-            .expect("not poisoned")
-            .unavailable
-            .contains(&address)
+        let table = request.query("table").unwrap_or_default();
+        let state = state.lock().expect("not poisoned");
+        state.unavailable.contains(&address) || state.unreadable.contains(table)
     };
     let is_hung = || state.lock().expect("not poisoned").hung.contains(&address);
     if is_hung() {
@@ -291,7 +308,7 @@
             }
             let era = held.era;
             drop(held);
-            let answer = serde_json::json!({"ver": version, "now_ms": 1});
+            let answer = serde_json::json!({"ver": version, "now_ms": now_ms()});
             write_store_json(stream, era, 200, &answer);
         }
         _ => fakes::write_json(stream, 404, &serde_json::json!({})),
@@ -354,7 +371,7 @@
             "ver": version}),
     });
     let rows: Vec<serde_json::Value> = rows.collect();
-    let answer =
-        serde_json::json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": 1});
+    let answer = serde_json::json!({"rows": rows, "has_more": false, "ver": state.version,
+            "now_ms": now_ms()});
     (answer, state.era)
 }
--- a/tests/gateway/support/fakes.rs
+++ b/tests/gateway/support/fakes.rs
@@ -354,6 +354,15 @@
         Self::entry_at(self.address, service, zone, state)
     }
 
+    /// This endpoint's entry in the store with another version than `v1`.
+    pub fn versioned_entry(&self, service: &str, zone: &str, version: &str) -> Vec<u8> {
+        let entry = self.entry(service, zone, "ready");
+        let text = String::from_utf8(entry).expect("JSON");
+        let entry = text.replace(r#""version":"v1""#, &format!(r#""version":"{version}""#));
+        assert!(entry.contains(version), "{entry}");
+        entry.into_bytes()
+    }
+
     /// Entry in the store of an endpoint that is reached at `address`.
     pub fn entry_at(address: net::SocketAddr, service: &str, zone: &str, state: &str) -> Vec<u8> {
         let entry = serde_json::json!({"service": service, "addr": address.to_string(),
--- a/tests/gateway/support/router.rs
+++ b/tests/gateway/support/router.rs
@@ -54,6 +54,8 @@
     pub kind: StartKind,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
+    /// Whether the settings have the contract for roll-outs.
+    pub follows_rollouts: bool,
 }
 
 impl GatewayStart {
@@ -62,6 +64,7 @@
         Self {
             kind,
             grace: USUAL_GRACE,
+            follows_rollouts: false,
         }
     }
 }
@@ -78,13 +81,18 @@
     let seed = net::IpAddr::from([net[0], net[1], net[2], 1]);
     let is_first = start.kind == StartKind::First;
     let grace_s = start.grace.as_secs_f64();
+    let contracts = if start.follows_rollouts {
+        "contracts: [rollout]\n"
+    } else {
+        ""
+    };
     let settings = format!(
         "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\n\
          listen: {{front: '{ip}:8227', ready: '{ip}:8220', \
          control: '{ip}:8229', directory: '{ip}:8224'}}\nseeds: ['{seed}:8229']\n\
          limits: {{memory_mb: 96, max_fds: 2870}}\nbounds: {{strict_revoke: true, \
          revoke_ms: 4000, grace_s: {grace_s}, ttl_max_s: 5, budget_ratio: 0.8, budget_slack: 300, \
-         budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n"
+         budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n{contracts}"
     );
     let file = folder.join(format!("g{number}.yaml"));
     fs::write(&file, settings).expect("a file");
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -22,6 +22,8 @@
     pub gateways: Vec<router::GatewayProcess>,
     /// Grace period of the gateways.
     pub grace: time::Duration,
+    /// Whether the settings of the gateways have the contract for roll-outs.
+    pub follows_rollouts: bool,
 }
 
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
@@ -41,15 +43,25 @@
     }
 
     pub fn start_with_grace(gateways: u8, grace: time::Duration) -> Self {
-        Self::start_system(gateways, grace, &Self::config(1, r#""k""#))
+        Self::start_system(gateways, (grace, false), &Self::config(1, r#""k""#))
     }
 
     /// Starts gateways with this configuration.
     pub fn start_configured(gateways: u8, config: &str) -> Self {
-        Self::start_system(gateways, router::USUAL_GRACE, config)
+        Self::start_system(gateways, (router::USUAL_GRACE, false), config)
     }
 
-    fn start_system(gateways: u8, grace: time::Duration, config: &str) -> Self {
+    /// Starts gateways whose settings have the contract for roll-outs.
+    pub fn start_with_rollouts(gateways: u8) -> Self {
+        let config = Self::config(1, r#""k""#);
+        Self::start_system(gateways, (router::USUAL_GRACE, true), &config)
+    }
+
+    fn start_system(
+        gateways: u8,
+        (grace, follows_rollouts): (time::Duration, bool),
+        config: &str,
+    ) -> Self {
         let net = router::loopback_net();
         let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
         let store = fake_store::FakeStore::new(ip(250));
@@ -61,6 +73,7 @@
             second: fakes::FakeEndpoint::start(ip(241), "e2"),
             gateways: Vec::new(),
             grace,
+            follows_rollouts,
         };
         system.store.put("op", "config", config.as_bytes());
         system
@@ -73,7 +86,11 @@
             let store_address = system.store.open_listener();
             let kind = router::StartKind::First;
             let folder = system.folder.path();
-            let start = router::GatewayStart { kind, grace };
+            let start = router::GatewayStart {
+                kind,
+                grace,
+                follows_rollouts,
+            };
             let gateway = router::spawn(folder, system.net, number, store_address, start);
             system.gateways.push(gateway);
         }
@@ -101,6 +118,7 @@
         let start = router::GatewayStart {
             kind: router::StartKind::Later,
             grace: self.grace,
+            follows_rollouts: self.follows_rollouts,
         };
         let gateway = router::spawn(self.folder.path(), self.net, number, store_address, start);
         self.gateways.insert(index, gateway);
