--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod rollout_orders;
 mod rollout_replays;
 mod rollout_rows;
+mod rollouts;
 mod silent_calls;
 mod silent_engines;
 mod soak;
