Serve requests on a router that starts after a roll-out

Cause: a router that starts knows the order before the coordinator's plan, and a coordinator that starts too answers before it has read the store. Until then no version but the old one was allowed, whose endpoints have stopped: with both of two routers restarted after complete, requests got 503 for up to half a second from ready on.

Ruled out: holding readiness back until there is a plan, as the coordinator is chosen among ready routers; allowing the new version only before the coordinator's first reply, as that reply came before its first read of the store and the fourth request of the test was refused.

Change: with no share known and no endpoint of another version, requests go to the new version. It is the same for a router that is cut off from the coordinator when the old endpoints stop. With a share, and after a revert, nothing changes.

Tests: one or both routers restarted after complete; slow and lossy versions, and one that breaks off streams, are reverted within the bound.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -53,6 +53,15 @@
         self
     }
 
+    /// Whether all endpoints of `service` have this version, and there are any.
+    #[must_use]
+    pub fn has_only(&self, service: &str, version: &str) -> bool {
+        let state = self.state.lock();
+        let keys = state.by_service.get(service);
+        let is_only = |key: &fleet::EndpointKey| state.entries[*key].record.version == version;
+        keys.is_some_and(|keys| !keys.is_empty() && keys.iter().all(is_only))
+    }
+
     /// Requests in flight at the endpoints of `service` with other versions than `version`.
     #[must_use]
     pub fn in_flight_besides(&self, service: &str, version: &str) -> u64 {
--- a/src/process/gateway/rollout/version_policy.rs
+++ b/src/process/gateway/rollout/version_policy.rs
@@ -91,6 +91,13 @@
         self.plans.plan(service, boot_clock::BootInstant::now())
     }
 
+    /// Whether the new version seems to have taken over although this router has not been told: no share
+    /// is known, and the service has no endpoint of another version. Without this a router that starts
+    /// after a roll-out, or that is cut off from the coordinator at its end, would refuse all requests.
+    fn has_taken_over(&self, plan: &plan::RolloutPlan) -> bool {
+        plan.phase == plan::RolloutPhase::Waiting && self.fleet.has_only(&plan.service, &plan.to)
+    }
+
     /// The tally of a service; `None` unless it has an open order.
     fn tally(&self, service: &str) -> Option<sync::Arc<parking_lot::Mutex<ServiceTally>>> {
         self.tallies.read().get(service).cloned()
@@ -123,8 +130,13 @@
 
 impl rollout::VersionPolicy for RolloutPolicy {
     fn draw(&self, service: &str, random: f64) -> rollout::VersionDraw {
-        let plan = self.plan(service);
-        plan.map_or(rollout::VersionDraw::Any, |plan| plan.draw(random))
+        let Some(plan) = self.plan(service) else {
+            return rollout::VersionDraw::Any;
+        };
+        if self.has_taken_over(&plan) {
+            return rollout::VersionDraw::Only(plan.to);
+        }
+        plan.draw(random)
     }
 
     fn record_sent(&self, service: &str, version: &str, route: &str) {
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -1,5 +1,6 @@
 //! Systems of real gateways while a software version is rolled out.
 
+use std::ops;
 use std::thread;
 use std::time;
 
@@ -137,13 +138,37 @@
     assert_eq!(rollout.old_received(), at_old);
 }
 
+/// Guards against routers that refuse all requests after a restart, as they know the order and not yet
+/// that the new version has taken over.
+fn restarted_routers_use_the_version_that_took_over(restarted: ops::Range<usize>) {
+    let mut rollout = RolloutSystem::start(System::start_with_rollouts(2));
+    let loads = loads(&rollout.system);
+    rollout.order();
+    rollout.register_new();
+    rollout.wait_for_state("complete");
+    check_served(&finish(loads), &rollout);
+    for endpoint in rollout.system.endpoints() {
+        endpoint.stop_answering();
+        rollout.system.store.remove("servers", &endpoint.name);
+    }
+    thread::sleep(time::Duration::from_secs(1));
+    for (ip, _started) in rollout.system.restart(restarted) {
+        rollout.system.wait_for("a gateway is ready again", || {
+            System::get(ip, 8220, "/ready") == 200
+        });
+        for number in 0..20 {
+            let answer = System::send(ip, "/safe/x", &format!("{ip}-{number}"));
+            let status = answer.map(|answer| answer.head.status);
+            assert_eq!(status, Some(200), "{number}; {}", rollout.system.logs());
+        }
+    }
+}
+
 /// Guards against a bad version that gets more than the exposure bound or any request after the time to
 /// roll back, and against one that is not reverted.
-fn a_bad_version_is_reverted() {
+fn a_bad_version_is_reverted(make_bad: impl Fn(&fakes::FakeEndpoint)) {
     let rollout = RolloutSystem::start(System::start_with_rollouts(2));
-    for endpoint in &rollout.new {
-        endpoint.set_mode(fakes::EndpointMode::AnswersWith(FAILURE));
-    }
+    rollout.new.iter().for_each(make_bad);
     let loads = loads(&rollout.system);
     let ordered = time::Instant::now();
     rollout.order();
@@ -165,6 +190,24 @@
     assert_eq!(late.count(), 0);
 }
 
+fn fails(endpoint: &fakes::FakeEndpoint) {
+    endpoint.set_mode(fakes::EndpointMode::AnswersWith(FAILURE));
+}
+
+fn loses_answers(endpoint: &fakes::FakeEndpoint) {
+    endpoint.set_mode(fakes::EndpointMode::DropsAnswer);
+}
+
+/// Calls take 5 times as long.
+fn is_slow(endpoint: &fakes::FakeEndpoint) {
+    endpoint.calls().set_run_time(RUN_TIME * 5);
+}
+
+/// Streams end inside an event without a frame; calls are answered.
+fn breaks_streams(endpoint: &fakes::FakeEndpoint) {
+    endpoint.set_mode(fakes::EndpointMode::ForeignEvents(3));
+}
+
 /// Guards against a change for deployments whose settings lack the contract.
 fn without_the_contract_orders_have_no_effect() {
     let rollout = RolloutSystem::start(System::start(2));
@@ -205,7 +248,12 @@
 
 common::cases! {
     good_version: a_good_version_takes_over();
-    bad_version: a_bad_version_is_reverted();
+    failing_version: a_bad_version_is_reverted(fails);
+    lossy_version: a_bad_version_is_reverted(loses_answers);
+    slow_version: a_bad_version_is_reverted(is_slow);
+    version_that_breaks_streams: a_bad_version_is_reverted(breaks_streams);
+    restarted_router: restarted_routers_use_the_version_that_took_over(0..1);
+    restarted_system: restarted_routers_use_the_version_that_took_over(0..2);
     no_contract: without_the_contract_orders_have_no_effect();
     unread_orders: a_new_version_gets_nothing_before_the_orders_are_read();
 }
--- a/tests/gateway/version_choice.rs
+++ b/tests/gateway/version_choice.rs
@@ -222,6 +222,21 @@
     assert_eq!(desk.names(&desk.filter(&choice), &[]), expected);
 }
 
+/// Guards against a router that refuses everything when it starts after a roll-out, and against one that
+/// lets a new version stand in for the old one beyond a share that it knows.
+fn without_an_old_version_the_new_one_is_used(
+    phase: plan::RolloutPhase,
+    records: &[endpoint_registry::EndpointRecord],
+    expected: &str,
+) {
+    let desk = RolloutDesk::new(None);
+    desk.fleet.update(records.iter());
+    let now = boot_clock::BootInstant::now();
+    desk.plans.take_plan(plan_in(phase), now);
+    let choice = version_choice::VersionChoice::new(OUTSIDE);
+    assert_eq!(desk.names(&desk.filter(&choice), &[]), expected);
+}
+
 /// Guards against requests at a new version before its order is known.
 fn a_new_version_waits_for_the_orders() {
     let desk = RolloutDesk::unread(None);
@@ -381,6 +396,26 @@
     silent_coordinator_ramping: silent_coordinator_leaves(plan::RolloutPhase::Ramping, "ab");
     silent_coordinator_draining: silent_coordinator_leaves(plan::RolloutPhase::Draining, "ab");
     silent_coordinator_complete: silent_coordinator_leaves(plan::RolloutPhase::Complete, "c");
+    started_after_roll_out: without_an_old_version_the_new_one_is_used(
+        plan::RolloutPhase::Waiting,
+        &[record("c", "v2", 2)],
+        "c"
+    );
+    started_within_roll_out: without_an_old_version_the_new_one_is_used(
+        plan::RolloutPhase::Waiting,
+        &records(),
+        "ab"
+    );
+    no_old_version_while_ramping: without_an_old_version_the_new_one_is_used(
+        plan::RolloutPhase::Ramping,
+        &[record("c", "v2", 2)],
+        ""
+    );
+    no_old_version_after_revert: without_an_old_version_the_new_one_is_used(
+        plan::RolloutPhase::Reverted,
+        &[record("c", "v2", 2)],
+        ""
+    );
     unknown_order: a_new_version_waits_for_the_orders();
     known_version: a_known_version_does_not_wait();
     no_switch: without_the_switch_no_version_waits();
