--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::connection::{crash_wire, store_view_wire};
+use crate::connection::{crash_wire, rollout_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
 /// Encodes a duration for a message, in microseconds.
@@ -79,6 +79,8 @@
     BlockedRequests(Vec<crash_wire::BlockedRequestWire>),
     /// Asks for retry tokens that the peer does not need.
     RetryTokens(RetryTokensWire),
+    /// Asks or tells about roll-outs.
+    Rollout(Box<rollout_wire::RolloutQueryWire>),
 }
 
 /// A question for retry tokens.
@@ -178,6 +180,8 @@
     BlockedRequests,
     /// Number of retry tokens that were withdrawn from the peer's share for the sender of the query.
     RetryTokens(u32),
+    /// Reply about roll-outs.
+    Rollout(Box<rollout_wire::RolloutReplyWire>),
 }
 
 /// A gossip message; the reply has the same type.
--- a/src/process/gateway/info_server.rs
+++ b/src/process/gateway/info_server.rs
@@ -200,5 +200,9 @@
     let in_flight = node.in_flight.load(atomic::Ordering::Relaxed);
     metrics.gauge("requests.in_flight", in_flight);
     metrics.gauge("requests.body_bytes", count(node.relay.memory.held()));
-    metrics.text()
+    let shares = node.rollout_statuses().into_iter().map(|rollout| {
+        let labels = [rollout.service, rollout.to, rollout.phase];
+        (labels, u64::from(rollout.share_millis))
+    });
+    metrics.text_with("rollout.share_millis", ["service", "to", "phase"], shares)
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod request_check;
 pub mod request_guard;
 pub mod request_reader;
+pub mod rollout;
 pub mod rows;
 pub mod settings;
 pub mod start;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -7,6 +7,7 @@
 
 use crate::connection::h1::{head, segments, sink};
 use crate::connection::peer;
+use crate::process::gateway::rollout::{control, plan_book, version_policy};
 use crate::process::gateway::{
     boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
     freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
@@ -79,6 +80,12 @@
     pub tokens: sync::Arc<token_exchange::TokenExchange>,
     /// Requests that are blocked because they crash endpoints.
     pub guard: sync::Arc<request_guard::RouterRequestGuard>,
+    /// Plans of the roll-outs; empty where none are followed.
+    pub plans: sync::Arc<plan_book::PlanBook>,
+    /// Draws versions and counts how they do; `None` where roll-outs are not followed.
+    pub versions: Option<sync::Arc<version_policy::RolloutPolicy>>,
+    /// Orders and plans of roll-outs; `None` where they are not followed.
+    pub rollouts: Option<control::RolloutControl>,
     /// Resources that all relayed requests share.
     pub relay: context::RelayContext,
     /// Whether the process is stopping; requests are still relayed until `is_closing`.
@@ -235,6 +242,7 @@
             return self.refuse(sink, &refusal, Some(&id)).await;
         }
         self.relay.budget.deposit(&request.service, arrived);
+        self.relay.versions.record_request(&request.service);
         let unfinished = unfinished_request::UnfinishedRequest::new(self, &request);
         let end = if request.route.kind.is_stream() {
             stream::relay(&self.relay, &request, sink).await
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::{http, peer, peer_server};
 use crate::process::endpoints::placement;
+use crate::process::gateway::rollout::{control, coordinator, plan_book, ramp, version_policy};
 use crate::process::gateway::{
     budgets, caller_server, endpoint_fleet, endpoint_registry, first_read, info_server, node,
     peers, permits, readers, reload, request_guard, rows, settings, stop, store_watch,
@@ -22,7 +23,7 @@
 use crate::process::members::{gossip, peering};
 use crate::process::start;
 use crate::process::telemetry::{metrics, timeline};
-use crate::request::relay::{context, dialect};
+use crate::request::relay::{context, dialect, rollout};
 
 /// The process's memory divided by this is the limit for what is held of callers: heads, bodies and
 /// buffered responses. The rest is for all else that the process holds, and for the kernel.
@@ -171,10 +172,8 @@
         gossip,
         members,
     } = peering::PeerComponents::new(identity(&settings), settings.seeds.clone());
-    let fleet = sync::Arc::new(endpoint_fleet::RouterFleet::new(
-        settings.zone.clone(),
-        Box::new(placement::PrefixPlacement::default()),
-    ));
+    let plans = sync::Arc::<plan_book::PlanBook>::default();
+    let (fleet, versions) = versioned_fleet(&settings, &plans);
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
     let tokens = token_exchange::TokenExchange::new(
         sync::Arc::new(budget),
@@ -207,6 +206,10 @@
         memory: sync::Arc::new(byte_budget::ByteBudget::new(memory / CALLER_MEMORY_DIVISOR)),
         fleet: sync::Arc::clone(&fleet) as _,
         dialect: sync::Arc::clone(&adapters.requests),
+        versions: versions.clone().map_or_else(
+            || sync::Arc::new(rollout::AnyVersion) as _,
+            |versions| versions as _,
+        ),
         budget: sync::Arc::clone(&tokens) as _,
         loads: sync::Arc::default(),
         permits: sync::Arc::clone(&permits) as _,
@@ -214,6 +217,22 @@
         counters: sync::Arc::clone(&metrics) as _,
         aborting,
     };
+    let rollouts = settings.follows_rollouts.then(|| {
+        control::RolloutControl::new(coordinator::CoordinatorParts {
+            owners: sync::Arc::clone(&gossip) as _,
+            members: sync::Arc::clone(&members),
+            link: sync::Arc::clone(&link),
+            store: sync::Arc::clone(&adapters.store),
+            codec: sync::Arc::clone(&adapters.codec),
+            counters: sync::Arc::clone(&metrics) as _,
+            plans: sync::Arc::clone(&plans),
+            orders: sync::Arc::default(),
+            bounds: ramp::ExposureBounds {
+                share: settings.bounds.expose_share,
+                slack: settings.bounds.expose_slack,
+            },
+        })
+    });
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
     let stop_grace = parking_lot::Mutex::new(settings.bounds.stop_grace);
     sync::Arc::new(node::GatewayNode {
@@ -240,6 +259,9 @@
         permits,
         tokens,
         guard,
+        plans,
+        versions,
+        rollouts,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
@@ -250,6 +272,25 @@
     })
 }
 
+/// The fleet, and the policy by which it is used where roll-outs are followed.
+fn versioned_fleet(
+    settings: &settings::GatewaySettings,
+    plans: &sync::Arc<plan_book::PlanBook>,
+) -> (
+    sync::Arc<endpoint_fleet::RouterFleet>,
+    Option<sync::Arc<version_policy::RolloutPolicy>>,
+) {
+    let policy = Box::new(placement::PrefixPlacement::default());
+    let fleet = endpoint_fleet::RouterFleet::new(settings.zone.clone(), policy);
+    if !settings.follows_rollouts {
+        return (sync::Arc::new(fleet), None);
+    }
+    let fleet = sync::Arc::new(fleet.with_orders(sync::Arc::clone(plans)));
+    let versions =
+        version_policy::RolloutPolicy::new(sync::Arc::clone(plans), sync::Arc::clone(&fleet));
+    (fleet, Some(sync::Arc::new(versions)))
+}
+
 fn identity(settings: &settings::GatewaySettings) -> gossip::MemberIdentity {
     gossip::MemberIdentity {
         router: settings.router.clone(),
@@ -302,6 +343,12 @@
     ));
     task::spawn(store_watch::watch_routers(sync::Arc::clone(node), token()));
     task::spawn(peers::poll_peers(sync::Arc::clone(node), token()));
+    if let (Some(rollouts), Some(versions)) = (&node.rollouts, &node.versions) {
+        let router = node.settings.router.clone();
+        let reporter = rollouts.reporter(router, sync::Arc::clone(versions) as _);
+        task::spawn(sync::Arc::clone(rollouts.coordinator()).run(token()));
+        task::spawn(reporter.run(token()));
+    }
     task::spawn(announce_ready(sync::Arc::clone(node)));
 }
 
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -9,6 +9,7 @@
 use crate::process::view;
 use crate::request::relay::{
     attempt, dialect, fleet, permit, request_feature, request_guard, response_memory, service_load,
+    version_choice,
 };
 use crate::request::verdict;
 use crate::version::traffic;
@@ -43,6 +44,8 @@
     pub permits: sync::Arc<dyn permit::PermitSource>,
     /// Keeps requests from endpoints that would crash on them.
     pub guard: sync::Arc<dyn request_guard::RequestGuard>,
+    /// Software versions that attempts may use while one is rolled out.
+    pub versions: sync::Arc<dyn version_choice::VersionRules>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Durations and refusals of calls, by service.
--- a/tests/gateway/support/fake_store.rs
+++ b/tests/gateway/support/fake_store.rs
@@ -39,6 +39,8 @@
     unavailable: collections::HashSet<net::SocketAddr>,
     /// Listeners that leave requests unanswered and connections open.
     hung: collections::HashSet<net::SocketAddr>,
+    /// Tables whose reads are answered with 503.
+    unreadable: collections::HashSet<String>,
 }
 
 /// Fake of the platform's store.
@@ -48,6 +50,13 @@
     state: sync::Arc<sync::Mutex<StoreState>>,
 }
 
+/// Clock that the store's answers name, in milliseconds.
+fn now_ms() -> u64 {
+    static STARTED: sync::OnceLock<time::Instant> = sync::OnceLock::new();
+    let elapsed = STARTED.get_or_init(time::Instant::now).elapsed();
+    u64::try_from(elapsed.as_millis()).expect("a short time") + 1
+}
+
 impl FakeStore {
     pub fn new(ip: net::IpAddr) -> Self {
         let state = sync::Arc::default();
@@ -137,6 +146,23 @@
         }
     }
 
+    /// Makes all reads of a table answer with 503, or serves them again.
+    pub fn set_unreadable(&self, table: &str, is_unreadable: bool) {
+        let mut state = self.state.lock().expect("not poisoned");
+        if is_unreadable {
+            state.unreadable.insert(table.to_owned());
+        } else {
+            state.unreadable.remove(table);
+        }
+    }
+
+    /// Content of a row; `None` if there is none.
+    pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.lock().expect("not poisoned");
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        row.0.clone()
+    }
+
     /// Makes the listener at `address` leave all requests unanswered from now on.
     pub fn hang(&self, address: net::SocketAddr) {
         self.state
@@ -161,6 +187,18 @@
             .insert((table.to_owned(), key.to_owned()), (value, self.version));
     }
 
+    /// Whether all rows of a precondition have the versions that it names; 0 stands for no row.
+    fn meets(&self, precondition: &serde_json::Value) -> bool {
+        let conditions = precondition.as_array().expect("preconditions");
+        conditions.iter().all(|condition| {
+            let text = |name: &str| condition[name].as_str().expect("text").to_owned();
+            let row = self.rows.get(&(text("table"), text("key")));
+            let present = row.filter(|(value, _version)| value.is_some());
+            let version = present.map_or(0, |(_value, version)| *version);
+            condition["ver"].as_u64() == Some(version)
+        })
+    }
+
     fn restore(&mut self, copy: &StoreCopy, changes: &[(&str, &str, &[u8])]) {
         self.era += 1;
         self.version = copy.version;
@@ -186,11 +224,9 @@
         return;
     };
     let is_unavailable = || {
-        state
-            .lock()
-            .expect("not poisoned")
-            .unavailable
-            .contains(&address)
+        let table = request.query("table").unwrap_or_default();
+        let state = state.lock().expect("not poisoned");
+        state.unavailable.contains(&address) || state.unreadable.contains(table)
     };
     let is_hung = || state.lock().expect("not poisoned").hung.contains(&address);
     if is_hung() {
@@ -255,6 +291,11 @@
         "/rows-tx" => {
             let value: serde_json::Value = serde_json::from_slice(&request.body).expect("JSON");
             let mut held = state.lock().expect("not poisoned");
+            if !held.meets(&value["precondition"]) {
+                let era = held.era;
+                drop(held);
+                return write_store_json(stream, era, 412, &serde_json::json!({}));
+            }
             held.version += 1;
             let version = held.version;
             for put in value["puts"].as_array().expect("puts") {
@@ -267,7 +308,7 @@
             }
             let era = held.era;
             drop(held);
-            let answer = serde_json::json!({"ver": version, "now_ms": 1});
+            let answer = serde_json::json!({"ver": version, "now_ms": now_ms()});
             write_store_json(stream, era, 200, &answer);
         }
         _ => fakes::write_json(stream, 404, &serde_json::json!({})),
@@ -330,7 +371,7 @@
             "ver": version}),
     });
     let rows: Vec<serde_json::Value> = rows.collect();
-    let answer =
-        serde_json::json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": 1});
+    let answer = serde_json::json!({"rows": rows, "has_more": false, "ver": state.version,
+            "now_ms": now_ms()});
     (answer, state.era)
 }
--- a/tests/gateway/support/router.rs
+++ b/tests/gateway/support/router.rs
@@ -60,6 +60,8 @@
     /// Retries that all gateways together may send in each window, beyond those in proportion to
     /// requests.
     pub retry_slack: u32,
+    /// Whether the settings have the contract for roll-outs.
+    pub follows_rollouts: bool,
 }
 
 impl GatewayStart {
@@ -69,6 +71,7 @@
             kind,
             grace: USUAL_GRACE,
             retry_slack: USUAL_RETRY_SLACK,
+            follows_rollouts: false,
         }
     }
 }
@@ -86,13 +89,18 @@
     let is_first = start.kind == StartKind::First;
     let grace_s = start.grace.as_secs_f64();
     let retry_slack = start.retry_slack;
+    let contracts = if start.follows_rollouts {
+        "contracts: [rollout]\n"
+    } else {
+        ""
+    };
     let settings = format!(
         "node: g{number}\nip: {ip}\nzone: z1\nbootstrap: {is_first}\n\
          listen: {{front: '{ip}:8227', ready: '{ip}:8220', \
          control: '{ip}:8229', directory: '{ip}:8224'}}\nseeds: ['{seed}:8229']\n\
          limits: {{memory_mb: 96, max_fds: 2870}}\nbounds: {{strict_revoke: true, \
          revoke_ms: 4000, grace_s: {grace_s}, ttl_max_s: 5, budget_ratio: 0.8, \
-         budget_slack: {retry_slack}, budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n"
+         budget_slack: {retry_slack}, budget_window_s: 10}}\nplatform: {{addr: '{store_address}'}}\n{contracts}"
     );
     let file = folder.join(format!("g{number}.yaml"));
     fs::write(&file, settings).expect("a file");
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -24,6 +24,8 @@
     pub grace: time::Duration,
     /// Retries that all gateways together may send in each window.
     pub retry_slack: u32,
+    /// Whether the settings of the gateways have the contract for roll-outs.
+    pub follows_rollouts: bool,
 }
 
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
@@ -43,27 +45,38 @@
     }
 
     pub fn start_with_grace(gateways: u8, grace: time::Duration) -> Self {
-        let slack = router::USUAL_RETRY_SLACK;
-        Self::start_system(gateways, (grace, slack), &Self::config(1, r#""k""#))
+        let start = router::GatewayStart {
+            grace,
+            ..router::GatewayStart::new(router::StartKind::First)
+        };
+        Self::start_system(gateways, start, &Self::config(1, r#""k""#))
     }
 
     /// Starts gateways that together may send so few retries in each window.
     pub fn start_with_retry_slack(gateways: u8, slack: u32) -> Self {
-        let config = Self::config(1, r#""k""#);
-        Self::start_system(gateways, (router::USUAL_GRACE, slack), &config)
+        let start = router::GatewayStart {
+            retry_slack: slack,
+            ..router::GatewayStart::new(router::StartKind::First)
+        };
+        Self::start_system(gateways, start, &Self::config(1, r#""k""#))
     }
 
     /// Starts gateways with this configuration.
     pub fn start_configured(gateways: u8, config: &str) -> Self {
-        let bounds = (router::USUAL_GRACE, router::USUAL_RETRY_SLACK);
-        Self::start_system(gateways, bounds, config)
+        let start = router::GatewayStart::new(router::StartKind::First);
+        Self::start_system(gateways, start, config)
     }
 
-    fn start_system(
-        gateways: u8,
-        (grace, retry_slack): (time::Duration, u32),
-        config: &str,
-    ) -> Self {
+    /// Starts gateways whose settings have the contract for roll-outs.
+    pub fn start_with_rollouts(gateways: u8) -> Self {
+        let start = router::GatewayStart {
+            follows_rollouts: true,
+            ..router::GatewayStart::new(router::StartKind::First)
+        };
+        Self::start_system(gateways, start, &Self::config(1, r#""k""#))
+    }
+
+    fn start_system(gateways: u8, start: router::GatewayStart, config: &str) -> Self {
         let net = router::loopback_net();
         let ip = |last| net::IpAddr::from([net[0], net[1], net[2], last]);
         let store = fake_store::FakeStore::new(ip(250));
@@ -74,8 +87,9 @@
             first: fakes::FakeEndpoint::start(ip(240), "e1"),
             second: fakes::FakeEndpoint::start(ip(241), "e2"),
             gateways: Vec::new(),
-            grace,
-            retry_slack,
+            grace: start.grace,
+            retry_slack: start.retry_slack,
+            follows_rollouts: start.follows_rollouts,
         };
         system.store.put("op", "config", config.as_bytes());
         system
@@ -86,13 +100,7 @@
             .put("servers", "e2", &system.second.entry("m", "z2", "ready"));
         for number in 1..=gateways {
             let store_address = system.store.open_listener();
-            let kind = router::StartKind::First;
             let folder = system.folder.path();
-            let start = router::GatewayStart {
-                kind,
-                grace,
-                retry_slack,
-            };
             let gateway = router::spawn(folder, system.net, number, store_address, start);
             system.gateways.push(gateway);
         }
@@ -121,6 +129,7 @@
             kind: router::StartKind::Later,
             grace: self.grace,
             retry_slack: self.retry_slack,
+            follows_rollouts: self.follows_rollouts,
         };
         let gateway = router::spawn(self.folder.path(), self.net, number, store_address, start);
         self.gateways.insert(index, gateway);
