Add the setting caller_memory_bytes

Cause: nothing bounds the memory that request bodies take together.

Change: caller_memory_bytes, at least twice max_body_bytes, as an eighth of the memory will be reserved for small requests. Default 64 MiB, or twice max_body_bytes if that is more, so that settings which were sound stay sound. It is checked with the other settings, and all faults are told at once. Nothing reads it yet.

Ruled out: a fixed default, as settings with max_body_bytes over 32 MiB would be at fault after the update.

--- a/src/process/setup/settings.rs
+++ b/src/process/setup/settings.rs
@@ -35,6 +35,8 @@
     pub drain_timeout_ms: u64,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum memory for request bodies of callers, in bytes.
+    pub caller_memory_bytes: usize,
     /// Maximum number of caller connections.
     pub max_connections: usize,
     /// Idle timeout of a caller connection, in milliseconds.
@@ -87,6 +89,17 @@
 /// Default of `max_body_bytes`, in bytes.
 pub const DEFAULT_MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Default of `caller_memory_bytes`, in bytes: 16 bodies of the default size. With a larger
+/// `max_body_bytes`, the default is the smallest value that [`min_caller_memory`] allows.
+pub const DEFAULT_CALLER_MEMORY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Smallest allowed `caller_memory_bytes`. An eighth of the memory is reserved for small requests, so
+/// that a single body of the largest size needs more than its own size.
+#[must_use]
+pub const fn min_caller_memory(max_body_bytes: usize) -> usize {
+    2 * max_body_bytes
+}
+
 /// Default of `max_connections`.
 pub const DEFAULT_MAX_CONNECTIONS: usize = 10_000;
 
--- a/src/process/setup/settings_file.rs
+++ b/src/process/setup/settings_file.rs
@@ -20,6 +20,8 @@
 const DRAIN_MS_BOUNDS: ops::RangeInclusive<u64> = 0..=3_600_000;
 const IDLE_MS_BOUNDS: ops::RangeInclusive<u64> = 1_000..=3_600_000;
 const BODY_BYTES_BOUNDS: ops::RangeInclusive<usize> = 1_024..=1_073_741_824;
+/// The lower bound is twice the smallest `max_body_bytes`; [`FieldReader::caller_memory`] applies the actual one.
+const CALLER_MEMORY_BOUNDS: ops::RangeInclusive<usize> = 2_048..=1_099_511_627_776;
 const CONNECTION_BOUNDS: ops::RangeInclusive<usize> = 1..=1_000_000;
 
 /// Reads and validates a settings file.
@@ -60,6 +62,8 @@
     let address_keep_ms = reader.bounded("address_keep_ms", "milliseconds", KEEP_MS_BOUNDS);
     let drain_timeout_ms = reader.bounded("drain_timeout_ms", "milliseconds", DRAIN_MS_BOUNDS);
     let max_body_bytes = reader.bounded("max_body_bytes", "bytes", BODY_BYTES_BOUNDS);
+    let max_body_bytes = max_body_bytes.unwrap_or(settings::DEFAULT_MAX_BODY_BYTES);
+    let caller_memory_bytes = reader.caller_memory(max_body_bytes);
     let max_connections = reader.bounded("max_connections", "connections", CONNECTION_BOUNDS);
     let idle_timeout_ms = reader.bounded("idle_timeout_ms", "milliseconds", IDLE_MS_BOUNDS);
     Some(settings::RouterSettings {
@@ -74,7 +78,8 @@
         statsd,
         address_keep_ms: address_keep_ms.unwrap_or(settings::DEFAULT_ADDRESS_KEEP_MS),
         drain_timeout_ms: drain_timeout_ms.unwrap_or(settings::DEFAULT_DRAIN_TIMEOUT_MS),
-        max_body_bytes: max_body_bytes.unwrap_or(settings::DEFAULT_MAX_BODY_BYTES),
+        max_body_bytes,
+        caller_memory_bytes,
         max_connections: max_connections.unwrap_or(settings::DEFAULT_MAX_CONNECTIONS),
         idle_timeout_ms: idle_timeout_ms.unwrap_or(settings::DEFAULT_IDLE_TIMEOUT_MS),
     })
@@ -279,6 +284,22 @@
         None
     }
 
+    /// Reads `caller_memory_bytes`, whose lower bound and default follow from `max_body_bytes`.
+    fn caller_memory(&mut self, max_body_bytes: usize) -> usize {
+        const FIELD: &str = "caller_memory_bytes";
+        let least = settings::min_caller_memory(max_body_bytes);
+        let default = settings::DEFAULT_CALLER_MEMORY_BYTES.max(least);
+        let line = self.line_of(FIELD);
+        let Some(bytes) = self.bounded(FIELD, "bytes", CALLER_MEMORY_BOUNDS) else {
+            return default;
+        };
+        if bytes < least {
+            let message = format!("must be at least {least} bytes, twice max_body_bytes; raise it");
+            self.fault(line, FIELD, message);
+        }
+        bytes
+    }
+
     fn log(&mut self) -> settings::LogSettings {
         const LOG_RULE: &str = "a mapping with the fields format and level";
         let Some(node) = self.take("log") else {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -65,6 +65,7 @@
     assert_eq!(settings.address_keep_ms, 5_000);
     assert_eq!(settings.drain_timeout_ms, 30_000);
     assert_eq!(settings.max_body_bytes, 4_194_304);
+    assert_eq!(settings.caller_memory_bytes, 67_108_864);
     assert_eq!(settings.max_connections, 10_000);
     assert_eq!(settings.idle_timeout_ms, 60_000);
     assert_eq!(settings.log, settings::LogSettings::default());
@@ -84,7 +85,7 @@
     let text = format!(
         "{SOUND}seeds: [127.0.0.1:18084]\nlog: {{format: json, level: debug}}\n\
          statsd: 127.0.0.1:8125\naddress_keep_ms: 200\ndrain_timeout_ms: 0\n\
-         max_body_bytes: 2048\nmax_connections: 7\nidle_timeout_ms: 1500\n"
+         max_body_bytes: 2048\ncaller_memory_bytes: 4096\nmax_connections: 7\nidle_timeout_ms: 1500\n"
     );
     let settings = SettingsFile::new(&text).settings();
     assert_eq!(settings.seeds, ["127.0.0.1:18084"]);
@@ -95,10 +96,33 @@
     assert_eq!(settings.address_keep_ms, 200);
     assert_eq!(settings.drain_timeout_ms, 0);
     assert_eq!(settings.max_body_bytes, 2_048);
+    assert_eq!(settings.caller_memory_bytes, 4_096);
     assert_eq!(settings.max_connections, 7);
     assert_eq!(settings.idle_timeout_ms, 1_500);
 }
 
+/// Guards against a fault of settings without `caller_memory_bytes` that were sound before it existed.
+#[test]
+fn default_memory_holds_two_of_the_largest_bodies() {
+    let text = format!("{SOUND}max_body_bytes: 1073741824\n");
+    let settings = SettingsFile::new(&text).settings();
+    assert_eq!(settings.caller_memory_bytes, 2_147_483_648);
+}
+
+/// Guards against a fault that is told only after another one is mended.
+#[test]
+fn memory_and_other_faults_are_told_at_once() {
+    let text =
+        format!("{SOUND}max_body_bytes: 4096\ncaller_memory_bytes: 4097\nmax_connections: 0\n");
+    assert_eq!(
+        SettingsFile::new(&text).faults(),
+        [
+            "8: caller_memory_bytes: must be at least 8192 bytes, twice max_body_bytes; raise it",
+            "9: max_connections: must be 1 to 1000000 connections",
+        ]
+    );
+}
+
 #[test]
 fn several_faults_are_told_at_once() {
     let file = SettingsFile::new(
@@ -115,7 +139,7 @@
         9: seeds[1]: must be an IP address and port, such as 10.0.0.7:8080
         11: log.level: must be error, warn, info or debug
         12: log.colour: is not a field; use one of format, level
-        13: log_level: is not a field; use one of router, zone, listen, peer_listen, admin_listen, platform, seeds, log, statsd, address_keep_ms, drain_timeout_ms, max_body_bytes, max_connections, idle_timeout_ms
+        13: log_level: is not a field; use one of router, zone, listen, peer_listen, admin_listen, platform, seeds, log, statsd, address_keep_ms, drain_timeout_ms, max_body_bytes, caller_memory_bytes, max_connections, idle_timeout_ms
         14: zone: is given twice; keep one of the two lines"]]
     .assert_eq(&file.faults().join("\n"));
 }
@@ -171,6 +195,14 @@
         "max_body_bytes: 1073741825",
         "7: max_body_bytes: must be 1024 to 1073741824 bytes",
     );
+    memory_below_two_bodies_is_refused: refuses_added(
+        "caller_memory_bytes: 8388607",
+        "7: caller_memory_bytes: must be at least 8388608 bytes, twice max_body_bytes; raise it",
+    );
+    memory_beyond_its_bounds_is_refused: refuses_added(
+        "caller_memory_bytes: 1099511627777",
+        "7: caller_memory_bytes: must be 2048 to 1099511627776 bytes",
+    );
     seeds_are_a_list: refuses_added(
         "seeds: 127.0.0.1:18084",
         "7: seeds: must be a list, each an IP address and port, such as 10.0.0.7:8080",
