Bound request bodies and refused connections at the own interface

Cause: bodies were read into growing buffers without a common bound, each body was copied when it was relayed, and a refused connection had a task of its own that nothing counted. After a refusal, async-h1 discards the rest of the body for as long as it arrives.

Change: bodies are read in segments of 4 to 64 KiB, each reserved from a byte budget of caller_memory_bytes once bytes for it have arrived. A body that gives way is refused with 503, not-run and Retry-After; log line "request body refused", counters caller.body_refused and caller.body_evicted. Copies of a call share its body and the reservation, which is returned with the last copy. Refused connections count in max_connections; beside them at most an eighth of it are kept open to discard a request, others are closed at once (counter caller.connection_dropped). A connection whose request body was not read ends 1 s after the response.

Targets caller, endless_messages, operators, settings, in_flight: passed.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -187,7 +187,7 @@
         method: "POST".to_owned(),
         path: "/reserve".to_owned(),
         content_type: Some("application/json".to_owned()),
-        body: vec![b'x'; 512],
+        body: vec![b'x'; 512].into(),
         first_send: true,
         deadline_millis: 1_000,
     };
--- a/src/connection/accept.rs
+++ b/src/connection/accept.rs
@@ -3,19 +3,19 @@
 use std::net as std_net;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
-use async_std::future as async_future;
-use async_std::io;
-use async_std::io::ReadExt as _;
-use async_std::io::WriteExt as _;
+use async_std::channel;
 use async_std::net;
 use async_std::task;
 use futures::future;
+use http_types::headers;
 use stop_token::future::FutureExt as _;
 
+use crate::connection::caller_intake;
 use crate::connection::idle;
-use crate::connection::refusal;
+use crate::connection::refused_connection;
 use crate::process::view;
 use crate::request::verdict;
 
@@ -31,16 +31,8 @@
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// Most bytes of a refused request that are read and discarded.
-const MAX_DISCARD_BYTES: u64 = 1024 * 1024;
-
-/// Longest time spent on reading and discarding a refused request.
-const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-
-/// `Retry-After` of a connection refused because of the connection limit.
-const OVERLOADED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
-
-/// Serves `application` until `token` is cancelled; connections open by then run to their end.
+/// Serves `application` until `token` is cancelled; connections open by then run to their end. While
+/// `max_connections` are open, new ones are refused.
 pub async fn serve<State>(
     listener: net::TcpListener,
     application: tide::Server<State>,
@@ -50,24 +42,27 @@
 ) where
     State: Clone + Send + Sync + 'static,
 {
-    let refuse_connection = |stream: net::TcpStream| {
-        let _unsupported = stream.set_nodelay(true);
-        counters.count("caller.connection_refused");
-        task::spawn(refuse(stream, too_many_connections()));
-    };
-    let serve = |stream: net::TcpStream| {
+    let refuser = refused_connection::ConnectionRefuser::new(limits.max_connections, counters);
+    let open = sync::Arc::new(());
+    while let Ok(accepted) = listener.accept().timeout_at(token.clone()).await {
+        let Ok((stream, peer)) = accepted else {
+            task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
         // With Nagle's algorithm, each token would wait for the acknowledgement of the last.
         let _unsupported = stream.set_nodelay(true);
-        serve_connection(stream, application.clone(), limits)
-    };
-    serve_connections(
-        listener,
-        limits.max_connections,
-        token,
-        refuse_connection,
-        serve,
-    )
-    .await;
+        let slot = sync::Arc::clone(&open);
+        // Connections that are being refused count as well.
+        if sync::Arc::strong_count(&open) > limits.max_connections + 1 {
+            refuser.refuse(stream, slot);
+            continue;
+        }
+        let serving = serve_connection(stream, peer.ip(), application.clone(), limits);
+        task::spawn(async move {
+            serving.await;
+            drop(slot);
+        });
+    }
 }
 
 /// Runs `serve` on each accepted connection until `token` is cancelled; connections open by then
@@ -102,77 +97,61 @@
 
 async fn serve_connection<State>(
     stream: net::TcpStream,
+    caller: std_net::IpAddr,
     application: tide::Server<State>,
     limits: AcceptLimits,
 ) where
     State: Clone + Send + Sync + 'static,
 {
     let (watched, activity) = idle::watch(stream.clone());
-    let respond = |request| {
+    let (unread_sender, unread_receiver) = channel::bounded(1);
+    let respond = |mut request: http_types::Request| {
         let application = application.clone();
+        let unread_sender = unread_sender.clone();
         let busy = activity.begin();
+        let origin = caller_intake::RequestOrigin::new(caller);
+        let is_empty = request.len() == Some(0);
+        origin
+            .is_body_read
+            .store(is_empty, atomic::Ordering::Relaxed);
+        request.ext_mut().insert(origin.clone());
         async move {
-            let response = application.respond(request).await;
+            let mut response: http_types::Result<http_types::Response> =
+                application.respond(request).await;
             drop(busy);
+            if let Ok(response) = &mut response
+                && !origin.is_body_read.load(atomic::Ordering::Relaxed)
+            {
+                response.insert_header(headers::CONNECTION, "close");
+                // A full channel means that the connection already ends.
+                let _sent_before = unread_sender.try_send(());
+            }
             response
         }
     };
     let serving = pin::pin!(async_h1::accept(watched, respond));
-    let expiring = pin::pin!(activity.expired(limits.idle_timeout));
+    // `async_h1` discards the rest of a request body after the response, for as long as it arrives.
+    let discarded = pin::pin!(async {
+        let _unread = unread_receiver.recv().await;
+        task::sleep(refused_connection::DISCARD_TIMEOUT).await;
+    });
+    let expired = pin::pin!(activity.expired(limits.idle_timeout));
+    let expiring = future::select(discarded, expired);
     let served = future::select(serving, expiring).await;
     match served {
         future::Either::Left((Err(error), _expired)) => {
-            refuse(stream, bad_head(&error.to_string())).await;
+            refused_connection::refuse(stream, &bad_head(&error.to_string())).await;
         }
         future::Either::Left((Ok(()), _expired)) => {}
-        future::Either::Right(((), _serving)) => {
+        future::Either::Right((_expired, _serving)) => {
             // The peer may have closed the connection already.
             let _closed = stream.shutdown(std_net::Shutdown::Both);
         }
     }
 }
 
-fn too_many_connections() -> verdict::RequestRefusal {
-    let message = "the router has reached its connection limit; use another address";
-    verdict::RequestRefusal::not_run(503, verdict::RefusalCode::Overloaded, message)
-        .retry_after(OVERLOADED_RETRY_AFTER)
-}
-
 fn bad_head(message: &str) -> verdict::RequestRefusal {
     let status = if message.contains("8kb") { 431 } else { 400 };
     let message = format!("the request head cannot be read: {message}");
     verdict::RequestRefusal::not_run(status, verdict::RefusalCode::BadRequest, message)
 }
-
-/// Sends a refusal without reading a request, then closes the connection.
-async fn refuse(mut stream: net::TcpStream, refusal: verdict::RequestRefusal) {
-    let body = refusal::body(&refusal).to_string();
-    let retry = refusal
-        .retry_after_seconds()
-        .map_or_else(String::new, |seconds| format!("retry-after: {seconds}\r\n"));
-    let head = format!(
-        "HTTP/1.1 {} Refused\r\ncontent-type: application/json\r\ncontent-length: {}\r\n{}: {}\r\n\
-         {retry}connection: close\r\n\r\n",
-        refusal.status,
-        body.len(),
-        verdict::VERDICT_HEADER,
-        refusal.verdict,
-    );
-    let text = format!("{head}{body}");
-    if stream.write_all(text.as_bytes()).await.is_err() {
-        // The peer has closed the connection.
-        return;
-    }
-    discard_request(stream).await;
-}
-
-/// Reads and discards what the peer still sends. Closing a socket with unread bytes resets the
-/// connection, and the peer might lose the refusal.
-async fn discard_request(stream: net::TcpStream) {
-    if stream.shutdown(std_net::Shutdown::Write).is_err() {
-        return;
-    }
-    let discarding = io::copy(stream.take(MAX_DISCARD_BYTES), io::sink());
-    // Bytes that arrive after the timeout are not read.
-    let _discarded = async_future::timeout(DISCARD_TIMEOUT, discarding).await;
-}
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -6,8 +6,8 @@
 
 use stop_token::future::FutureExt as _;
 
+use crate::connection::caller_intake;
 use crate::connection::completion;
-use crate::connection::http;
 use crate::connection::in_flight;
 use crate::connection::peer_wire;
 use crate::connection::refusal;
@@ -39,9 +39,6 @@
 /// Longest accepted timeout; longer ones are shortened to it.
 const MAX_DEADLINE: time::Duration = time::Duration::from_secs(3_600);
 
-/// Time within which a request body must arrive.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-
 /// `Retry-After` while the router, or every router, is not ready.
 const NOT_READY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
@@ -198,31 +195,6 @@
 }
 
 impl AuthorizedRequest {
-    async fn read_body(&mut self) -> verdict::Result<Vec<u8>> {
-        let max_bytes = self.node.settings.max_body_bytes;
-        let length = self.request.len();
-        if length.is_some_and(|length| length > max_bytes) {
-            return Err(body_too_large(max_bytes));
-        }
-        let mut body = self.request.take_body();
-        let body = http::read_body(&mut body, BODY_TIMEOUT, max_bytes)
-            .timeout_at(self.node.readiness.closed())
-            .await
-            .map_err(|_closed| request_refusal::refuse_closed())?
-            .map_err(|error| {
-                if error.message.contains("larger") {
-                    return body_too_large(max_bytes);
-                }
-                bad_request(error.message)
-            })?;
-        // `http_types` takes the end of the connection for that of the body.
-        if length.is_some_and(|length| length != body.len()) {
-            let message = "the body is shorter than its Content-Length; send all of it";
-            return Err(bad_request(message.to_owned()));
-        }
-        Ok(body)
-    }
-
     /// Waits until the request is admitted, unless the router closes before.
     async fn admit(
         &self,
@@ -246,14 +218,9 @@
     }
 }
 
-fn body_too_large(max_bytes: usize) -> verdict::RequestRefusal {
-    let message = format!("the request body is larger than {max_bytes} bytes; shorten it");
-    verdict::RequestRefusal::not_run(413, verdict::RefusalCode::BodyTooLarge, message)
-}
-
 async fn complete(request: NodeRequest) -> verdict::Result<tide::Response> {
     let mut authorized = authorize(request)?;
-    let body = authorized.read_body().await?;
+    let body = caller_intake::read_body(&mut authorized.request).await?;
     let completion = completion::parse(&body)?;
     let node = sync::Arc::clone(&authorized.node);
     let what = format!("model {}", completion.model);
@@ -282,7 +249,8 @@
         key: key.to_string(),
         model: completion.model.clone(),
         members: sync::Arc::clone(&node.members),
-        permit: Box::new(permit),
+        // The prompt is a copy of bytes in the body, whose reserved memory stays in use for it.
+        permit: Box::new((permit, body)),
     };
     let spec = generation::GenerationSpec {
         key: key.to_string(),
@@ -349,7 +317,7 @@
         .path_route(&authorized.workspace, &service, &method, path)
         .ok_or_else(|| authorized.no_route(&format!("{method} {prefix}{path}")))?;
     let key: Option<key::RequestKey> = parse_header(&authorized.request, KEY_HEADER)?;
-    let body = authorized.read_body().await?;
+    let body = caller_intake::read_body(&mut authorized.request).await?;
     let node = sync::Arc::clone(&authorized.node);
     let priority = admission_params::Priority::New;
     let permit = authorized.admit(priority).await?;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,9 +2,12 @@
 
 pub mod accept;
 pub mod admin;
+pub mod body_intake;
+pub mod call_body;
 pub mod caller;
 pub mod caller_address;
 pub mod caller_client;
+pub mod caller_intake;
 pub mod caller_progress;
 pub mod caller_retry;
 pub mod caller_run;
@@ -30,6 +33,7 @@
 pub mod platform_client;
 pub mod platform_wire;
 pub mod refusal;
+mod refused_connection;
 pub mod service;
 pub mod sse;
 pub mod store_view_wire;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::connection::call_body;
 use crate::connection::{crash_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
@@ -305,7 +306,7 @@
     /// `Content-Type` of the body, if any.
     pub content_type: Option<String>,
     /// Body bytes.
-    pub body: Vec<u8>,
+    pub body: call_body::CallBody,
     /// Whether the caller states that it has never sent this key before.
     pub first_send: bool,
     /// Time left until the caller's deadline, in milliseconds.
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use async_std::future;
+use async_std::io;
 use http_types::headers;
 
 use crate::connection::head_limit;
@@ -220,7 +221,9 @@
     let url = http_types::Url::parse(&format!("http://{address}{}", call.path))
         .map_err(|error| reject(format!("path {} is not valid: {error}", call.path)))?;
     let mut request = http_types::Request::new(method, url);
-    request.set_body(call.body.clone());
+    // The body is shared, not copied.
+    let body = io::Cursor::new(call.body.clone());
+    request.set_body(http_types::Body::from_reader(body, Some(call.body.len())));
     request.remove_header(headers::CONTENT_TYPE);
     if let Some(content_type) = &call.content_type {
         request.insert_header(headers::CONTENT_TYPE, content_type.as_str());
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -13,6 +13,7 @@
 use crate::process::endpoints::watch;
 use crate::process::limits::admission;
 use crate::process::limits::admission_params;
+use crate::process::limits::byte_budget;
 use crate::process::limits::share;
 use crate::process::members::address;
 use crate::process::members::gossip;
@@ -55,6 +56,8 @@
     pub calls: call::CallRunner,
     /// Admits requests by workspace.
     pub gate: sync::Arc<admission::AdmissionGate>,
+    /// Memory for request bodies of callers.
+    pub caller_memory: sync::Arc<byte_budget::ByteBudget>,
     /// This router's shares of the workspace limits.
     pub shares: share::WorkspaceShares,
     /// Counter of requests in flight, from callers and for peers.
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -28,6 +28,7 @@
 use crate::process::endpoints::placement;
 use crate::process::endpoints::watch;
 use crate::process::limits::admission;
+use crate::process::limits::byte_budget;
 use crate::process::limits::share;
 use crate::process::members::gossip;
 use crate::process::members::peering;
@@ -231,6 +232,7 @@
         platform,
         ring: sync::Arc::clone(&ring),
     };
+    let memory = byte_budget::ByteBudget::new(settings.caller_memory_bytes);
     sync::Arc::new(node::RouterNode {
         settings,
         ring,
@@ -243,6 +245,7 @@
         intake,
         calls,
         gate: admission::AdmissionGate::new(),
+        caller_memory: sync::Arc::new(memory),
         shares: share::WorkspaceShares::default(),
         requests: readiness::RequestCounter::default(),
         readiness,
--- a/tests/calls/fakes/network.rs
+++ b/tests/calls/fakes/network.rs
@@ -271,7 +271,7 @@
         method: "POST".to_owned(),
         path: "/reserve".to_owned(),
         content_type: Some("text/plain".to_owned()),
-        body: b"40 covers".to_vec(),
+        body: b"40 covers".to_vec().into(),
         first_send: false,
         deadline_millis: 2_000,
     }
--- a/tests/calls/home.rs
+++ b/tests/calls/home.rs
@@ -54,7 +54,7 @@
         let key = bed.network.mint("a");
         let _ = a.run(network::reserve(&key)).await;
         let mut other = network::reserve(&key);
-        other.body = b"50 covers".to_vec();
+        other.body = b"50 covers".to_vec().into();
         let outcome = a.run(other).await;
         crate::assert_refused(outcome, crate::NOT_RUN, verdict::RefusalCode::KeyReused);
         assert_eq!(bed.stock.all_effects(), 1);
--- a/tests/endless_messages.rs
+++ b/tests/endless_messages.rs
@@ -120,7 +120,7 @@
         method: "GET".to_owned(),
         path: "/".to_owned(),
         content_type: None,
-        body: Vec::new(),
+        body: Vec::new().into(),
         first_send: true,
         deadline_millis: 500,
     };
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -27,7 +27,7 @@
                     let outcome = peer_wire::CallOutcomeWire::Answered {
                         status: 200,
                         content_type: None,
-                        body: call.body,
+                        body: call.body.to_vec(),
                     };
                     peer_wire::ReplyBody::Call(outcome)
                 }
@@ -85,7 +85,7 @@
         method: "POST".to_owned(),
         path: "/".to_owned(),
         content_type: None,
-        body,
+        body: body.into(),
         first_send: true,
         deadline_millis: 1_000,
     })
