Count answers in the memory for callers and report it

Cause: answers of endpoints grew in buffers of up to twice their size, were copied for each waiting copy of the call, and were not counted while a caller did not take them.

Change: answers are read in segments and reserved from the same budget until the caller has taken them; copies share them. An answer waits for memory instead of being refused, and one at a time may exceed the budget. The key table keeps its own bound.

Tests: comparisons of answer bodies in tests/calls and tests/peer_link.rs now name the bytes of the shared body; what they compare is unchanged.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -206,7 +206,7 @@
             ticket.finish(peer_wire::CallOutcomeWire::Answered {
                 status: 200,
                 content_type: None,
-                body: vec![b'y'; 128],
+                body: vec![b'y'; 128].into(),
             });
         }
     })
--- a/src/connection/body_intake.rs
+++ b/src/connection/body_intake.rs
@@ -1,5 +1,6 @@
-//! Reads a caller's body into reserved memory.
+//! Reads bodies of callers, and answers to them, into reserved memory.
 
+use std::fmt;
 use std::pin;
 use std::time;
 
@@ -8,7 +9,9 @@
 use futures::AsyncBufReadExt as _;
 use futures::future;
 
+use crate::connection::call_body;
 use crate::process::limits::byte_budget;
+use crate::process::limits::caller_memory;
 
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, IntakeFault>;
@@ -18,7 +21,7 @@
 pub enum IntakeFault {
     /// It is larger than the limit.
     TooLarge,
-    /// There is no memory for it.
+    /// There is no memory for it; never the fault of an answer.
     Memory(byte_budget::ByteError),
     /// It did not arrive in time.
     Late,
@@ -26,6 +29,19 @@
     Broken(std::io::Error),
 }
 
+impl fmt::Display for IntakeFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge => f.write_str("the body is larger than the limit; shorten it"),
+            Self::Memory(error) => error.fmt(f),
+            Self::Late => f.write_str("the body did not arrive in time; send it again"),
+            Self::Broken(error) => write!(f, "reading the body failed: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for IntakeFault {}
+
 /// Bounds of the segments in which a body grows. A small body takes little more than its size; a segment of
 /// a large one is a small part of it.
 const MIN_SEGMENT_BYTES: usize = 4 * 1024;
@@ -44,7 +60,8 @@
     max_bytes: usize,
 ) -> Result<Vec<u8>> {
     let segments = {
-        let reading = pin::pin!(read_segments(body, reservation, max_bytes));
+        let mut memory = SegmentMemory::Request(reservation);
+        let reading = pin::pin!(read_segments(body, &mut memory, max_bytes));
         let reading = async_future::timeout(limit, reading);
         let evicted = pin::pin!(reservation.evicted());
         match future::select(pin::pin!(reading), evicted).await {
@@ -61,9 +78,56 @@
     Ok(bytes)
 }
 
+/// Reads a whole answer of at most `max_bytes`. While there is no memory for the next segment, it is not read.
+///
+/// # Errors
+/// [`IntakeFault`]; the request has been sent by then.
+pub async fn read_answer(
+    body: &mut http_types::Body,
+    mut hold: Option<caller_memory::MemoryHold>,
+    max_bytes: usize,
+) -> Result<call_body::CallBody> {
+    let mut memory = SegmentMemory::Answer(hold.as_mut());
+    let bytes = joined(read_segments(body, &mut memory, max_bytes).await?);
+    if let Some(hold) = &hold {
+        hold.shrink_to(bytes.capacity());
+    }
+    Ok(call_body::CallBody::held(bytes, hold))
+}
+
+/// Where the memory of segments comes from.
+enum SegmentMemory<'a> {
+    /// A request body, which is refused if there is no memory.
+    Request(&'a byte_budget::ByteReservation),
+    /// An answer, which waits; `None` for a caller of another router, which accounts for it.
+    Answer(Option<&'a mut caller_memory::MemoryHold>),
+}
+
+impl SegmentMemory<'_> {
+    async fn grow(&mut self, bytes: usize) -> Result<()> {
+        match self {
+            Self::Request(reservation) => {
+                let grown = reservation.grow(bytes).await;
+                grown.map_err(IntakeFault::Memory)
+            }
+            Self::Answer(Some(hold)) => {
+                hold.grow_answer(bytes).await;
+                Ok(())
+            }
+            Self::Answer(None) => Ok(()),
+        }
+    }
+
+    fn record_progress(&self) {
+        if let Self::Request(reservation) = self {
+            reservation.record_progress(time::Instant::now());
+        }
+    }
+}
+
 async fn read_segments<R: io::BufRead + Unpin>(
     body: &mut R,
-    reservation: &byte_budget::ByteReservation,
+    memory: &mut SegmentMemory<'_>,
     max_bytes: usize,
 ) -> Result<Vec<Vec<u8>>> {
     let mut segments: Vec<Vec<u8>> = Vec::new();
@@ -84,8 +148,7 @@
                 _ => {
                     let held = length - left.len();
                     let bytes = held.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
-                    let grown = reservation.grow(bytes).await;
-                    grown.map_err(IntakeFault::Memory)?;
+                    memory.grow(bytes).await?;
                     segments.push(Vec::with_capacity(bytes));
                     continue;
                 }
@@ -95,7 +158,7 @@
             segment.extend_from_slice(next);
             left = rest;
         }
-        reservation.record_progress(time::Instant::now());
+        memory.record_progress();
         let count = arrived.len();
         io::BufRead::consume(pin::Pin::new(body), count);
     }
--- a/src/connection/call_body.rs
+++ b/src/connection/call_body.rs
@@ -1,47 +1,48 @@
-//! Body of a call, shared by all copies of the call together with its reserved memory.
+//! Body of a call or of its answer, shared by all copies together with the memory that it holds.
 
 use std::fmt;
 use std::ops;
 use std::sync;
 
-use crate::process::limits::byte_budget;
+use crate::process::limits::caller_memory;
 
-/// Body bytes; clones share them. The memory is returned to its budget with the last clone.
+/// Body bytes; clones share them. The memory is returned with the last clone.
 #[derive(Clone, Default)]
 pub struct CallBody {
-    shared: sync::Arc<SharedBody>,
-}
-
-#[derive(Debug, Default)]
-struct SharedBody {
-    bytes: Vec<u8>,
+    bytes: sync::Arc<Vec<u8>>,
     /// `None` for a body that came from a peer.
-    _reservation: Option<byte_budget::ByteReservation>,
+    hold: Option<sync::Arc<caller_memory::MemoryHold>>,
 }
 
 impl CallBody {
-    /// Body whose memory is reserved by `reservation`.
+    /// Body whose memory is accounted for by `hold`.
+    #[must_use]
+    pub fn held(bytes: Vec<u8>, hold: Option<caller_memory::MemoryHold>) -> Self {
+        Self {
+            bytes: sync::Arc::new(bytes),
+            hold: hold.map(sync::Arc::new),
+        }
+    }
+
+    /// The same bytes for a holder that has a bound of its own.
     #[must_use]
-    pub fn reserved(bytes: Vec<u8>, reservation: byte_budget::ByteReservation) -> Self {
-        let shared = SharedBody {
-            bytes,
-            _reservation: Some(reservation),
-        };
+    pub fn detached(&self) -> Self {
         Self {
-            shared: sync::Arc::new(shared),
+            bytes: sync::Arc::clone(&self.bytes),
+            hold: None,
         }
     }
+
+    /// Hold for the answer to this call; `None` for a call that came from a peer.
+    #[must_use]
+    pub fn open_answer(&self) -> Option<caller_memory::MemoryHold> {
+        self.hold.as_ref().map(|hold| hold.open_answer())
+    }
 }
 
 impl From<Vec<u8>> for CallBody {
     fn from(bytes: Vec<u8>) -> Self {
-        let shared = SharedBody {
-            bytes,
-            _reservation: None,
-        };
-        Self {
-            shared: sync::Arc::new(shared),
-        }
+        Self::held(bytes, None)
     }
 }
 
@@ -49,7 +50,7 @@
     type Target = [u8];
 
     fn deref(&self) -> &[u8] {
-        &self.shared.bytes
+        &self.bytes
     }
 }
 
@@ -67,7 +68,7 @@
 
 impl PartialEq for CallBody {
     fn eq(&self, other: &Self) -> bool {
-        **self == **other
+        self.bytes == other.bytes
     }
 }
 
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use async_std::io;
 use stop_token::future::FutureExt as _;
 
 use crate::connection::caller_intake;
@@ -356,9 +357,11 @@
             let content_type =
                 content_type.unwrap_or_else(|| "application/octet-stream".to_owned());
             let status = tide::StatusCode::try_from(status).unwrap_or(tide::StatusCode::BadGateway);
+            let length = body.len();
+            let reader = io::Cursor::new(body);
             Ok(tide::Response::builder(status)
                 .content_type(content_type.as_str())
-                .body(body)
+                .body(tide::Body::from_reader(reader, Some(length)))
                 .build())
         }
         peer_wire::CallOutcomeWire::Refused(wire) => Err(verdict::RequestRefusal::from(wire)),
--- a/src/connection/caller_intake.rs
+++ b/src/connection/caller_intake.rs
@@ -56,9 +56,9 @@
     }
     let origin = request.ext::<RequestOrigin>().cloned();
     let origin = origin.unwrap_or_else(|| RequestOrigin::new(net::Ipv4Addr::UNSPECIFIED.into()));
-    let reservation = node.caller_memory.open(origin.caller, time::Instant::now());
+    let hold = node.caller_memory.open(origin.caller);
     let mut body = request.take_body();
-    let bytes = body_intake::read(&mut body, &reservation, BODY_TIMEOUT, max_bytes)
+    let bytes = body_intake::read(&mut body, hold.reservation(), BODY_TIMEOUT, max_bytes)
         .timeout_at(node.readiness.closed())
         .await
         .map_err(|_closed| refusal::refuse_closed())?
@@ -70,7 +70,7 @@
         ));
     }
     origin.is_body_read.store(true, atomic::Ordering::Relaxed);
-    Ok(call_body::CallBody::reserved(bytes, reservation))
+    Ok(call_body::CallBody::held(bytes, Some(hold)))
 }
 
 fn refuse_fault(
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -313,6 +313,18 @@
     pub deadline_millis: u64,
 }
 
+impl CallOutcomeWire {
+    /// The same outcome for a holder that has a bound of its own.
+    #[must_use]
+    pub fn detached(&self) -> Self {
+        let mut outcome = self.clone();
+        if let Self::Answered { body, .. } = &mut outcome {
+            *body = body.detached();
+        }
+        outcome
+    }
+}
+
 /// Outcome of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -324,7 +336,7 @@
         /// `Content-Type` of the body, if any.
         content_type: Option<String>,
         /// Body bytes.
-        body: Vec<u8>,
+        body: call_body::CallBody,
     },
     /// The call was refused or failed.
     Refused(RefusalWire),
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -10,10 +10,13 @@
 use async_std::io;
 use http_types::headers;
 
+use crate::connection::body_intake;
+use crate::connection::call_body;
 use crate::connection::head_limit;
 use crate::connection::http;
 use crate::connection::observed;
 use crate::connection::peer_wire;
+use crate::process::limits::caller_memory;
 
 /// Result of an exchange with a service endpoint.
 pub type Result<T> = http::Result<T>;
@@ -89,7 +92,7 @@
     /// `Content-Type` of the body, if any.
     pub content_type: Option<String>,
     /// Body bytes.
-    pub body: Vec<u8>,
+    pub body: call_body::CallBody,
 }
 
 /// Checks the terms before each write and counts the bytes sent.
@@ -140,7 +143,7 @@
         bytes_sent: counter.sent(),
         message,
     };
-    let answer = exchange_over(guarded, request, terms);
+    let answer = exchange_over(guarded, request, call.body.open_answer(), terms);
     match future::timeout(terms.answer_limit, answer).await {
         Ok(Ok(answer)) => Ok(answer),
         Ok(Err(message)) => Err(fail(
@@ -161,6 +164,7 @@
 async fn exchange_over(
     stream: observed::ObservedStream<TermsObserver>,
     request: http_types::Request,
+    hold: Option<caller_memory::MemoryHold>,
     terms: &SendTerms,
 ) -> std::result::Result<ServiceAnswer, String> {
     let is_head = request.method() == http_types::Method::Head;
@@ -172,8 +176,9 @@
         .header(headers::CONTENT_TYPE)
         .map(|values| values.last().as_str().to_owned());
     let mut body = response.take_body();
-    let read = http::read_body(&mut body, terms.answer_limit, terms.max_answer_bytes).await;
-    let body = read.map_err(|error| error.message)?;
+    // The caller of this function limits the time.
+    let read = body_intake::read_answer(&mut body, hold, terms.max_answer_bytes).await;
+    let body = read.map_err(|fault| fault.to_string())?;
     if length.is_some_and(|length| length != body.len()) {
         return Err(format!("the answer ended after {} bytes", body.len()));
     }
--- a/src/process/gateway/status.rs
+++ b/src/process/gateway/status.rs
@@ -46,6 +46,7 @@
             members: members.map(status::MemberStatus::from).collect(),
             endpoints: self.fleet.statuses(time::Instant::now()),
             workspaces: Vec::new(),
+            caller_bytes: 0,
             counters: counters
                 .map(|(name, count)| (name.to_owned(), count))
                 .collect(),
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod byte_budget;
 mod byte_ledger;
+pub mod caller_memory;
 pub mod limit_split;
 pub mod share;
 pub mod token_bucket;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -13,7 +13,7 @@
 use crate::process::endpoints::watch;
 use crate::process::limits::admission;
 use crate::process::limits::admission_params;
-use crate::process::limits::byte_budget;
+use crate::process::limits::caller_memory;
 use crate::process::limits::share;
 use crate::process::members::address;
 use crate::process::members::gossip;
@@ -56,8 +56,8 @@
     pub calls: call::CallRunner,
     /// Admits requests by workspace.
     pub gate: sync::Arc<admission::AdmissionGate>,
-    /// Memory for request bodies of callers.
-    pub caller_memory: sync::Arc<byte_budget::ByteBudget>,
+    /// Memory for request bodies and answers of callers.
+    pub caller_memory: sync::Arc<caller_memory::CallerMemory>,
     /// This router's shares of the workspace limits.
     pub shares: share::WorkspaceShares,
     /// Counter of requests in flight, from callers and for peers.
@@ -132,6 +132,16 @@
             .divide(&version, router, &own, &others, &self.gate);
     }
 
+    /// Bytes held for callers.
+    fn caller_bytes(&self) -> u64 {
+        u64::try_from(self.caller_memory.held()).unwrap_or(u64::MAX)
+    }
+
+    /// Sets the gauges of the process.
+    pub fn update_gauges(&self) {
+        self.metrics.gauge("caller.held_bytes", self.caller_bytes());
+    }
+
     /// Counts a refusal and records it as an event.
     pub fn record_refusal(&self, refusal: &verdict::RequestRefusal) {
         self.metrics.count("request.refused");
@@ -173,6 +183,7 @@
                 .collect(),
             endpoints: endpoints.collect(),
             workspaces: self.workspace_statuses(),
+            caller_bytes: self.caller_bytes(),
             counters: counters
                 .into_iter()
                 .map(|(name, count)| (name.to_owned(), count))
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -28,7 +28,7 @@
 use crate::process::endpoints::placement;
 use crate::process::endpoints::watch;
 use crate::process::limits::admission;
-use crate::process::limits::byte_budget;
+use crate::process::limits::caller_memory;
 use crate::process::limits::share;
 use crate::process::members::gossip;
 use crate::process::members::peering;
@@ -232,7 +232,7 @@
         platform,
         ring: sync::Arc::clone(&ring),
     };
-    let memory = byte_budget::ByteBudget::new(settings.caller_memory_bytes);
+    let memory = caller_memory::CallerMemory::new(settings.caller_memory_bytes);
     sync::Arc::new(node::RouterNode {
         settings,
         ring,
--- a/src/process/telemetry/status.rs
+++ b/src/process/telemetry/status.rs
@@ -26,6 +26,9 @@
     pub endpoints: Vec<EndpointStatus>,
     /// Workspaces in the active configuration version.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// Bytes held for callers of the own interface; 0 from routers that do not report it.
+    #[serde(default)]
+    pub caller_bytes: u64,
     /// Counter values since process start, by name.
     pub counters: collections::BTreeMap<String, u64>,
 }
--- a/src/process/versions/update_tasks.rs
+++ b/src/process/versions/update_tasks.rs
@@ -91,5 +91,6 @@
         .is_ok()
     {
         node.update_shares();
+        node.update_gauges();
     }
 }
--- a/src/request/key_shard.rs
+++ b/src/request/key_shard.rs
@@ -94,7 +94,8 @@
             self.forget(key);
             return;
         }
-        entry.state = EntryState::Kept(sync::Arc::clone(outcome));
+        // The table has a bound of its own for answers.
+        entry.state = EntryState::Kept(sync::Arc::new(outcome.detached()));
         let bytes = entry.state.body_bytes();
         if bytes == 0 {
             return;
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -43,7 +43,7 @@
 fn answer(outcome: &peer_wire::CallOutcomeWire) -> String {
     match outcome {
         peer_wire::CallOutcomeWire::Answered { body, .. } => {
-            String::from_utf8(body.clone()).expect("text body")
+            String::from_utf8(body.to_vec()).expect("text body")
         }
         peer_wire::CallOutcomeWire::Refused(refusal) => panic!("refused: {refusal:?}"),
     }
--- a/tests/key_table.rs
+++ b/tests/key_table.rs
@@ -32,7 +32,7 @@
     peer_wire::CallOutcomeWire::Answered {
         status: 201,
         content_type: None,
-        body: vec![b'x'; bytes],
+        body: vec![b'x'; bytes].into(),
     }
 }
 
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -27,7 +27,7 @@
                     let outcome = peer_wire::CallOutcomeWire::Answered {
                         status: 200,
                         content_type: None,
-                        body: call.body.to_vec(),
+                        body: call.body,
                     };
                     peer_wire::ReplyBody::Call(outcome)
                 }
@@ -259,7 +259,7 @@
         else {
             panic!("no answer: {reply:?}");
         };
-        assert!(echoed == body);
+        assert!(*echoed == *body);
     });
 }
 
