Keep bodies and answers of calls in their segments

Cause: a complete body was joined from its segments. Each joined body took its size again until the allocator freed the segments, which other threads had allocated. A crowd whose bodies complete together exceeded the bound by up to 2.5 MB.

Change: copies of a call, the message to the endpoint, the digest and the answer read the segments in order. The encoding between routers is unchanged, a list of bytes. Only the body of a completion is copied once to be parsed.

Each cell now also checks that the router holds nothing of its callers afterwards. New: a single largest body with an answer of its size is served from the smallest memory allowed, and stalled bodies give way with 503, not-run and Retry-After.

--- a/src/connection/body_intake.rs
+++ b/src/connection/body_intake.rs
@@ -48,8 +48,7 @@
 const MAX_SEGMENT_BYTES: usize = 64 * 1024;
 
 /// Reads a whole body of at most `max_bytes` within `limit`. Each segment is reserved before it is allocated,
-/// and only when bytes for it have arrived. Afterwards, the reservation has the size of the body and cannot
-/// be evicted.
+/// and only when bytes for it have arrived. Afterwards, the reservation cannot be evicted.
 ///
 /// # Errors
 /// [`IntakeFault`]; the caller drops the reservation.
@@ -58,7 +57,7 @@
     reservation: &byte_budget::ByteReservation,
     limit: time::Duration,
     max_bytes: usize,
-) -> Result<Vec<u8>> {
+) -> Result<Vec<Vec<u8>>> {
     let segments = {
         let mut memory = SegmentMemory::Request(reservation);
         let reading = pin::pin!(read_segments(body, &mut memory, max_bytes));
@@ -73,9 +72,7 @@
         }
     };
     reservation.keep().map_err(IntakeFault::Memory)?;
-    let bytes = joined(segments);
-    reservation.shrink(reservation.bytes().saturating_sub(bytes.capacity()));
-    Ok(bytes)
+    Ok(segments)
 }
 
 /// Reads a whole answer of at most `max_bytes`. While there is no memory for the next segment, it is not read.
@@ -88,11 +85,8 @@
     max_bytes: usize,
 ) -> Result<call_body::CallBody> {
     let mut memory = SegmentMemory::Answer(hold.as_mut());
-    let bytes = joined(read_segments(body, &mut memory, max_bytes).await?);
-    if let Some(hold) = &hold {
-        hold.shrink_to(bytes.capacity());
-    }
-    Ok(call_body::CallBody::held(bytes, hold))
+    let segments = read_segments(body, &mut memory, max_bytes).await?;
+    Ok(call_body::CallBody::held(segments, hold))
 }
 
 /// Where the memory of segments comes from.
@@ -163,12 +157,3 @@
         io::BufRead::consume(pin::Pin::new(body), count);
     }
 }
-
-/// Joins the segments and frees each once it is copied, so that the body is never held twice as a whole.
-fn joined(segments: Vec<Vec<u8>>) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(segments.iter().map(Vec::len).sum());
-    for segment in segments {
-        bytes.extend_from_slice(&segment);
-    }
-    bytes
-}
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -4,7 +4,6 @@
 use std::sync;
 use std::time;
 
-use async_std::io;
 use stop_token::future::FutureExt as _;
 
 use crate::connection::caller_intake;
@@ -222,7 +221,7 @@
 async fn complete(request: NodeRequest) -> verdict::Result<tide::Response> {
     let mut authorized = authorize(request)?;
     let body = caller_intake::read_body(&mut authorized.request).await?;
-    let completion = completion::parse(&body)?;
+    let completion = completion::parse(&body.to_vec())?;
     let node = sync::Arc::clone(&authorized.node);
     let what = format!("model {}", completion.model);
     let version = sync::Arc::clone(&authorized.version);
@@ -357,11 +356,9 @@
             let content_type =
                 content_type.unwrap_or_else(|| "application/octet-stream".to_owned());
             let status = tide::StatusCode::try_from(status).unwrap_or(tide::StatusCode::BadGateway);
-            let length = body.len();
-            let reader = io::Cursor::new(body);
             Ok(tide::Response::builder(status)
                 .content_type(content_type.as_str())
-                .body(tide::Body::from_reader(reader, Some(length)))
+                .body(body.message_body())
                 .build())
         }
         peer_wire::CallOutcomeWire::Refused(wire) => Err(verdict::RequestRefusal::from(wire)),
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -7,7 +7,6 @@
 use std::time;
 
 use async_std::future;
-use async_std::io;
 use http_types::headers;
 
 use crate::connection::body_intake;
@@ -226,9 +225,7 @@
     let url = http_types::Url::parse(&format!("http://{address}{}", call.path))
         .map_err(|error| reject(format!("path {} is not valid: {error}", call.path)))?;
     let mut request = http_types::Request::new(method, url);
-    // The body is shared, not copied.
-    let body = io::Cursor::new(call.body.clone());
-    request.set_body(http_types::Body::from_reader(body, Some(call.body.len())));
+    request.set_body(call.body.message_body());
     request.remove_header(headers::CONTENT_TYPE);
     if let Some(content_type) = &call.content_type {
         request.insert_header(headers::CONTENT_TYPE, content_type.as_str());
--- a/src/process/limits/caller_memory.rs
+++ b/src/process/limits/caller_memory.rs
@@ -89,10 +89,4 @@
             }
         }
     }
-
-    /// Returns what is reserved beyond `bytes`.
-    pub fn shrink_to(&self, bytes: usize) {
-        let held = self.reservation.bytes();
-        self.reservation.shrink(held.saturating_sub(bytes));
-    }
 }
--- a/src/request/digest.rs
+++ b/src/request/digest.rs
@@ -14,11 +14,19 @@
     /// Digest of `parts`, each preceded by its length.
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
+        Self::finish(Self::hash(parts))
+    }
+
+    fn hash(parts: &[&[u8]]) -> sha2::Sha256 {
         let mut hasher = sha2::Sha256::new();
         for part in parts {
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
         }
+        hasher
+    }
+
+    fn finish(hasher: sha2::Sha256) -> Self {
         let mut bytes = [0; DIGEST_BYTES];
         bytes.copy_from_slice(&hasher.finalize()[..DIGEST_BYTES]);
         Self(bytes)
@@ -34,14 +42,19 @@
     #[must_use]
     pub fn of_request(call: &peer_wire::CallWire) -> Self {
         let content_type = call.content_type.as_deref().unwrap_or_default();
-        Self::of(&[
+        let mut hasher = Self::hash(&[
             call.workspace.as_bytes(),
             call.service.as_bytes(),
             call.method.as_bytes(),
             call.path.as_bytes(),
             content_type.as_bytes(),
-            &call.body,
-        ])
+        ]);
+        // As one part, whatever its segments are.
+        hasher.update((call.body.len() as u64).to_be_bytes());
+        for segment in call.body.segments() {
+            hasher.update(segment);
+        }
+        Self::finish(hasher)
     }
 
     /// Index of the shard that stores the digest, out of `count` shards.
--- a/tests/calls/cut_answers.rs
+++ b/tests/calls/cut_answers.rs
@@ -50,13 +50,13 @@
             match exchange(&text[..cut]).await {
                 Ok(answer) => {
                     assert!(is_body_whole, "cut {cut}: {answer:?}");
-                    assert_eq!(*answer.body, *b"hello caller", "cut {cut}");
+                    assert_eq!(answer.body.to_vec(), b"hello caller", "cut {cut}");
                 }
                 Err(error) => assert!(error.bytes_sent > 0, "cut {cut}: {error:?}"),
             }
         }
         let whole = exchange(text).await.expect("a whole answer");
-        assert_eq!(*whole.body, *b"hello caller");
+        assert_eq!(whole.body.to_vec(), b"hello caller");
     });
 }
 
--- a/tests/own_interface_crowds/crowd_router.rs
+++ b/tests/own_interface_crowds/crowd_router.rs
@@ -16,6 +16,10 @@
 
 /// Time within which a router has to do what it is asked.
 const LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Time within which a connection ends after a refusal.
+const REFUSAL_LIMIT: time::Duration = time::Duration::from_secs(5);
+
 const LOG_FILE: &str = "router.log";
 const STEP: time::Duration = time::Duration::from_millis(20);
 
@@ -33,6 +37,7 @@
 pub struct CrowdRouter {
     /// Address for callers.
     pub listen: net::SocketAddr,
+    admin: net::SocketAddr,
     process: process::Child,
     folder: tempfile::TempDir,
     _claims: [port_claim::PortClaim; 3],
@@ -43,6 +48,13 @@
 impl CrowdRouter {
     /// Starts a router with these limits and waits until it is ready.
     pub fn start(max_body_bytes: usize, max_connections: usize) -> Self {
+        Self::start_with(&format!(
+            "max_body_bytes: {max_body_bytes}\nmax_connections: {max_connections}\n"
+        ))
+    }
+
+    /// Starts a router with these lines in its settings and waits until it is ready.
+    pub fn start_with(lines: &str) -> Self {
         let platform = stand_in::platform();
         let service = stand_in::start("plain_service", &[]);
         service.fault(SLOW_ANSWERS);
@@ -52,8 +64,7 @@
         let [listen, peer, admin] = [0, 1, 2].map(|index: usize| claims[index].address);
         let settings = format!(
             "router: r1\nzone: zone-a\nlisten: {listen}\npeer_listen: {peer}\n\
-             admin_listen: {admin}\nplatform: {}\naddress_keep_ms: 100\n\
-             max_body_bytes: {max_body_bytes}\nmax_connections: {max_connections}\n",
+             admin_listen: {admin}\nplatform: {}\naddress_keep_ms: 100\n{lines}",
             platform.listen
         );
         fs::write(&file, settings).expect("settings file");
@@ -66,17 +77,18 @@
             .expect("daemon");
         let router = Self {
             listen,
+            admin,
             process,
             folder,
             _claims: claims,
             service,
             platform,
         };
-        router.apply(admin);
+        router.apply();
         router
     }
 
-    fn apply(&self, admin: net::SocketAddr) {
+    fn apply(&self) {
         let file = self.folder.path().join("declarations.yaml");
         let yaml = format!(
             "services:\n  - name: s\n    endpoints:\n      \
@@ -97,7 +109,7 @@
                     "--platform",
                     &self.platform.listen.to_string(),
                     "--router",
-                    &admin.to_string(),
+                    &self.admin.to_string(),
                 ],
             );
             if output.code == 0 {
@@ -113,6 +125,23 @@
         }
     }
 
+    /// Waits until the router holds nothing of its callers any more.
+    pub fn holds_nothing(&self) {
+        let admin = self.admin.to_string();
+        let started = time::Instant::now();
+        loop {
+            let arguments = ["--output", "json", "status", "--router", &admin];
+            let output = program::run(self.folder.path(), &arguments);
+            let report: serde_json::Value = serde_json::from_str(&output.stdout).expect("JSON");
+            let held = &report["routers"][0]["caller_bytes"];
+            if *held == 0 {
+                return;
+            }
+            assert!(started.elapsed() < LIMIT, "{held} bytes are held");
+            thread::sleep(STEP);
+        }
+    }
+
     /// Process id.
     pub fn id(&self) -> u32 {
         self.process.id()
@@ -140,6 +169,13 @@
         answer
     }
 
+    /// Sends `bytes` on a connection that stays open.
+    pub fn send(&self, bytes: &[u8]) -> net::TcpStream {
+        let mut stream = net::TcpStream::connect(self.listen).expect("a connection");
+        stream.write_all(bytes).expect("room in the sockets");
+        stream
+    }
+
     /// Sends a small call again until it is served, as ordinary callers do when they are refused.
     pub fn answers_an_ordinary_request(&self) {
         let started = time::Instant::now();
@@ -155,6 +191,22 @@
     }
 }
 
+/// What the router sent on a connection before it closed it; empty if it is still open.
+pub fn read_refusal(mut stream: net::TcpStream) -> String {
+    let limit = stream.set_read_timeout(Some(REFUSAL_LIMIT));
+    limit.expect("a time-out");
+    let mut answer = Vec::new();
+    let mut part = [0; 1024];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) => return String::from_utf8_lossy(&answer).into_owned(),
+            Ok(count) => answer.extend_from_slice(&part[..count]),
+            Err(_open) if answer.is_empty() => return String::new(),
+            Err(error) => panic!("the connection stays open after a refusal: {error}"),
+        }
+    }
+}
+
 impl Drop for CrowdRouter {
     fn drop(&mut self) {
         // A process that has ended already needs no signal.
--- a/tests/own_interface_crowds/main.rs
+++ b/tests/own_interface_crowds/main.rs
@@ -79,6 +79,7 @@
         router.log()
     );
     router.answers_an_ordinary_request();
+    router.holds_nothing();
     let grown = usage.grown_bytes();
     let descriptors = usage.most_descriptors();
     eprintln!("memory grew by {grown} bytes, {descriptors} descriptors more");
@@ -148,6 +149,62 @@
     connections_over_the_limit: a_crowd_is_withstood(&too_many_connections());
 }
 
+/// The smallest `caller_memory_bytes` that the settings allow.
+fn smallest_memory() -> crowd_router::CrowdRouter {
+    crowd_router::CrowdRouter::start_with(&format!(
+        "max_body_bytes: {MAX_BODY_BYTES}\ncaller_memory_bytes: {}\n",
+        2 * MAX_BODY_BYTES
+    ))
+}
+
+/// Guards against a budget that refuses what the settings allow. The answer is as large as the body.
+#[test]
+fn single_largest_body_is_served_from_the_smallest_memory() {
+    let _alone = ALONE.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let router = smallest_memory();
+    for framing in [
+        crowd::Framing::Announced,
+        crowd::Framing::Chunked(LARGE_CHUNK),
+    ] {
+        let answer = router.exchange(&crowd::request(framing, MAX_BODY_BYTES));
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:.300}");
+        assert!(answer.len() > MAX_BODY_BYTES, "{} bytes", answer.len());
+        router.holds_nothing();
+    }
+}
+
+/// Guards against stalled bodies that keep others out, and against refusals without verdict or delay.
+#[test]
+fn stalled_bodies_give_way_and_are_refused_as_not_run() {
+    const STALLED: usize = 3;
+    let _alone = ALONE.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let router = smallest_memory();
+    let request = crowd::request(crowd::Framing::Announced, MAX_BODY_BYTES);
+    let stalled: Vec<_> = (0..STALLED)
+        .map(|_index| router.send(&request[..request.len() / 2]))
+        .collect();
+    thread::sleep(HOLD_TIME);
+    let answer = router.exchange(&request);
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:.300}");
+    let refused: Vec<String> = stalled
+        .into_iter()
+        .map(crowd_router::read_refusal)
+        .filter(|answer| !answer.is_empty())
+        .collect();
+    assert!(!refused.is_empty(), "no stalled body gave way");
+    for answer in refused {
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(
+            answer.contains("x-kumquatpulley-verdict: not-run"),
+            "{answer}"
+        );
+        assert!(answer.contains("retry-after: 1"), "{answer}");
+        assert!(answer.contains("\"code\":\"overloaded\""), "{answer}");
+    }
+    assert!(router.log().contains("request body refused"));
+    router.holds_nothing();
+}
+
 /// Guards against a budget that refuses what the settings allow.
 #[test]
 fn single_largest_body_is_served() {
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -259,7 +259,7 @@
         else {
             panic!("no answer: {reply:?}");
         };
-        assert!(*echoed == *body);
+        assert!(echoed.to_vec() == body);
     });
 }
 
