Drop the body of a completion once its prompt is copied

Cause: the response of a completion kept the whole body for its reserved memory, beside the prompt that was copied from it, so that a streaming completion held its prompt twice.

Change: the response keeps the reservation only. No test measures this; it is not a cell of own_interface_crowds.

Targets caller (27), generation (11), own_interface_crowds (12) and the cells "endpoint killed at mid-stream" of fault_matrix: passed.

--- a/src/connection/call_body.rs
+++ b/src/connection/call_body.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Hold of the bytes, for a holder that keeps only a copy of them.
+    #[must_use]
+    pub fn hold(&self) -> Option<sync::Arc<caller_memory::MemoryHold>> {
+        self.hold.clone()
+    }
+
     /// Hold for the answer to this call; `None` for a call that came from a peer.
     #[must_use]
     pub fn open_answer(&self) -> Option<caller_memory::MemoryHold> {
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -222,6 +222,9 @@
     let mut authorized = authorize(request)?;
     let body = caller_intake::read_body(&mut authorized.request).await?;
     let completion = completion::parse(&body.to_vec())?;
+    // The prompt is a copy of bytes in the body, whose reserved memory stays in use for it.
+    let hold = body.hold();
+    drop(body);
     let node = sync::Arc::clone(&authorized.node);
     let what = format!("model {}", completion.model);
     let version = sync::Arc::clone(&authorized.version);
@@ -249,8 +252,7 @@
         key: key.to_string(),
         model: completion.model.clone(),
         members: sync::Arc::clone(&node.members),
-        // The prompt is a copy of bytes in the body, whose reserved memory stays in use for it.
-        permit: Box::new((permit, body)),
+        permit: Box::new((permit, hold)),
     };
     let spec = generation::GenerationSpec {
         key: key.to_string(),
