--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::connection::{crash_wire, rollout_wire, store_view_wire};
+use crate::connection::{call_body, crash_wire, rollout_wire, store_view_wire};
 use crate::process::telemetry::timeline;
 
 /// Encodes a duration for a message, in microseconds.
@@ -323,13 +323,25 @@
     /// `Content-Type` of the body, if any.
     pub content_type: Option<String>,
     /// Body bytes.
-    pub body: Vec<u8>,
+    pub body: call_body::CallBody,
     /// Whether the caller states that it has never sent this key before.
     pub first_send: bool,
     /// Time left until the caller's deadline, in milliseconds.
     pub deadline_millis: u64,
 }
 
+impl CallOutcomeWire {
+    /// The same outcome for a holder that has a bound of its own.
+    #[must_use]
+    pub fn detached(&self) -> Self {
+        let mut outcome = self.clone();
+        if let Self::Answered { body, .. } = &mut outcome {
+            *body = body.detached();
+        }
+        outcome
+    }
+}
+
 /// Outcome of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -341,7 +353,7 @@
         /// `Content-Type` of the body, if any.
         content_type: Option<String>,
         /// Body bytes.
-        body: Vec<u8>,
+        body: call_body::CallBody,
     },
     /// The call was refused or failed.
     Refused(RefusalWire),
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -9,10 +9,13 @@
 use async_std::future;
 use http_types::headers;
 
+use crate::connection::body_intake;
+use crate::connection::call_body;
 use crate::connection::head_limit;
 use crate::connection::http;
 use crate::connection::observed;
 use crate::connection::peer_wire;
+use crate::process::limits::caller_memory;
 
 /// Result of an exchange with a service endpoint.
 pub type Result<T> = http::Result<T>;
@@ -88,7 +91,7 @@
     /// `Content-Type` of the body, if any.
     pub content_type: Option<String>,
     /// Body bytes.
-    pub body: Vec<u8>,
+    pub body: call_body::CallBody,
 }
 
 /// Checks the terms before each write and counts the bytes sent.
@@ -139,7 +142,7 @@
         bytes_sent: counter.sent(),
         message,
     };
-    let answer = exchange_over(guarded, request, terms);
+    let answer = exchange_over(guarded, request, call.body.open_answer(), terms);
     match future::timeout(terms.answer_limit, answer).await {
         Ok(Ok(answer)) => Ok(answer),
         Ok(Err(message)) => Err(fail(
@@ -160,6 +163,7 @@
 async fn exchange_over(
     stream: observed::ObservedStream<TermsObserver>,
     request: http_types::Request,
+    hold: Option<caller_memory::MemoryHold>,
     terms: &SendTerms,
 ) -> std::result::Result<ServiceAnswer, String> {
     let is_head = request.method() == http_types::Method::Head;
@@ -171,8 +175,9 @@
         .header(headers::CONTENT_TYPE)
         .map(|values| values.last().as_str().to_owned());
     let mut body = response.take_body();
-    let read = http::read_body(&mut body, terms.answer_limit, terms.max_answer_bytes).await;
-    let body = read.map_err(|error| error.message)?;
+    // The caller of this function limits the time.
+    let read = body_intake::read_answer(&mut body, hold, terms.max_answer_bytes).await;
+    let body = read.map_err(|fault| fault.to_string())?;
     if length.is_some_and(|length| length != body.len()) {
         return Err(format!("the answer ended after {} bytes", body.len()));
     }
@@ -220,7 +225,7 @@
     let url = http_types::Url::parse(&format!("http://{address}{}", call.path))
         .map_err(|error| reject(format!("path {} is not valid: {error}", call.path)))?;
     let mut request = http_types::Request::new(method, url);
-    request.set_body(call.body.clone());
+    request.set_body(call.body.message_body());
     request.remove_header(headers::CONTENT_TYPE);
     if let Some(content_type) = &call.content_type {
         request.insert_header(headers::CONTENT_TYPE, content_type.as_str());
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -159,6 +159,14 @@
     log::logger().flush();
 }
 
+/// When a router with these settings begins to read the store.
+fn first_read_of(settings: &settings::GatewaySettings) -> first_read::FirstRead {
+    let own_address = settings.peer_listen.to_string();
+    let is_seed = settings.seeds.contains(&own_address);
+    let delay = first_read::read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
+    first_read::FirstRead::new(delay, settings.is_first_start, time::Instant::now())
+}
+
 fn assemble(
     settings: settings::GatewaySettings,
     adapters: &PlatformAdapters,
@@ -175,19 +183,14 @@
     let plans = sync::Arc::<plan_book::PlanBook>::default();
     let (fleet, versions) = versioned_fleet(&settings, &plans);
     let budget = budgets::ServiceBudgets::new(settings.bounds, sync::Arc::clone(&members));
-    let tokens = token_exchange::TokenExchange::new(
+    let tokens = sync::Arc::new(token_exchange::TokenExchange::new(
         sync::Arc::new(budget),
         sync::Arc::clone(&members),
         sync::Arc::clone(&link),
         sync::Arc::clone(&metrics) as _,
-    );
-    let tokens = sync::Arc::new(tokens);
+    ));
     let pace = readers::ReadTiming::new(settings.bounds.propagation_limit);
-    let own_address = settings.peer_listen.to_string();
-    let is_seed = settings.seeds.contains(&own_address);
-    let delay = first_read::read_delay(is_seed, settings.is_first_start, &mut fastrand::Rng::new());
-    let first_read =
-        first_read::FirstRead::new(delay, settings.is_first_start, time::Instant::now());
+    let first_read = first_read_of(&settings);
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let permits = sync::Arc::new(permits::RouterPermits::new(
         sync::Arc::clone(&fleet),
--- a/src/process/gateway/status.rs
+++ b/src/process/gateway/status.rs
@@ -47,6 +47,7 @@
             endpoints: self.fleet.statuses(time::Instant::now()),
             workspaces: Vec::new(),
             rollouts: self.rollout_statuses(),
+            caller_bytes: u64::try_from(self.relay.memory.held()).unwrap_or(u64::MAX),
             counters: counters
                 .map(|(name, count)| (name.to_owned(), count))
                 .collect(),
--- a/src/process/telemetry/status.rs
+++ b/src/process/telemetry/status.rs
@@ -29,6 +29,9 @@
     /// Roll-outs that the router knows; absent in the status of earlier versions.
     #[serde(default)]
     pub rollouts: Vec<RolloutStatus>,
+    /// Bytes held for callers; 0 from routers that do not report it.
+    #[serde(default)]
+    pub caller_bytes: u64,
     /// Counter values since process start, by name.
     pub counters: collections::BTreeMap<String, u64>,
 }
--- a/tests/gateway/restarted_engines.rs
+++ b/tests/gateway/restarted_engines.rs
@@ -7,7 +7,7 @@
 use kumquatpulley::process::gateway::{endpoint_fleet, endpoint_registry};
 use kumquatpulley::process::view;
 use kumquatpulley::request::relay::fleet::EndpointFleet as _;
-use kumquatpulley::request::relay::{fleet, incarnation, report};
+use kumquatpulley::request::relay::{fleet, incarnation, report, version_choice};
 
 use crate::common;
 use crate::support::system::System;
@@ -34,6 +34,7 @@
         service: "m".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z1".to_owned(),
+        version: "v1".to_owned(),
         slots: 8,
         is_leaving: false,
     }
@@ -59,6 +60,7 @@
         avoid_zone_of: None,
         only: None,
         is_unlimited: false,
+        versions: &version_choice::VersionFilter::ANY,
     };
     let sampled = fleet.sample(&query, 2);
     let first = sampled.into_iter().find(|endpoint| endpoint.name == "e1");
--- a/tests/gateway/token_transfers.rs
+++ b/tests/gateway/token_transfers.rs
@@ -96,6 +96,9 @@
         retry_ratio: replay.ratio,
         retry_slack: replay.slack,
         retry_window: time::Duration::from_millis(WINDOW_MS),
+        expose_share: 0.1,
+        expose_slack: 50.0,
+        rollback_limit: time::Duration::from_secs(5),
     };
     budgets::ServiceBudgets::new(bounds, sync::Arc::new(Members))
 }
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -85,7 +85,7 @@
         method: "POST".to_owned(),
         path: "/".to_owned(),
         content_type: None,
-        body,
+        body: body.into(),
         first_send: true,
         deadline_millis: 1_000,
     })
@@ -259,7 +259,7 @@
         else {
             panic!("no answer: {reply:?}");
         };
-        assert!(echoed == body);
+        assert!(echoed.to_vec() == body);
     });
 }
 
