--- a/src/process/gateway/rollout/known_versions.rs
+++ b/src/process/gateway/rollout/known_versions.rs
@@ -76,6 +76,9 @@
         added.sort_unstable_by_key(|(version, first)| (*first, *version));
         for (index, (version, _first)) in added.into_iter().enumerate() {
             let is_first = is_new_service && index == 0;
+            if !is_first {
+                log::info!(service, version; "version is new; used once the orders were read");
+            }
             known.push(KnownVersion {
                 version: version.to_owned(),
                 learned_at: (!is_first).then_some(now),
