--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -38,3 +38,4 @@
 pub mod service;
 pub mod sse;
 pub mod store_view_wire;
+pub mod token_wire;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::connection::{call_body, crash_wire, rollout_wire, store_view_wire};
+use crate::connection::{call_body, crash_wire, rollout_wire, store_view_wire, token_wire};
 use crate::process::telemetry::timeline;
 
 /// Encodes a duration for a message, in microseconds.
@@ -78,21 +78,11 @@
     /// Tells that requests are blocked.
     BlockedRequests(Vec<crash_wire::BlockedRequestWire>),
     /// Asks for retry tokens that the peer does not need.
-    RetryTokens(RetryTokensWire),
+    RetryTokens(token_wire::RetryTokensWire),
     /// Asks or tells about roll-outs.
     Rollout(Box<rollout_wire::RolloutQueryWire>),
 }
 
-/// A question for retry tokens.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct RetryTokensWire {
-    /// Name of the service whose streams wait for them.
-    pub service: String,
-    /// Most tokens that the sender can use.
-    pub wanted: u32,
-}
-
 /// Request limit of an endpoint as the sender knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod feature_success;
 pub mod first_read;
 mod fleet_entry;
+mod fleet_permits;
 pub mod freshness;
 pub mod info_server;
 pub mod node;
--- a/src/process/gateway/token_exchange.rs
+++ b/src/process/gateway/token_exchange.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use futures::future;
 
-use crate::connection::{peer, peer_wire};
+use crate::connection::{peer, peer_wire, token_wire};
 use crate::process::gateway::budgets;
 use crate::process::limits::token_transfer;
 use crate::process::view;
@@ -44,7 +44,7 @@
 
     /// Withdraws tokens for a router that asks, before the reply is sent.
     #[must_use]
-    pub fn answer_ask(&self, query: &peer_wire::RetryTokensWire) -> u32 {
+    pub fn answer_ask(&self, query: &token_wire::RetryTokensWire) -> u32 {
         let service = query.service.as_str();
         let gift = self
             .budgets
@@ -92,7 +92,7 @@
     }
 
     async fn ask_router(&self, address: &str, service: &str) -> u32 {
-        let query = peer_wire::QueryBody::RetryTokens(peer_wire::RetryTokensWire {
+        let query = peer_wire::QueryBody::RetryTokens(token_wire::RetryTokensWire {
             service: service.to_owned(),
             wanted: token_transfer::WANTED_TOKENS,
         });
--- a/tests/gateway/token_transfers.rs
+++ b/tests/gateway/token_transfers.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time;
 
-use kumquatpulley::connection::peer_wire;
+use kumquatpulley::connection::{peer_wire, token_wire};
 use kumquatpulley::process::gateway::{budgets, settings};
 use kumquatpulley::process::limits::token_transfer;
 use kumquatpulley::process::view;
@@ -358,7 +358,7 @@
 
 /// Guards against a changed layout: routers of this version read the message of later ones.
 fn a_question_has_this_layout() {
-    let wire = peer_wire::RetryTokensWire {
+    let wire = token_wire::RetryTokensWire {
         service: SERVICE.to_owned(),
         wanted: 1,
     };
