--- a/tests/gateway/endpoint_notices.rs
+++ b/tests/gateway/endpoint_notices.rs
@@ -40,6 +40,7 @@
     let entry = String::from_utf8(entry).expect("text");
     let entry = entry.replace(r#""born":1"#, r#""born":2"#);
     system.first.set_mode(fakes::EndpointMode::Healthy);
+    system.first.restart();
     system.store.put("servers", "e1", entry.as_bytes());
     system.wait_for("the new incarnation gets requests", || {
         System::send(system.ip(), path, "new").expect("an answer");
