Check crowds of connections in one place

Two tests of caller_crowds had the same checks while the connections of a crowd are open and after they close. Both now call check_connections; the checks and bounds are as before.

--- a/tests/caller_crowds/gateway_crowds.rs
+++ b/tests/caller_crowds/gateway_crowds.rs
@@ -65,6 +65,18 @@
     assert!(open <= MAX_OPEN, "{open} descriptors");
 }
 
+/// What must hold for a crowd that takes connections: while they are open, and once they are closed.
+fn check_connections(mut gateway: CrowdedGateway, streams: Vec<net::TcpStream>) {
+    let open = gateway.watch.max_descriptors();
+    assert!(open <= MAX_OPEN, "{open} descriptors");
+    drop(streams);
+    gateway_process::wait_for("connections end", || {
+        System::send(gateway.ip, "/once/1", "again").is_some_and(|answer| answer.head.status == 200)
+    });
+    check_process(&mut gateway);
+    check_afterwards(&gateway);
+}
+
 /// What must hold once the connections of a crowd are closed: nothing is held any more, and a body
 /// of the largest legal size is served.
 fn check_afterwards(gateway: &CrowdedGateway) {
@@ -197,20 +209,13 @@
         streams.push(stream);
     }
     assert!(gateway.is_alive());
-    let open = gateway.watch.max_descriptors();
-    assert!(open <= MAX_OPEN, "{open} descriptors");
-    drop(streams);
-    gateway_process::wait_for("connections end", || {
-        System::send(gateway.ip, "/once/1", "again").is_some_and(|answer| answer.head.status == 200)
-    });
-    check_process(&mut gateway);
-    check_afterwards(&gateway);
+    check_connections(gateway, streams);
 }
 
 /// Guards against connections to the other listeners that take the descriptors of callers, endpoints,
 /// peers and the store.
 fn connections_to_other_listeners_are_bounded() {
-    let mut gateway = CrowdedGateway::start();
+    let gateway = CrowdedGateway::start();
     let mut streams = Vec::new();
     for port in [8220, 8224, 9464] {
         for number in 0..gateway_process::MAX_DESCRIPTORS / 2 {
@@ -223,14 +228,7 @@
         // Refused connections are closed, so that one is free for the ordinary request.
         streams.extend(crowd::connect(address, crowd::SourceCount::Many, number));
     }
-    let open = gateway.watch.max_descriptors();
-    assert!(open <= MAX_OPEN, "{open} descriptors");
-    drop(streams);
-    gateway_process::wait_for("connections end", || {
-        System::send(gateway.ip, "/once/1", "again").is_some_and(|answer| answer.head.status == 200)
-    });
-    check_process(&mut gateway);
-    check_afterwards(&gateway);
+    check_connections(gateway, streams);
 }
 
 /// Guards against callers that get a closed connection in place of a refusal that they may retry.
