Keep callers' keys from endpoints on every route

What callers saw: nothing.

Cause: HeaderDialect::request_head, the only place that builds a head for an endpoint, dropped the field only where it named a workspace, and GatewayNode::check_once named one only where the route demands a key. That a key may leave the router was decided by what this route asks for.

Change: the field is dropped on every route once the process has known a version with workspaces. A key that belongs to a workspace names it on public routes too, while the configuration is young enough to accept keys. Where the configuration never had workspaces the field is passed on as before. The key is taken out of the request before its fingerprint is made, which is logged, told to other routers and stored.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -107,8 +107,10 @@
         }
         headers.push(DEADLINE, params.time_left.as_millis().to_string());
         headers.push(EXPECT_ENDPOINT, params.endpoint);
-        if let Some(workspace) = params.workspace {
+        if params.drops_key {
             headers.remove("Authorization");
+        }
+        if let Some(workspace) = params.workspace {
             headers.push(WORKSPACE, workspace);
         }
         if let Some(rank) = params.rank {
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -25,6 +25,8 @@
 pub struct ConfigState {
     /// The version in force; `None` until the store or a peer has sent one.
     pub version: Option<sync::Arc<traffic::TrafficVersion>>,
+    /// Whether this process has known a version with keys, which callers may go on sending.
+    pub has_known_keys: bool,
     /// Key and value of the store's row with this version, to be passed on to peers.
     pub row: Option<(String, Vec<u8>)>,
     /// When the version in force was last known to be the newest.
@@ -167,6 +169,7 @@
         }
         let routes = version.route_count();
         let idle_timeout_ms = whole_millis(version.limits().idle_timeout);
+        state.has_known_keys |= version.requires_keys();
         state.version = Some(sync::Arc::new(version));
         state.row = Some((key.to_owned(), value.to_vec()));
         // What confirmed the version before says nothing about this one.
@@ -324,7 +327,7 @@
 fn relay_request(
     head: head::RequestHead,
     (body, caller): (segments::SegmentedBody, net::IpAddr),
-    terms: dialect::RequestMetadata,
+    mut terms: dialect::RequestMetadata,
     checked: request_check::CheckedRequest,
     arrived: time::Instant,
 ) -> Option<context::RelayRequest> {
@@ -332,7 +335,10 @@
         version,
         route,
         workspace,
+        drops_key,
     } = checked;
+    // Nothing that is sent, logged or told to other routers is made of a key from here on.
+    terms.key.take_if(|_key| drops_key);
     let service = route.choose_service(&mut fastrand::Rng::new())?.to_owned();
     let profile = version.service(&service);
     let timeout = terms
@@ -358,6 +364,7 @@
         priority,
         stream_rank,
         workspace: workspace.map(|workspace| workspace.name),
+        drops_key,
         service,
         route,
         arrived,
@@ -366,7 +373,7 @@
 }
 
 /// What a request has in common with others. Endpoints see the workspace in place of its key, so all
-/// keys of a workspace are one caller.
+/// keys of a workspace are one caller, and so are keys without a workspace on a public route.
 fn features(
     head: &head::RequestHead,
     body: &[&[u8]],
--- a/src/process/gateway/request_check.rs
+++ b/src/process/gateway/request_check.rs
@@ -26,6 +26,8 @@
     pub(super) version: sync::Arc<traffic::TrafficVersion>,
     pub(super) route: traffic::TrafficRoute,
     pub(super) workspace: Option<traffic::WorkspaceProfile>,
+    /// Whether the request's key must not reach endpoints.
+    pub(super) drops_key: bool,
 }
 
 impl node::GatewayNode {
@@ -57,6 +59,7 @@
         let state = self.config_state.lock();
         let version = state.version.clone().ok_or_else(refuse_stale)?;
         let clock = state.clock;
+        let drops_key = state.has_known_keys;
         drop(state);
         let deny = |refusal: verdict::RequestRefusal| {
             if clock.may_deny(now) {
@@ -68,23 +71,23 @@
             .route(&terms.host, &head.target)
             .ok_or_else(|| deny(refuse_route()))?
             .clone();
-        if route.is_public || !version.requires_keys() {
-            return Ok(CheckedRequest {
-                version,
-                route,
-                workspace: None,
-            });
-        }
         let key = terms.key.as_deref();
-        let workspace = key.and_then(|key| version.workspace(key));
-        let workspace = workspace.ok_or_else(|| deny(refuse_key()))?.clone();
-        if !clock.may_accept_key(self.settings.bounds.max_key_age, now) {
-            return Err(refuse_stale());
+        let workspace = key.and_then(|key| version.workspace(key)).cloned();
+        let may_accept_key = clock.may_accept_key(self.settings.bounds.max_key_age, now);
+        if version.requires_keys() && !route.is_public {
+            if workspace.is_none() {
+                return Err(deny(refuse_key()));
+            }
+            if !may_accept_key {
+                return Err(refuse_stale());
+            }
         }
         Ok(CheckedRequest {
             version,
             route,
-            workspace: Some(workspace),
+            // On a public route, a key that may have been taken away names no workspace.
+            workspace: workspace.filter(|_workspace| may_accept_key),
+            drops_key,
         })
     }
 }
--- a/src/request/relay/buffered.rs
+++ b/src/request/relay/buffered.rs
@@ -215,6 +215,7 @@
         time_left: request.time_left(),
         endpoint: &lease.endpoint.name,
         workspace: request.workspace.as_deref(),
+        drops_key: request.drops_key,
         rank: None,
         copy_holder: None,
         copy_source: None,
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -82,8 +82,10 @@
     /// What the request has in common with others: the fingerprint of the whole request, then the
     /// shared parts of its prompt.
     pub features: Vec<request_feature::RequestFeature>,
-    /// Workspace of the caller; `None` on routes that need no key.
+    /// Workspace of the caller; `None` if no key is known, on a route that needs none.
     pub workspace: Option<String>,
+    /// Whether endpoints do not get the caller's Authorization header.
+    pub drops_key: bool,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Number of higher priorities that compete for engines of the service; `None` for calls, and if
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -46,8 +46,10 @@
     /// Name of the endpoint that must serve the request; another one at a reused address rejects
     /// the request.
     pub endpoint: &'a str,
-    /// Workspace of the caller; replaces its Authorization header.
+    /// Workspace of the caller, if its key belongs to one.
     pub workspace: Option<&'a str>,
+    /// Whether the caller's Authorization header is dropped, as it may hold a key of this system.
+    pub drops_key: bool,
     /// Scheduling priority at the engine, 0 highest; streams only.
     pub rank: Option<u8>,
     /// Engine to which the serving engine copies the request's KV cache while it runs.
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -168,6 +168,7 @@
             time_left: self.request.time_left(),
             endpoint: &lease.endpoint.name,
             workspace: self.request.workspace.as_deref(),
+            drops_key: self.request.drops_key,
             rank: Some(rank),
             copy_holder: holder.as_ref().map(|holder| holder.address),
             copy_source: source,
--- a/tests/calls/main.rs
+++ b/tests/calls/main.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod fakes;
 mod home;
+mod service_head;
 
 use fakes::network;
 use fakes::service;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod burst;
 mod cached_state;
 mod call_queues;
+mod caller_keys;
 mod changed_configuration;
 mod crash_evidence;
 mod crash_replays;
