Reject answers with a status below 100

What callers saw: an endpoint in trouble sent a head with status 000 or 099 and then an answer with 200 on the same connection; the caller got the 200. A 000 alone ended in 502 or at another endpoint, also before.

Cause: OpenAttempt::head took every status below 200 for an interim answer and read on. head::parse_response now rejects a status below 100, which no answer has (RFC 9110, section 15), so the attempt is lost like any other malformed one. Reports of engines use the same reader.

Ruled out: a 000 that is delivered as such (the three cases with 000 alone passed before).

Also checked here, with tests that held before and stay as guards: an answer without a length whose endpoint resets the connection while the upload is still being written. With bodies of 1 KiB, 512 KiB and 12 MiB, unsafe calls get 502, safe calls and streams go on elsewhere, and a stream that cannot is not complete.

Evidence: tests/gateway/early_answers.rs and one case in cut_answers, 23 cases. On the code before, three failed: report_after_status_zero, status_below_one_hundred and status_zero_before_an_answer. Now all pass.

--- a/src/connection/h1/head.rs
+++ b/src/connection/h1/head.rs
@@ -9,6 +9,9 @@
 /// Maximum number of header fields in one head.
 pub const MAX_FIELDS: usize = 100;
 
+/// Lowest status code (RFC 9110, section 15).
+const MIN_STATUS: u16 = 100;
+
 /// Why a head cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadError {
@@ -213,7 +216,7 @@
 /// Parses a response head; returns it and its length in bytes, or `None` while incomplete.
 ///
 /// # Errors
-/// When no further bytes can make this a usable head.
+/// When no further bytes can make this a usable head, or its status is below 100.
 pub fn parse_response(bytes: &[u8]) -> Result<Option<(ResponseHead, usize)>> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
@@ -221,8 +224,12 @@
         httparse::Status::Partial => return Ok(None),
         httparse::Status::Complete(length) => length,
     };
+    let status = response.code.unwrap_or_default();
+    if status < MIN_STATUS {
+        return Err(HeadError::Malformed);
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         headers: HeaderList::from_parsed(response.headers),
     };
     Ok(Some((head, length)))
--- a/tests/gateway/cut_answers.rs
+++ b/tests/gateway/cut_answers.rs
@@ -294,6 +294,8 @@
         Kumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\r");
     after_an_interim_head: requests_go_on_elsewhere_after("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n\
         Kumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n");
+    with_status_zero: requests_go_on_elsewhere_after("HTTP/1.1 000 X\r\n\
+        Kumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\nContent-Length: 5\r\n\r\nhello");
     in_a_chunk_size: requests_go_on_elsewhere_after("HTTP/1.1 200 OK\r\n\
         Kumquatpulley-Request-Id: {id}\r\nKumquatpulley-Runner-Seal: s\r\n\
         Transfer-Encoding: chunked\r\n\r\n1");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod crashing_prompts;
 mod cut_answers;
 mod decisions;
+mod early_answers;
 mod endless_responses;
 mod endpoint_limits;
 mod endpoint_notices;
