Take cut answers of the store and of engines for no answers

What was seen: a 200 without a length whose connection was reset counted as an answer to a write to the store and to an order to an engine, if the request had fitted into the sockets; callers of routers saw nothing of it. A body shorter than its Content-Length counted for every call of connection::http but streams, if what arrived could be decoded.

Cause: http::send_whole never compared the body with its declared length, though its description says so, and its callers for writes and orders use the status alone. The HTTP library gives an empty body where there is no length, so a reset looks like the end.

Change: send_whole checks the length, and takes no success that declares neither length nor chunks. connection::service had this check; it moves to connection::http and serves both. Refusals are known by their status, as before. A write that no longer counts may have been performed; it is repeated like one without an answer.

Ruled out: status 000 (the library rejects it for all ten readers), calls to services, and reads of the store, which need a body that can be decoded.

--- a/src/connection/http.rs
+++ b/src/connection/http.rs
@@ -170,7 +170,8 @@
 /// Sends a JSON body and returns the response with its whole body, at most `max_bytes`.
 ///
 /// # Errors
-/// As [`send`]; [`ExchangeStage::Exchange`] when the body is too large or cut short.
+/// As [`send`]; [`ExchangeStage::Exchange`] when the body is too large or cut short, or a success does not
+/// declare where its body ends.
 pub async fn send_whole(
     method: http_types::Method,
     address: &str,
@@ -186,9 +187,60 @@
     }
     let mut response = send(address, message, limits).await?;
     let body = read_body(&mut response.take_body(), limits.head, max_bytes).await?;
+    let fail = |message| ExchangeError {
+        stage: ExchangeStage::Exchange,
+        bytes_sent: 1,
+        message: format!("{address}: {message}"),
+    };
+    let is_head = method == http_types::Method::Head;
+    match declared_length(&response, is_head) {
+        Ok(length) => check_length(length, body.len()).map_err(fail)?,
+        // Without a length, a reset looks like the end of the body.
+        Err(message) if response.status().is_success() => return Err(fail(message)),
+        // A refusal is known by its status.
+        Err(_message) => {}
+    }
     Ok(WholeResponse { response, body })
 }
 
+/// Body length that a response declares; `None` when the body is chunked or there is none.
+///
+/// # Errors
+/// A message with the next step when the length is missing or invalid.
+pub fn declared_length(
+    response: &http_types::Response,
+    is_head: bool,
+) -> std::result::Result<Option<usize>, String> {
+    let bodiless = [
+        http_types::StatusCode::NoContent,
+        http_types::StatusCode::NotModified,
+    ];
+    if is_head || bodiless.contains(&response.status()) {
+        return Ok(None);
+    }
+    if response.header(headers::TRANSFER_ENCODING).is_some() {
+        return Ok(None);
+    }
+    let header = response.header(headers::CONTENT_LENGTH);
+    let header =
+        header.ok_or("the answer has no Content-Length and is not chunked; send either")?;
+    let length = header.last().as_str().trim().parse();
+    Ok(Some(length.map_err(|error| {
+        format!("invalid Content-Length: {error}")
+    })?))
+}
+
+/// Checks that a body of `received` bytes has its declared length, if there is one.
+///
+/// # Errors
+/// A message that tells where the body ended.
+pub fn check_length(declared: Option<usize>, received: usize) -> std::result::Result<(), String> {
+    if declared.is_some_and(|length| length != received) {
+        return Err(format!("the answer ended after {received} bytes"));
+    }
+    Ok(())
+}
+
 /// Reads a whole body of at most `max_bytes` within `limit`.
 ///
 /// # Errors
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -170,7 +170,7 @@
     let connected = async_h1::connect(stream, request).await;
     let mut response = connected.map_err(|error| error.to_string())?;
     let status = u16::from(response.status());
-    let length = declared_length(&response, is_head)?;
+    let length = http::declared_length(&response, is_head)?;
     let content_type = response
         .header(headers::CONTENT_TYPE)
         .map(|values| values.last().as_str().to_owned());
@@ -178,9 +178,7 @@
     // The caller of this function limits the time.
     let read = body_intake::read_answer(&mut body, hold, terms.max_answer_bytes).await;
     let body = read.map_err(|fault| fault.to_string())?;
-    if length.is_some_and(|length| length != body.len()) {
-        return Err(format!("the answer ended after {} bytes", body.len()));
-    }
+    http::check_length(length, body.len())?;
     Ok(ServiceAnswer {
         status,
         content_type,
@@ -188,30 +186,6 @@
     })
 }
 
-/// Declared body length; `None` when the body is chunked or there is none.
-fn declared_length(
-    response: &http_types::Response,
-    is_head: bool,
-) -> std::result::Result<Option<usize>, String> {
-    let bodiless = [
-        http_types::StatusCode::NoContent,
-        http_types::StatusCode::NotModified,
-    ];
-    if is_head || bodiless.contains(&response.status()) {
-        return Ok(None);
-    }
-    if response.header(headers::TRANSFER_ENCODING).is_some() {
-        return Ok(None);
-    }
-    let header = response.header(headers::CONTENT_LENGTH);
-    let header =
-        header.ok_or("the answer has no Content-Length and is not chunked; send either")?;
-    let length = header.last().as_str().trim().parse();
-    Ok(Some(length.map_err(|error| {
-        format!("invalid Content-Length: {error}")
-    })?))
-}
-
 fn build_request(address: &str, call: &peer_wire::CallWire) -> Result<http_types::Request> {
     let reject = |message: String| http::ExchangeError {
         stage: http::ExchangeStage::Connect,
