Say why a key is cleared before the fingerprint is made

take_if with an unused argument hid a plain condition, and the comment did not name what the fingerprint is used for. Found when the diff was read again.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -337,8 +337,10 @@
         workspace,
         drops_key,
     } = checked;
-    // Nothing that is sent, logged or told to other routers is made of a key from here on.
-    terms.key.take_if(|_key| drops_key);
+    if drops_key {
+        // The fingerprint below is logged, told to other routers and stored.
+        terms.key = None;
+    }
     let service = route.choose_service(&mut fastrand::Rng::new())?.to_owned();
     let profile = version.service(&service);
     let timeout = terms
