Compare tables at once with a router that started again

What callers saw: a key that had been taken away got 200 at the only seed, which had started again while the store held an older configuration.

Cause, from a failed run with a log line for each gossip round: both other routers had reached the seed 0.39 and 0.58 s after its start, but the seed learned of neither and read the store at 1.21 s. Progress with a peer is kept by name. The first exchange with the new process sent it only what the process before had not acknowledged, that is nothing; it then forgot the progress, and only a second exchange would have brought all. Two contacts often take longer than the 1.15 s for which a seed waits.

Change: an exchange with another process than before counts as a first contact, so digests are compared at once. This comparison took place before, too, with the second exchange; a restart causes none more.

--- a/src/process/members/gossip_exchange.rs
+++ b/src/process/members/gossip_exchange.rs
@@ -211,8 +211,10 @@
         reply: peer_wire::GossipWire,
         at: ExchangeTime,
     ) -> ExchangeEffect {
-        // Deltas do not contain changes made before the first contact; a comparison finds them.
-        let is_first = !self.progress.contains_key(&reply.from);
+        // Deltas do not contain changes made before the first contact with a process; a comparison finds
+        // them.
+        let known = self.progress.get(&reply.from);
+        let is_first = known.is_none_or(|known| known.incarnation != reply.incarnation);
         self.record_progress(sent, &reply);
         let digest = reply.digest;
         let mut effect = self.apply_message(reply, at);
--- a/tests/membership/exchange.rs
+++ b/tests/membership/exchange.rs
@@ -54,20 +54,52 @@
     assert_eq!(table.batch(0, "peer", 10_000).loads.len(), 1);
 }
 
-/// Sends a query from `one` to `two` and applies the reply.
+/// Sends a query from `one` to `two` and applies the reply; returns its effect on `one`.
 fn exchange(
     one: &mut gossip_exchange::ExchangeState,
     two: &mut gossip_exchange::ExchangeState,
     query: peer_wire::GossipWire,
     now: time::Instant,
-) {
+) -> gossip_exchange::ExchangeEffect {
     let at = gossip_exchange::ExchangeTime {
         now,
         micros: fixtures::WALL_MICROS,
     };
     let sent = gossip_exchange::SentSequences::from(&query);
     let (reply, _) = two.answer(query, at);
-    one.apply_reply(sent, reply, at);
+    one.apply_reply(sent, reply, at)
+}
+
+/// Guards against a router that starts again and stays alone for several rounds: its peers sent it only
+/// what the process before had not seen. It then took an older configuration from a restored store.
+#[test]
+fn a_router_that_started_again_knows_its_peer_after_one_contact() {
+    let now = time::Instant::now();
+    let state = |name: &str, incarnation| {
+        let own = fixtures::member(name, incarnation, fixtures::ALIVE, 1);
+        gossip_exchange::ExchangeState::new(member_table::MemberTable::new(own, now))
+    };
+    let (mut one, mut two) = (state("one", 1), state("two", 1));
+    for kind in [
+        gossip_exchange::ExchangeKind::Compare,
+        gossip_exchange::ExchangeKind::Round,
+    ] {
+        let query = one.query(Some("two"), kind);
+        exchange(&mut one, &mut two, query, now);
+    }
+    one.mark_synced();
+    let mut two = state("two", 2);
+    let query = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    let effect = exchange(&mut one, &mut two, query, now);
+    assert!(effect.needs_comparison);
+    let query = one.query(Some("two"), gossip_exchange::ExchangeKind::Compare);
+    exchange(&mut one, &mut two, query, now);
+    assert!(two.table.get("one").is_some());
+    let known = one.table.get("two").expect("a member");
+    assert_eq!(known.member.incarnation, 2);
+    // Later contacts need no comparison.
+    let query = one.query(Some("two"), gossip_exchange::ExchangeKind::Round);
+    assert!(!exchange(&mut one, &mut two, query, now).needs_comparison);
 }
 
 // Recording progress after such an exchange would skip the changes that it did not carry.
