--- a/tests/gateway/caller_keys.rs
+++ b/tests/gateway/caller_keys.rs
@@ -36,16 +36,6 @@
     format!("{}}}", start.trim_end().trim_end_matches(','))
 }
 
-fn put_config(system: &System, version: u64, text: &str) {
-    system.store.put("op", "config", text.as_bytes());
-    let number = format!(r#""version":{version}}}"#);
-    system.wait_for("the version is in force", || {
-        let logs = system.logs();
-        let mut lines = logs.lines();
-        lines.any(|line| line.contains("version in force") && line.contains(&number))
-    });
-}
-
 fn send(system: &System, path: &str, id: &str) -> Option<caller::Answer> {
     let text = caller::request(path, id, KEY);
     caller::exchange((system.ip(), 8227).into(), text.as_bytes())
@@ -88,9 +78,9 @@
 fn route_becomes_public(path: &str) {
     let system = System::start_configured(1, &keyed_config(1));
     assert_served(&system, path, "keyed");
-    put_config(&system, 2, &public_config(2));
+    system.put_in_force(2, &public_config(2));
     assert_served(&system, path, "public");
-    put_config(&system, 3, &keyed_config(3));
+    system.put_in_force(3, &keyed_config(3));
     assert_served(&system, path, "keyed-again");
     for id in ["keyed", "public", "keyed-again"] {
         assert_runs_without_key(&system, id, Some("w"));
@@ -171,7 +161,7 @@
 /// removed all workspaces.
 fn workspaces_are_removed() {
     let system = System::start_configured(1, &keyed_config(1));
-    put_config(&system, 2, &open_config(2));
+    system.put_in_force(2, &open_config(2));
     assert_served(&system, "/safe/1", "r1");
     assert_runs_without_key(&system, "r1", None);
 }
@@ -179,7 +169,7 @@
 /// Guards against a workspace that is named although its key has been taken away.
 fn key_is_taken_away_on_a_public_route() {
     let system = System::start_configured(1, &public_config(1));
-    put_config(&system, 2, &public_config(2).replace(KEY, "another"));
+    system.put_in_force(2, &public_config(2).replace(KEY, "another"));
     assert_served(&system, "/safe/1", "r1");
     assert_runs_without_key(&system, "r1", None);
 }
--- a/tests/gateway/changed_configuration.rs
+++ b/tests/gateway/changed_configuration.rs
@@ -28,16 +28,6 @@
 const EDGE_TIME: time::Duration = time::Duration::from_millis(100);
 const EDGE_STEP: time::Duration = time::Duration::from_millis(3);
 
-fn put_config(system: &System, version: u64, text: &str) {
-    system.store.put("op", "config", text.as_bytes());
-    let number = format!(r#""version":{version}}}"#);
-    system.wait_for("the version is in force", || {
-        let logs = system.logs();
-        let mut lines = logs.lines();
-        lines.any(|line| line.contains("version in force") && line.contains(&number))
-    });
-}
-
 /// What happens while a request is in flight.
 #[derive(Clone, Copy, Debug)]
 enum SystemChange {
@@ -85,7 +75,7 @@
                 return router::signal(&system.gateways[0], rustix::process::Signal::HUP);
             }
         };
-        put_config(system, 2, &config);
+        system.put_in_force(2, &config);
     }
 }
 
@@ -140,10 +130,10 @@
     let old = format!(r#""idle_timeout_ms":{}"#, OLD_IDLE_TIMEOUT.as_millis());
     let new = format!(r#""idle_timeout_ms":{}"#, NEW_IDLE_TIMEOUT.as_millis());
     let config = System::config(2, r#""k""#).replace(&new, &old);
-    put_config(&system, 2, &config);
+    system.put_in_force(2, &config);
     let mut stream = open_kept_connection(&system);
     let idle_since = time::Instant::now();
-    put_config(&system, 3, &System::config(3, r#""k""#));
+    system.put_in_force(3, &System::config(3, r#""k""#));
     assert!(
         idle_since.elapsed() < OLD_IDLE_TIMEOUT,
         "the change came late"
@@ -164,7 +154,7 @@
     let mut stream = open_kept_connection(&system);
     let config = System::config(2, r#""k""#);
     let config = config.replace(r#""max_body_bytes":10000"#, r#""max_body_bytes":20000"#);
-    put_config(&system, 2, &config);
+    system.put_in_force(2, &config);
     let body = "x".repeat(15_000);
     let request = caller::request("/once/1", "r2", "k");
     let request = request.replace(
@@ -185,7 +175,7 @@
     let system = System::start(1);
     let old = format!(r#""idle_timeout_ms":{}"#, OLD_IDLE_TIMEOUT.as_millis());
     let new = format!(r#""idle_timeout_ms":{}"#, NEW_IDLE_TIMEOUT.as_millis());
-    put_config(&system, 2, &System::config(2, r#""k""#).replace(&new, &old));
+    system.put_in_force(2, &System::config(2, r#""k""#).replace(&new, &old));
     let calling: Vec<thread::JoinHandle<Option<caller::Answer>>> = (0..EDGE_CONNECTIONS)
         .map(|number| {
             let mut stream = open_kept_connection(&system);
@@ -213,7 +203,7 @@
     let mut stream = open_kept_connection(&system);
     let requests = caller::request("/once/1", "r2", "k") + &caller::request("/safe/1", "r3", "k");
     stream.write_all(requests.as_bytes()).expect("sent");
-    put_config(&system, 2, &System::config(2, r#""k""#));
+    system.put_in_force(2, &System::config(2, r#""k""#));
     let mut bytes = Vec::new();
     while !String::from_utf8_lossy(&bytes).contains(&fakes::plain_answer("r3")) {
         let mut chunk = [0_u8; 4096];
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -152,6 +152,17 @@
         self.store.put("op", "config", text.as_bytes());
     }
 
+    /// Writes the text of a configuration and waits until its version is in force.
+    pub fn put_in_force(&self, version: u64, text: &str) {
+        self.store.put("op", "config", text.as_bytes());
+        let number = format!(r#""version":{version}}}"#);
+        self.wait_for("the version is in force", || {
+            let logs = self.logs();
+            let mut lines = logs.lines();
+            lines.any(|line| line.contains("version in force") && line.contains(&number))
+        });
+    }
+
     /// The text of a configuration with these keys, each in quotes.
     pub fn config(version: u64, keys: &str) -> String {
         CONFIG
@@ -222,12 +233,7 @@
     pub fn start_unresumable() -> Self {
         let system = Self::start(1);
         let config = Self::config(2, r#""k""#).replace(r#""can_resume":true,"#, "");
-        system.store.put("op", "config", config.as_bytes());
-        system.wait_for("the version is in force", || {
-            let logs = system.logs();
-            let mut lines = logs.lines();
-            lines.any(|line| line.contains("version in force") && line.contains(r#""version":2"#))
-        });
+        system.put_in_force(2, &config);
         system
     }
 }
