--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -138,6 +138,35 @@
     assert_eq!(rollout.old_received(), at_old);
 }
 
+/// Guards against keys that reach endpoints of either version on public routes.
+fn no_version_gets_a_key_on_a_public_route() {
+    let rollout = RolloutSystem::start(System::start_with_rollouts(1));
+    let config = System::config(2, r#""k""#)
+        .replace(r#""attempts":2},"#, r#""attempts":2,"public":true},"#)
+        .replace(
+            r#""gap_goal_ms":700}"#,
+            r#""gap_goal_ms":700,"public":true}"#,
+        );
+    assert_eq!(config.matches(r#""public":true"#).count(), 3, "{config}");
+    rollout.system.put_in_force(2, &config);
+    let loads = loads(&rollout.system);
+    rollout.order();
+    rollout.register_new();
+    rollout.wait_for_state("complete");
+    check_served(&finish(loads), &rollout);
+    let old = rollout.system.endpoints().into_iter();
+    let mut received: Vec<fakes::ReceivedRequest> =
+        old.flat_map(fakes::FakeEndpoint::received).collect();
+    let new = rollout.new_received();
+    assert!(!received.is_empty() && !new.is_empty());
+    received.extend(new);
+    for request in received {
+        assert_eq!(request.head.headers.count("Authorization"), 0);
+        let workspace = request.field("Kumquatpulley-Tenant");
+        assert_eq!(workspace.as_deref(), Some("w"));
+    }
+}
+
 /// Guards against routers that refuse all requests after a restart, as they know the order and not yet
 /// that the new version has taken over.
 fn restarted_routers_use_the_version_that_took_over(restarted: ops::Range<usize>) {
@@ -254,6 +283,7 @@
     version_that_breaks_streams: a_bad_version_is_reverted(breaks_streams);
     restarted_router: restarted_routers_use_the_version_that_took_over(0..1);
     restarted_system: restarted_routers_use_the_version_that_took_over(0..2);
+    keys_on_public_routes: no_version_gets_a_key_on_a_public_route();
     no_contract: without_the_contract_orders_have_no_effect();
     unread_orders: a_new_version_gets_nothing_before_the_orders_are_read();
 }
