Use the memory of freed bodies again in any thread

Cause: an evicted body is freed by the thread of its task, and the allocator keeps that memory resident for that thread for a while. The body that takes the room grows in another thread and in new memory.

Change: 64 KiB segments of bodies that are gone go to a pool, and the next body takes them. Unused and reserved bytes together stay within the budget, as segments of other sizes displace unused ones. Every 30 s, what nobody needed is freed.

--- a/src/connection/body_intake.rs
+++ b/src/connection/body_intake.rs
@@ -10,8 +10,7 @@
 use futures::future;
 
 use crate::connection::call_body;
-use crate::process::limits::byte_budget;
-use crate::process::limits::caller_memory;
+use crate::process::limits::{byte_budget, caller_memory, segment_pool};
 
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, IntakeFault>;
@@ -45,22 +44,28 @@
 /// Bounds of the segments in which a body grows. A small body takes little more than its size; a segment of
 /// a large one is a small part of it.
 const MIN_SEGMENT_BYTES: usize = 4 * 1024;
-const MAX_SEGMENT_BYTES: usize = 64 * 1024;
+const MAX_SEGMENT_BYTES: usize = segment_pool::POOLED_BYTES;
 
 /// Reads a whole body of at most `max_bytes` within `limit`. Each segment is reserved before it is allocated,
 /// and only when bytes for it have arrived. Afterwards, the reservation cannot be evicted.
 ///
 /// # Errors
-/// [`IntakeFault`]; the caller drops the reservation.
+/// [`IntakeFault`]; the segments are dropped before the reservation.
 pub async fn read(
     body: &mut http_types::Body,
-    reservation: &byte_budget::ByteReservation,
+    hold: caller_memory::MemoryHold,
     limit: time::Duration,
     max_bytes: usize,
-) -> Result<Vec<Vec<u8>>> {
+) -> Result<call_body::CallBody> {
+    let reservation = hold.reservation();
     let segments = {
         let mut memory = SegmentMemory::Request(reservation);
-        let reading = pin::pin!(read_segments(body, &mut memory, max_bytes));
+        let reading = pin::pin!(read_segments(
+            body,
+            hold.open_segments(),
+            &mut memory,
+            max_bytes
+        ));
         let reading = async_future::timeout(limit, reading);
         let evicted = pin::pin!(reservation.evicted());
         match future::select(pin::pin!(reading), evicted).await {
@@ -72,7 +77,7 @@
         }
     };
     reservation.keep().map_err(IntakeFault::Memory)?;
-    Ok(segments)
+    Ok(call_body::CallBody::held(segments, Some(hold)))
 }
 
 /// Reads a whole answer of at most `max_bytes`. While there is no memory for the next segment, it is not read.
@@ -84,8 +89,10 @@
     mut hold: Option<caller_memory::MemoryHold>,
     max_bytes: usize,
 ) -> Result<call_body::CallBody> {
+    let segments = hold.as_ref().map(caller_memory::MemoryHold::open_segments);
     let mut memory = SegmentMemory::Answer(hold.as_mut());
-    let segments = read_segments(body, &mut memory, max_bytes).await?;
+    let segments = segments.unwrap_or_default();
+    let segments = read_segments(body, segments, &mut memory, max_bytes).await?;
     Ok(call_body::CallBody::held(segments, hold))
 }
 
@@ -121,10 +128,10 @@
 
 async fn read_segments<R: io::BufRead + Unpin>(
     body: &mut R,
+    mut segments: segment_pool::BodySegments,
     memory: &mut SegmentMemory<'_>,
     max_bytes: usize,
-) -> Result<Vec<Vec<u8>>> {
-    let mut segments: Vec<Vec<u8>> = Vec::new();
+) -> Result<segment_pool::BodySegments> {
     let mut length = 0;
     loop {
         let arrived = body.fill_buf().await.map_err(IntakeFault::Broken)?;
@@ -137,15 +144,12 @@
         }
         let mut left = arrived;
         while !left.is_empty() {
-            let segment = match segments.last_mut() {
-                Some(segment) if segment.len() < segment.capacity() => segment,
-                _ => {
-                    let held = length - left.len();
-                    let bytes = held.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
-                    memory.grow(bytes).await?;
-                    segments.push(Vec::with_capacity(bytes));
-                    continue;
-                }
+            let Some(segment) = segments.last_with_room() else {
+                let held = length - left.len();
+                let bytes = held.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES);
+                memory.grow(bytes).await?;
+                segments.add(bytes);
+                continue;
             };
             let room = segment.capacity() - segment.len();
             let (next, rest) = left.split_at(room.min(left.len()));
--- a/src/connection/call_body.rs
+++ b/src/connection/call_body.rs
@@ -9,12 +9,12 @@
 use async_std::io;
 use serde::ser::SerializeSeq as _;
 
-use crate::process::limits::caller_memory;
+use crate::process::limits::{caller_memory, segment_pool};
 
 /// Body in segments, as it was received; clones share them. The memory is returned with the last clone.
 #[derive(Clone, Default)]
 pub struct CallBody {
-    segments: sync::Arc<Vec<Vec<u8>>>,
+    segments: sync::Arc<segment_pool::BodySegments>,
     length: usize,
     /// `None` for a body that came from a peer.
     hold: Option<sync::Arc<caller_memory::MemoryHold>>,
@@ -23,9 +23,12 @@
 impl CallBody {
     /// Body whose memory is accounted for by `hold`.
     #[must_use]
-    pub fn held(segments: Vec<Vec<u8>>, hold: Option<caller_memory::MemoryHold>) -> Self {
+    pub fn held(
+        segments: segment_pool::BodySegments,
+        hold: Option<caller_memory::MemoryHold>,
+    ) -> Self {
         Self {
-            length: segments.iter().map(Vec::len).sum(),
+            length: segments.as_slice().iter().map(Vec::len).sum(),
             segments: sync::Arc::new(segments),
             hold: hold.map(sync::Arc::new),
         }
@@ -45,13 +48,13 @@
 
     /// The bytes in order.
     pub fn segments(&self) -> impl Iterator<Item = &[u8]> {
-        self.segments.iter().map(Vec::as_slice)
+        self.segments.as_slice().iter().map(Vec::as_slice)
     }
 
     /// Copy of all bytes in one piece.
     #[must_use]
     pub fn to_vec(&self) -> Vec<u8> {
-        self.segments.concat()
+        self.segments.as_slice().concat()
     }
 
     /// The same bytes for a holder that has a bound of its own.
@@ -88,13 +91,13 @@
     }
 
     fn bytes(&self) -> impl Iterator<Item = &u8> {
-        self.segments.iter().flatten()
+        self.segments.as_slice().iter().flatten()
     }
 }
 
 impl From<Vec<u8>> for CallBody {
     fn from(bytes: Vec<u8>) -> Self {
-        Self::held(vec![bytes], None)
+        Self::held(bytes.into(), None)
     }
 }
 
@@ -142,7 +145,7 @@
 impl SegmentReader {
     /// Bytes of the present segment that are left; empty at the end.
     fn left(&mut self) -> &[u8] {
-        let segments = &self.body.segments;
+        let segments = self.body.segments.as_slice();
         while segments
             .get(self.index)
             .is_some_and(|segment| segment.len() <= self.offset)
--- a/src/connection/caller_intake.rs
+++ b/src/connection/caller_intake.rs
@@ -58,12 +58,11 @@
     let origin = origin.unwrap_or_else(|| RequestOrigin::new(net::Ipv4Addr::UNSPECIFIED.into()));
     let hold = node.caller_memory.open(origin.caller);
     let mut body = request.take_body();
-    let segments = body_intake::read(&mut body, hold.reservation(), BODY_TIMEOUT, max_bytes)
+    let body = body_intake::read(&mut body, hold, BODY_TIMEOUT, max_bytes)
         .timeout_at(node.readiness.closed())
         .await
         .map_err(|_closed| refusal::refuse_closed())?
         .map_err(|fault| refuse_fault(&node, origin.caller, fault))?;
-    let body = call_body::CallBody::held(segments, Some(hold));
     // `http_types` takes the end of the connection for that of the body.
     if length.is_some_and(|length| length != body.len()) {
         return Err(bad_request(
--- a/src/process/limits/caller_memory.rs
+++ b/src/process/limits/caller_memory.rs
@@ -6,12 +6,16 @@
 
 use async_std::task;
 use futures::lock;
+use stop_token::future::FutureExt as _;
 
-use crate::process::limits::byte_budget;
+use crate::process::limits::{byte_budget, segment_pool};
 
 /// Interval at which an answer asks again for memory. Meanwhile its bytes stay with the endpoint.
 const ANSWER_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Interval at which memory that is no longer needed is freed.
+const RELEASE_PERIOD: time::Duration = time::Duration::from_secs(30);
+
 /// Budget of a process for request bodies and answers.
 #[derive(Debug)]
 pub struct CallerMemory {
@@ -19,6 +23,7 @@
     /// Held by the one answer that may exceed the budget, so that requests whose bodies fill the budget
     /// still complete one after the other.
     excess: sync::Arc<lock::Mutex<()>>,
+    segments: sync::Arc<segment_pool::SegmentPool>,
 }
 
 /// Memory that one body or answer holds; returned on drop.
@@ -34,9 +39,12 @@
     /// Memory of `limit` bytes.
     #[must_use]
     pub fn new(limit: usize) -> Self {
+        let budget = sync::Arc::new(byte_budget::ByteBudget::new(limit));
+        let segments = segment_pool::SegmentPool::new(sync::Arc::clone(&budget));
         Self {
-            budget: sync::Arc::new(byte_budget::ByteBudget::new(limit)),
+            budget,
             excess: sync::Arc::default(),
+            segments: sync::Arc::new(segments),
         }
     }
 
@@ -62,6 +70,17 @@
             excess: None,
         }
     }
+
+    /// Frees memory of earlier bodies that later ones do not need, until `token` stops it.
+    pub async fn release_unused(self: sync::Arc<Self>, token: stop_token::StopToken) {
+        while task::sleep(RELEASE_PERIOD)
+            .timeout_at(token.clone())
+            .await
+            .is_ok()
+        {
+            self.segments.release_unused();
+        }
+    }
 }
 
 impl MemoryHold {
@@ -80,6 +99,12 @@
         answer
     }
 
+    /// Starts a body without segments, whose memory this hold accounts for.
+    #[must_use]
+    pub fn open_segments(&self) -> segment_pool::BodySegments {
+        self.memory.segments.open()
+    }
+
     /// Waits until `bytes` more of an answer may be held. One answer at a time does not wait.
     pub async fn grow_answer(&mut self, bytes: usize) {
         while self.excess.is_none() && self.reservation.grow(bytes).await.is_err() {
--- a/src/process/limits/mod.rs
+++ b/src/process/limits/mod.rs
@@ -8,6 +8,7 @@
 mod byte_ledger;
 pub mod caller_memory;
 pub mod limit_split;
+pub mod segment_pool;
 pub mod share;
 pub mod token_bucket;
 pub mod token_transfer;
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -346,6 +346,8 @@
         sync::Arc::clone(node),
         process.token(),
     ));
+    let memory = sync::Arc::clone(&node.caller_memory);
+    task::spawn(memory.release_unused(process.token()));
 }
 
 fn issuer(
--- a/tests/own_interface_crowds/main.rs
+++ b/tests/own_interface_crowds/main.rs
@@ -57,10 +57,18 @@
 
 /// Guards against a router that runs out of memory or descriptors, or serves nobody, beside a crowd.
 fn a_crowd_is_withstood(plan: &crowd::CrowdPlan) {
+    crowds_are_withstood(1, plan);
+}
+
+/// `count` crowds, each after the one before has gone.
+fn crowds_are_withstood(count: usize, plan: &crowd::CrowdPlan) {
     let _alone = ALONE.lock().unwrap_or_else(sync::PoisonError::into_inner);
     let mut router = crowd_router::CrowdRouter::start(MAX_BODY_BYTES, MAX_CONNECTIONS);
     router.answers_an_ordinary_request();
     let mut usage = process_usage::UsageWatch::start(router.id());
+    for _gone in 1..count {
+        crowd::Crowd::connect(router.listen, plan).send(&mut usage);
+    }
     let mut crowd = crowd::Crowd::connect(router.listen, plan);
     crowd.send(&mut usage);
     let held_until = time::Instant::now() + HOLD_TIME;
@@ -132,6 +140,10 @@
     legal_whole_one_address: a_crowd_is_withstood(
         &from_one_address(plan(crowd::Framing::Announced, WHOLE, MAX_BODY_BYTES))
     );
+    crowds_one_after_another: crowds_are_withstood(
+        4,
+        &plan(crowd::Framing::Announced, WHOLE, MAX_BODY_BYTES)
+    );
     legal_piece_by_piece: a_crowd_is_withstood(&plan(crowd::Framing::Announced, PIECE, MAX_BODY_BYTES));
     large_chunks: a_crowd_is_withstood(
         &plan(crowd::Framing::Chunked(LARGE_CHUNK), WHOLE, MAX_BODY_BYTES)
