Give each gossip cluster of the tests an address of its own

Change: each cluster listens on a loopback address of its own, and a failed start prints what each router knows. The limits are as before.

--- a/tests/gossip/cluster.rs
+++ b/tests/gossip/cluster.rs
@@ -1,6 +1,8 @@
 //! Cluster of gossip nodes in one process, with faults on the links between them.
 
 use std::collections;
+use std::net as std_net;
+use std::process;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -21,6 +23,9 @@
 /// Incarnations of started routers count up from here.
 pub const BASE_INCARNATION: u64 = 1_000_000;
 
+/// Clusters of this process so far.
+static CLUSTERS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
 /// Directed links, as pairs of source and destination address, whose packets are dropped.
 #[derive(Debug, Default)]
 pub struct BlockedLinks(parking_lot::Mutex<collections::HashSet<(String, String)>>);
@@ -149,16 +154,32 @@
 }
 
 /// State shared by the routers of one test. The first two routers are the seeds of later ones.
-#[derive(Default)]
 pub struct TestCluster {
     pub blocked: sync::Arc<BlockedLinks>,
+    /// Loopback address of this cluster alone. A router at a port that a router of another cluster had
+    /// would be found by that cluster, and the two would merge.
+    host: std_net::Ipv4Addr,
     seeds: Vec<String>,
     started: usize,
 }
 
+impl Default for TestCluster {
+    fn default() -> Self {
+        let number = CLUSTERS.fetch_add(1, atomic::Ordering::Relaxed);
+        let [.., high, low] = process::id().to_be_bytes();
+        let host = u8::try_from(number + 2).expect("too many clusters in one process");
+        Self {
+            blocked: sync::Arc::default(),
+            host: std_net::Ipv4Addr::new(127, high, low, host),
+            seeds: Vec::new(),
+            started: 0,
+        }
+    }
+}
+
 impl TestCluster {
     pub async fn start(&mut self, router: &str) -> TestRouter {
-        let listener = net::TcpListener::bind("127.0.0.1:0")
+        let listener = net::TcpListener::bind((self.host, 0))
             .await
             .expect("no free port");
         self.started += 1;
@@ -222,10 +243,10 @@
             routers.push(self.start(&format!("router-{index}")).await);
         }
         let is_whole = || routers.iter().all(|router| router.has_ready_count(count));
-        assert!(
-            wait_until(CONVERGENCE_LIMIT, is_whole).await,
-            "routers did not converge"
-        );
+        if !wait_until(CONVERGENCE_LIMIT, is_whole).await {
+            let views = routers.iter().map(|router| router.node.members());
+            panic!("routers did not converge: {:#?}", views.collect::<Vec<_>>());
+        }
         routers
     }
 }
