Ask a seed first, also if another router was faster

In production, such routers work in two groups for some seconds after a common start.

Cause: seeds are asked by a router without peers, and in every eighth round by chance. A router that another one finds before its first round has a peer and asks no seed. If it is a seed, later routers join it, and the groups stay apart until a healing round hits the other one.

Change: until a seed has answered, every second one of the first eight rounds goes to a seed. Peers keep the others.

--- a/src/process/members/gossip_round.rs
+++ b/src/process/members/gossip_round.rs
@@ -191,6 +191,7 @@
             .await
             == ProbeOutcome::Alive
         {
+            self.record_answer(&target.address);
             return;
         }
         gossip::count(&self.counters.failures);
--- a/src/process/members/gossip_target.rs
+++ b/src/process/members/gossip_target.rs
@@ -9,6 +9,10 @@
 /// separated by a network partition find each other again.
 const HEALING_INTERVAL_ROUNDS: u64 = 8;
 
+/// First rounds of which every second one goes to a seed, until a seed has answered. Otherwise routers that
+/// found each other before they reached a seed would stay a group of their own until a healing round.
+const JOINING_ROUNDS: u64 = HEALING_INTERVAL_ROUNDS;
+
 /// Maximum number of helpers for one indirect probe.
 const HELPER_COUNT: usize = 3;
 
@@ -23,6 +27,7 @@
     fingers: Vec<String>,
     next_finger: usize,
     rounds: u64,
+    has_reached_seed: bool,
     inconclusive_probes: collections::HashMap<String, u32>,
 }
 
@@ -36,6 +41,10 @@
 }
 
 impl TargetList {
+    const fn is_seed_due(&self) -> bool {
+        !self.has_reached_seed && self.rounds < JOINING_ROUNDS && !self.rounds.is_multiple_of(2)
+    }
+
     /// Counts a probe of a member that no helper answered; returns `true` and resets the count
     /// when it reaches [`MAX_INCONCLUSIVE_PROBES`].
     pub(super) fn record_inconclusive(&mut self, router: &str) -> bool {
@@ -84,21 +93,27 @@
     }
 
     /// Next peer to contact: the fingers take turns in random order. A healing target is used
-    /// instead when there are no fingers, and once every [`HEALING_INTERVAL_ROUNDS`] rounds.
+    /// instead when there are no fingers, and once every [`HEALING_INTERVAL_ROUNDS`] rounds; a seed
+    /// in some of the first rounds.
     pub(super) fn next_target(&self) -> Option<RoundTarget> {
         let fingers = self.fingers();
         let mut targets = self.targets.lock();
         targets.rounds += 1;
         let is_healing = targets.rounds.is_multiple_of(HEALING_INTERVAL_ROUNDS);
+        let is_seed_due = targets.is_seed_due();
+        drop(targets);
         if fingers.is_empty() || is_healing {
-            drop(targets);
             return self.healing_target();
         }
+        if is_seed_due && let Some(seed) = fastrand::choice(self.seed_targets()) {
+            return Some(seed);
+        }
+        let mut targets = self.targets.lock();
         if targets.next_finger >= targets.fingers.len() {
             targets.next_finger = 0;
             fastrand::shuffle(&mut targets.fingers);
         }
-        let router = targets.fingers[targets.next_finger].clone();
+        let router = targets.fingers.get(targets.next_finger)?.clone();
         targets.next_finger += 1;
         drop(targets);
         let state = self.state.lock();
@@ -110,7 +125,6 @@
     /// Members that have left are skipped.
     fn healing_target(&self) -> Option<RoundTarget> {
         let state = self.state.lock();
-        let own = state.table.own().peer_address.clone();
         let others = state.table.records();
         let others = others.filter(|record| record.member.router != self.router);
         let mut dead = Vec::new();
@@ -123,15 +137,26 @@
             }
         }
         drop(state);
-        let seeds = self.seeds.addresses();
-        let seeds = seeds.iter().filter(|address| **address != own);
-        let seeds: Vec<RoundTarget> = seeds.map(|address| unverified_target(address)).collect();
-        let mut kinds = [dead, live, seeds];
+        let mut kinds = [dead, live, self.seed_targets()];
         fastrand::shuffle(&mut kinds);
         let kind = kinds.iter().find(|kind| !kind.is_empty())?;
         fastrand::choice(kind).cloned()
     }
 
+    /// All seeds but this router.
+    fn seed_targets(&self) -> Vec<RoundTarget> {
+        let own = self.state.lock().table.own().peer_address.clone();
+        let seeds = self.seeds.addresses();
+        let others = seeds.iter().filter(|address| **address != own);
+        others.map(|address| unverified_target(address)).collect()
+    }
+
+    /// Records that the router at `address` answered.
+    pub(super) fn record_answer(&self, address: &str) {
+        let is_seed = self.seeds.addresses().iter().any(|seed| seed == address);
+        self.targets.lock().has_reached_seed |= is_seed;
+    }
+
     /// Regular peers of this node, recomputed when the set of live members has changed.
     pub(super) fn fingers(&self) -> Vec<String> {
         let state = self.state.lock();
--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -10,6 +10,7 @@
 mod common;
 mod exchange;
 mod fixtures;
+mod joining;
 mod pause;
 mod table;
 
