--- a/tests/own_interface_crowds/main.rs
+++ b/tests/own_interface_crowds/main.rs
@@ -60,7 +60,8 @@
     crowds_are_withstood(1, plan);
 }
 
-/// `count` crowds, each after the one before has gone.
+/// `count` crowds, each after the one before has gone. Guards against freed memory of a crowd that adds to
+/// the memory of the next one.
 fn crowds_are_withstood(count: usize, plan: &crowd::CrowdPlan) {
     let _alone = ALONE.lock().unwrap_or_else(sync::PoisonError::into_inner);
     let mut router = crowd_router::CrowdRouter::start(MAX_BODY_BYTES, MAX_CONNECTIONS);
