--- a/tests/gateway/caller_keys.rs
+++ b/tests/gateway/caller_keys.rs
@@ -70,11 +70,7 @@
         assert_eq!(named.as_deref(), workspace, "{id}");
     }
     let request = format!(r#""request":"{id}""#);
-    system.wait_for("the end of the request is logged", || {
-        let logs = system.logs();
-        let mut lines = logs.lines();
-        lines.any(|line| line.contains("request ended") && line.contains(&request))
-    });
+    system.wait_for_line(&["request ended", &request]);
     let logs = system.logs();
     assert!(!logs.contains(KEY) && !logs.contains(UNKNOWN_KEY), "{logs}");
 }
--- a/tests/gateway/changed_configuration.rs
+++ b/tests/gateway/changed_configuration.rs
@@ -63,13 +63,7 @@
             Self::EndpointsRemoved => {
                 system.store.remove("servers", "e1");
                 system.store.remove("servers", "e2");
-                return system.wait_for("the endpoints are gone", || {
-                    let logs = system.logs();
-                    let newest = logs
-                        .lines()
-                        .rfind(|line| line.contains("endpoints changed"));
-                    newest.is_some_and(|line| line.contains(r#""known":0,"#))
-                });
+                return system.wait_for_known(0);
             }
             Self::SettingsReloaded => {
                 return router::signal(&system.gateways[0], rustix::process::Signal::HUP);
--- a/tests/gateway/early_answers.rs
+++ b/tests/gateway/early_answers.rs
@@ -84,22 +84,6 @@
     address
 }
 
-/// Waits until the attempt at the early endpoint is logged, which may be after the answer.
-fn wait_for_line(system: &System, message: &str) {
-    system.wait_for(message, || system.logs().contains(message));
-}
-
-fn wait_for_known(system: &System, count: usize) {
-    let known = format!(r#""known":{count},"#);
-    system.wait_for("the endpoints are known", || {
-        let logs = system.logs();
-        let newest = logs
-            .lines()
-            .rfind(|line| line.contains("endpoints changed"));
-        newest.is_some_and(|line| line.contains(&known))
-    });
-}
-
 /// A system with an early endpoint in place of the first one.
 fn start_with_early_endpoint(text: &'static str, config: &str) -> System {
     let config = config.replace(r#""max_body_bytes":10000"#, MAX_BODY);
@@ -107,9 +91,9 @@
     let address = start_early_endpoint(system.first.address.ip(), text);
     let entry = fakes::FakeEndpoint::entry_at(address, "m", "z1", "ready");
     system.store.remove("servers", "e1");
-    wait_for_known(&system, 1);
+    system.wait_for_known(1);
     system.store.put("servers", "early", &entry);
-    wait_for_known(&system, 2);
+    system.wait_for_known(2);
     system
 }
 
@@ -117,7 +101,7 @@
 fn start_with_only_early_endpoint(text: &'static str, config: &str) -> System {
     let system = start_with_early_endpoint(text, config);
     system.store.remove("servers", "e2");
-    wait_for_known(&system, 1);
+    system.wait_for_known(1);
     system
 }
 
@@ -141,7 +125,7 @@
     let answer = send(&system, path, "r1", body);
     assert_eq!(answer.head.status, 502, "{}", system.logs());
     assert_eq!(answer.head.headers.get("Kumquatpulley-Runner-Seal"), None);
-    wait_for_line(&system, "call lost");
+    system.wait_for_line(&["call lost"]);
 }
 
 /// Guards against the same part where the call may go on at another endpoint.
@@ -157,7 +141,7 @@
             system.logs()
         );
     }
-    wait_for_line(&system, "call lost");
+    system.wait_for_line(&["call lost"]);
 }
 
 /// Guards against a stream without a length that ends as complete for the same reason.
@@ -168,7 +152,7 @@
         assert!(answer.is_complete, "{}", system.logs());
         assert_eq!(answer.text(), caller::complete_stream());
     }
-    wait_for_line(&system, "stream attempt ended");
+    system.wait_for_line(&["stream attempt ended"]);
 }
 
 /// Guards against the same end where nobody can go on with the stream.
--- a/tests/gateway/odd_answers.rs
+++ b/tests/gateway/odd_answers.rs
@@ -109,13 +109,7 @@
     let text = System::config(2, r#""k""#);
     let text = text.replace("20000", "1e300").replace("3000", "1e300");
     let text = text.replace("4500", "1e300").replace("700", "1e300");
-    system.store.put("op", "config", text.as_bytes());
-    system.wait_for("the version is in force", || {
-        system
-            .logs()
-            .lines()
-            .any(|line| line.contains("version in force") && line.contains(r#""version":2"#))
-    });
+    system.put_in_force(2, &text);
     let untimed =
         caller::request("/once/1", "r1", "k").replace("Kumquatpulley-Deadline-Ms: 8000\r\n", "");
     let answer = caller::exchange((system.ip(), 8227).into(), untimed.as_bytes());
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -85,11 +85,7 @@
 
     fn wait_for_endpoints(&self, known: usize) {
         let text = format!(r#""known":{known}"#);
-        self.system.wait_for("the endpoints are known", || {
-            let logs = self.system.logs();
-            let mut lines = logs.lines();
-            lines.any(|line| line.contains("endpoints changed") && line.contains(&text))
-        });
+        self.system.wait_for_line(&["endpoints changed", &text]);
     }
 }
 
--- a/tests/gateway/support/system.rs
+++ b/tests/gateway/support/system.rs
@@ -156,10 +156,26 @@
     pub fn put_in_force(&self, version: u64, text: &str) {
         self.store.put("op", "config", text.as_bytes());
         let number = format!(r#""version":{version}}}"#);
-        self.wait_for("the version is in force", || {
+        self.wait_for_line(&["version in force", &number]);
+    }
+
+    /// Waits until a log line has all `parts`. A line may be written after its request was answered.
+    pub fn wait_for_line(&self, parts: &[&str]) {
+        self.wait_for(&format!("a log line with {parts:?}"), || {
+            let logs = self.logs();
+            let mut lines = logs.lines();
+            lines.any(|line| parts.iter().all(|part| line.contains(part)))
+        });
+    }
+
+    /// Waits until the newest list of endpoints has `count`.
+    pub fn wait_for_known(&self, count: usize) {
+        let known = format!(r#""known":{count},"#);
+        self.wait_for(&format!("{count} endpoints are known"), || {
             let logs = self.logs();
             let mut lines = logs.lines();
-            lines.any(|line| line.contains("version in force") && line.contains(&number))
+            let newest = lines.rfind(|line| line.contains("endpoints changed"));
+            newest.is_some_and(|line| line.contains(&known))
         });
     }
 
