Look up seeds only until one has answered

Cause: each round copied all seed addresses after its answer, though they matter only until a seed was reached. Behaviour is as before. In read_answer, the segments are made in one place.

--- a/src/connection/body_intake.rs
+++ b/src/connection/body_intake.rs
@@ -90,8 +90,8 @@
     max_bytes: usize,
 ) -> Result<call_body::CallBody> {
     let segments = hold.as_ref().map(caller_memory::MemoryHold::open_segments);
-    let mut memory = SegmentMemory::Answer(hold.as_mut());
     let segments = segments.unwrap_or_default();
+    let mut memory = SegmentMemory::Answer(hold.as_mut());
     let segments = read_segments(body, segments, &mut memory, max_bytes).await?;
     Ok(call_body::CallBody::held(segments, hold))
 }
--- a/src/process/members/gossip_target.rs
+++ b/src/process/members/gossip_target.rs
@@ -153,6 +153,9 @@
 
     /// Records that the router at `address` answered.
     pub(super) fn record_answer(&self, address: &str) {
+        if self.targets.lock().has_reached_seed {
+            return;
+        }
         let is_seed = self.seeds.addresses().iter().any(|seed| seed == address);
         self.targets.lock().has_reached_seed |= is_seed;
     }
