--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -9,9 +9,9 @@
 use crate::connection::peer;
 use crate::process::gateway::rollout::{control, plan_book, version_policy};
 use crate::process::gateway::{
-    boot_clock, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows, first_read,
-    freshness, permits, readers, request_check, request_guard, rows, settings, stop, stop_schedule,
-    stream_duration, token_exchange, unfinished_request,
+    boot_clock, config_state, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows,
+    first_read, freshness, peer_polls, permits, readers, request_check, request_guard, rows,
+    settings, stop, stop_schedule, stream_duration, token_exchange, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -20,19 +20,6 @@
 use crate::request::verdict;
 use crate::version::traffic;
 
-/// What a gateway knows of the configuration.
-#[derive(Debug, Default)]
-pub struct ConfigState {
-    /// The version in force; `None` until the store or a peer has sent one.
-    pub version: Option<sync::Arc<traffic::TrafficVersion>>,
-    /// Whether this process has known a version with keys, which callers may go on sending.
-    pub has_known_keys: bool,
-    /// Key and value of the store's row with this version, to be passed on to peers.
-    pub row: Option<(String, Vec<u8>)>,
-    /// When the version in force was last known to be the newest.
-    pub clock: freshness::FreshnessClock,
-}
-
 /// One gateway and the state that its tasks share.
 #[derive(Debug)]
 pub struct GatewayNode {
@@ -70,8 +57,10 @@
     pub reader_watch: parking_lot::Mutex<readers::ReaderLiveness>,
     /// When the store last answered a reader, as reported by peers of this router's zone.
     pub zone_watch: parking_lot::Mutex<readers::ReaderLiveness>,
+    /// Polls of peers that failed.
+    pub poll_failures: parking_lot::Mutex<peer_polls::PollFailures>,
     /// The configuration in force and its age.
-    pub config_state: parking_lot::Mutex<ConfigState>,
+    pub config_state: parking_lot::Mutex<config_state::ConfigState>,
     /// Client of the platform's store.
     pub store: sync::Arc<dyn rows::RowStore>,
     /// Decodes rows of the store.
@@ -144,63 +133,6 @@
         InFlightGuard(&self.in_flight)
     }
 
-    pub(super) fn has_fresh_version(&self) -> bool {
-        let state = self.config_state.lock();
-        let now = boot_clock::BootInstant::now();
-        state.version.is_some()
-            && state
-                .clock
-                .may_accept_key(self.settings.bounds.max_key_age, now)
-    }
-
-    /// Puts the version of a row in force if it is newer; returns the row's number, or `None` if the
-    /// row holds no valid configuration.
-    pub fn apply_version(&self, key: &str, value: &[u8], source: &str) -> Option<u64> {
-        let version = self.codec.traffic(key, value)?;
-        let number = version.number();
-        let mut state = self.config_state.lock();
-        let current = state.version.as_ref().map(|version| version.number());
-        if let Some(current) = current.filter(|current| *current >= number) {
-            drop(state);
-            if current > number {
-                log::info!(version = current, found = number, source; "older version ignored");
-            }
-            return Some(number);
-        }
-        let routes = version.route_count();
-        let idle_timeout_ms = whole_millis(version.limits().idle_timeout);
-        state.has_known_keys |= version.requires_keys();
-        state.version = Some(sync::Arc::new(version));
-        state.row = Some((key.to_owned(), value.to_vec()));
-        // What confirmed the version before says nothing about this one.
-        state.clock = freshness::FreshnessClock::default();
-        drop(state);
-        log::info!(version = number, routes, idle_timeout_ms, source; "version in force");
-        let kind = timeline::EventKind::VersionInForce { number };
-        self.ring.record(None, kind);
-        self.gossip.set_config(number);
-        Some(number)
-    }
-
-    /// Number of the version in force; `None` if there is none yet.
-    #[must_use]
-    pub fn version_number(&self) -> Option<u64> {
-        let state = self.config_state.lock();
-        state.version.as_ref().map(|version| version.number())
-    }
-
-    /// Records that the version in force was the newest at `asked_at`, when the query was sent.
-    pub fn confirm_version(&self, asked_at: boot_clock::BootInstant) {
-        self.config_state.lock().clock.confirm(asked_at);
-    }
-
-    /// Time since the version in force was last known to be the newest; `None` if it never was.
-    #[must_use]
-    pub fn version_age(&self) -> Option<time::Duration> {
-        let now = boot_clock::BootInstant::now();
-        self.config_state.lock().clock.age(now)
-    }
-
     /// Updates the fleet from the registry if entries changed or the fleet was never filled; returns
     /// whether it did.
     pub fn publish_endpoints(&self, is_changed: bool) -> bool {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -133,6 +133,11 @@
         let age = config_state.clock.age(now)?;
         let row = config_state.row.clone().filter(|_row| number > above);
         drop(config_state);
+        if let Some((_key, value)) = &row {
+            self.metrics.count("config.sent");
+            let bytes = u64::try_from(value.len()).unwrap_or(u64::MAX);
+            self.metrics.count_by("config.sent_bytes", bytes);
+        }
         let endpoint_age = self.endpoint_clock.lock().age(now)?;
         let own = self.endpoint_digests();
         let is_same = endpoint_rows::combined_digest(&own) == digest;
@@ -188,6 +193,7 @@
             blocked: self.guard.digest(),
         };
         let reply = self.link.ask(address, query, ANSWER_TIMEOUT).await;
+        self.record_poll(address, asked_at, reply.as_ref().err());
         let Ok(peer_wire::ReplyBody::StoreView(Some(mut state))) = reply else {
             return;
         };
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -230,10 +230,7 @@
             counters: sync::Arc::clone(&metrics) as _,
             plans: sync::Arc::clone(&plans),
             orders: sync::Arc::default(),
-            bounds: ramp::ExposureBounds {
-                share: settings.bounds.expose_share,
-                slack: settings.bounds.expose_slack,
-            },
+            bounds: exposure_bounds(&settings.bounds),
         })
     });
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
@@ -256,6 +253,7 @@
         store_answered_at: parking_lot::Mutex::default(),
         reader_watch: parking_lot::Mutex::default(),
         zone_watch: parking_lot::Mutex::default(),
+        poll_failures: parking_lot::Mutex::default(),
         config_state: parking_lot::Mutex::default(),
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
@@ -275,6 +273,13 @@
     })
 }
 
+const fn exposure_bounds(bounds: &settings::GatewayBounds) -> ramp::ExposureBounds {
+    ramp::ExposureBounds {
+        share: bounds.expose_share,
+        slack: bounds.expose_slack,
+    }
+}
+
 /// The fleet, and the policy by which it is used where roll-outs are followed.
 fn versioned_fleet(
     settings: &settings::GatewaySettings,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod long_prompts;
 mod odd_answers;
 mod odd_entries;
+mod peer_polls;
 mod permit_replays;
 mod permits;
 mod planned_stops;
