Build a gateway apart from its sockets

A test of links of 10 Mbit/s needs gateways over a link of its own, but the one function that builds a gateway also opened its connections to peers. assemble moves from start to assembly and takes the link; the tasks that exchange state with store and peers start in spawn_control.

--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! `rows` and from other gateways through `peers`. `freshness`, `endpoint_registry` and
 //! `endpoint_fleet` hold the cached state and decide from it without I/O.
 
+pub mod assembly;
 pub mod block_list;
 pub mod boot_clock;
 pub mod budgets;
--- a/src/process/members/peering.rs
+++ b/src/process/members/peering.rs
@@ -28,8 +28,18 @@
     #[must_use]
     pub fn new(identity: gossip::MemberIdentity, seeds: Vec<String>) -> Self {
         let ring = sync::Arc::new(timeline::EventRing::new(identity.router.clone()));
-        let link: sync::Arc<dyn peer::PeerLink> =
-            sync::Arc::new(peer_client::PeerClient::new(sync::Arc::clone(&ring)));
+        let link = sync::Arc::new(peer_client::PeerClient::new(sync::Arc::clone(&ring)));
+        Self::with_link(identity, seeds, ring, link)
+    }
+
+    /// Like [`Self::new`], but reaches peers through `link` and records events in `ring`.
+    #[must_use]
+    pub fn with_link(
+        identity: gossip::MemberIdentity,
+        seeds: Vec<String>,
+        ring: sync::Arc<timeline::EventRing>,
+        link: sync::Arc<dyn peer::PeerLink>,
+    ) -> Self {
         let seeds = sync::Arc::new(seed::SeedList::new(seeds));
         let gossip = sync::Arc::new(gossip::GossipNode::new(
             identity,
