Add a failing test for large configurations on slow links

Callers were handled by an older configuration than the one acknowledged over 3 s before. The test runs 20 gateways in one process, over links of a fifth of 10 Mbit/s and with a fifth of 2,700 routes, to save processor time; the store answers the reader of the zone alone. The bound is the stated one, 3 s.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -41,6 +41,7 @@
 mod rollouts;
 mod silent_calls;
 mod silent_engines;
+mod slow_links;
 mod soak;
 mod sound_calls;
 mod stop_replays;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -13,6 +13,7 @@
 pub mod fleet_caller;
 pub mod limit_judge;
 pub mod load;
+pub mod paced_net;
 pub mod planned_stop;
 pub mod prompt_burst;
 pub mod rollout_conditions;
