Name the partitioned rows for what they are

The rows of a configuration are to be compared between routers in the same way as those of endpoints, by digests of parts. The type and its file lose the word endpoint; nothing else changes. tests/gateway, cached_state passes.

--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -9,8 +9,8 @@
 use crate::connection::peer;
 use crate::process::gateway::rollout::{control, plan_book, version_policy};
 use crate::process::gateway::{
-    boot_clock, config_state, counter_names, endpoint_fleet, endpoint_registry, endpoint_rows,
-    first_read, freshness, peer_polls, permits, readers, request_check, request_guard, rows,
+    boot_clock, config_state, counter_names, endpoint_fleet, endpoint_registry, first_read,
+    freshness, parted_rows, peer_polls, permits, readers, request_check, request_guard, rows,
     settings, stop, stop_schedule, stream_duration, token_exchange, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
@@ -42,7 +42,7 @@
     /// Endpoint entries of the store, and when they expire.
     pub registry: parking_lot::Mutex<endpoint_registry::EndpointRegistry>,
     /// The store's rows with endpoint entries, to be passed on to peers.
-    pub endpoint_rows: parking_lot::Mutex<endpoint_rows::EndpointRows>,
+    pub endpoint_rows: parking_lot::Mutex<parted_rows::PartedRows>,
     /// Era of the store that the list of endpoints is of; `None` until there is a list.
     pub endpoint_era: parking_lot::Mutex<Option<u64>>,
     /// When the list of endpoints was last known to be complete.
--- a/src/process/gateway/endpoint_rows.rs
+++ b/src/process/gateway/parted_rows.rs
@@ -1,4 +1,4 @@
-//! Raw endpoint rows of the store, partitioned so that two routers can compare them by digest.
+//! Raw rows, partitioned so that two routers can compare them by digest.
 //!
 //! Routers compare their rows several times a second. The hash of its key assigns each row to a
 //! part. A combined digest shows whether anything differs, a digest per part shows where, and a
@@ -39,16 +39,16 @@
     digest: u64,
 }
 
-/// Endpoint rows by part and key, with their digests.
+/// Rows by part and key, with their digests.
 #[derive(Debug)]
-pub struct EndpointRows {
+pub struct PartedRows {
     parts: Vec<collections::BTreeMap<String, StoredRow>>,
     /// XOR of the row digests of each part, without the marks of lapsed entries; does not depend
     /// on the order of changes.
     digests: PartDigests,
 }
 
-impl Default for EndpointRows {
+impl Default for PartedRows {
     fn default() -> Self {
         let parts = std::iter::repeat_with(collections::BTreeMap::new);
         Self {
@@ -58,7 +58,7 @@
     }
 }
 
-impl EndpointRows {
+impl PartedRows {
     /// Inserts a row, or replaces the one with the same key.
     pub fn insert(&mut self, key: String, value: Vec<u8>) {
         let part = part_of(&key);
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -11,7 +11,7 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::{peer, peer_wire, rollout_wire, store_view_wire};
-use crate::process::gateway::{boot_clock, endpoint_registry, endpoint_rows, node, readers};
+use crate::process::gateway::{boot_clock, endpoint_registry, node, parted_rows, readers};
 
 /// Timeout of one query to a peer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -28,7 +28,7 @@
 /// A peer's answers for the parts in which its rows differ.
 #[derive(Debug, Default)]
 struct PeerDeltas {
-    parts: Vec<endpoint_rows::PartDelta>,
+    parts: Vec<parted_rows::PartDelta>,
     /// Names of the entries of these parts that are lapsed at the peer.
     lapsed: collections::HashSet<String>,
 }
@@ -46,8 +46,8 @@
     confirmed_at: boot_clock::BootInstant,
 }
 
-impl From<endpoint_rows::PartDelta> for store_view_wire::PartDeltaWire {
-    fn from(delta: endpoint_rows::PartDelta) -> Self {
+impl From<parted_rows::PartDelta> for store_view_wire::PartDeltaWire {
+    fn from(delta: parted_rows::PartDelta) -> Self {
         Self {
             part: delta.part,
             rows: delta.rows,
@@ -57,7 +57,7 @@
     }
 }
 
-impl From<store_view_wire::PartDeltaWire> for endpoint_rows::PartDelta {
+impl From<store_view_wire::PartDeltaWire> for parted_rows::PartDelta {
     fn from(wire: store_view_wire::PartDeltaWire) -> Self {
         Self {
             part: wire.part,
@@ -140,7 +140,7 @@
         }
         let endpoint_age = self.endpoint_clock.lock().age(now)?;
         let own = self.endpoint_digests();
-        let is_same = endpoint_rows::combined_digest(&own) == digest;
+        let is_same = parted_rows::combined_digest(&own) == digest;
         Some(store_view_wire::StoreViewWire {
             number,
             age_micros: peer_wire::micros(age),
@@ -174,7 +174,7 @@
         }
     }
 
-    fn endpoint_digests(&self) -> endpoint_rows::PartDigests {
+    fn endpoint_digests(&self) -> parted_rows::PartDigests {
         let rows = self.endpoint_rows.lock();
         let registry = self.registry.lock();
         rows.digests(registry.lapsed())
@@ -186,7 +186,7 @@
         let asked_at = boot_clock::BootInstant::now();
         let above = self.version_number().unwrap_or_default();
         let own = self.endpoint_digests();
-        let digest = endpoint_rows::combined_digest(&own);
+        let digest = parted_rows::combined_digest(&own);
         let query = peer_wire::QueryBody::StoreView {
             above,
             digest,
@@ -214,7 +214,7 @@
         } else {
             state.digests
         };
-        let parts = endpoint_rows::differing_parts(&own, &digests);
+        let parts = parted_rows::differing_parts(&own, &digests);
         if let Some(deltas) = self.query_parts(address, &parts).await {
             let view = PeerView {
                 digests: &digests,
@@ -244,9 +244,7 @@
                 return None;
             };
             let parts = wire.parts.into_iter();
-            deltas
-                .parts
-                .extend(parts.map(endpoint_rows::PartDelta::from));
+            deltas.parts.extend(parts.map(parted_rows::PartDelta::from));
             deltas.lapsed.extend(wire.lapsed);
         }
         Some(deltas)
@@ -306,7 +304,7 @@
             registry.mark_restored(asked_at);
         }
         let own = own_rows.digests(registry.lapsed());
-        let differing = endpoint_rows::differing_parts(&own, digests);
+        let differing = parted_rows::differing_parts(&own, digests);
         let is_complete = differing.iter().all(|part| parts.contains(part));
         let Some(removed) = is_complete.then(|| own_rows.apply(deltas.parts)).flatten() else {
             log::info!("endpoint rows changed during the query to a peer; answer dropped");
@@ -333,7 +331,7 @@
 }
 
 fn is_in_part(part: u8, name: &str) -> bool {
-    endpoint_rows::part_of(name) == usize::from(part)
+    parted_rows::part_of(name) == usize::from(part)
 }
 
 /// Queries other routers for their state of the store, until `token` is cancelled.
--- a/tests/gateway/cached_state.rs
+++ b/tests/gateway/cached_state.rs
@@ -8,8 +8,8 @@
 use kumquatpulley::connection::peer_wire;
 use kumquatpulley::process::endpoints::placement;
 use kumquatpulley::process::gateway::{
-    boot_clock, budgets, endpoint_fleet, endpoint_notice, endpoint_registry, endpoint_rows,
-    first_read, freshness, readers, settings,
+    boot_clock, budgets, endpoint_fleet, endpoint_notice, endpoint_registry, first_read, freshness,
+    parted_rows, readers, settings,
 };
 use kumquatpulley::process::view;
 use kumquatpulley::request::key;
@@ -241,8 +241,8 @@
     assert_eq!(fleet.counts(), (1, 1));
 }
 
-fn rows_with(changes: &[(u8, Option<u8>)]) -> endpoint_rows::EndpointRows {
-    let mut rows = endpoint_rows::EndpointRows::default();
+fn rows_with(changes: &[(u8, Option<u8>)]) -> parted_rows::PartedRows {
+    let mut rows = parted_rows::PartedRows::default();
     for (key, value) in changes {
         let name = format!("e{key}");
         match value {
@@ -259,10 +259,10 @@
 
 /// Deltas from `peer` for the parts in which it differs from `own`.
 fn deltas_for(
-    own: &endpoint_rows::EndpointRows,
-    peer: &endpoint_rows::EndpointRows,
-) -> Vec<endpoint_rows::PartDelta> {
-    let parts = endpoint_rows::differing_parts(&peer.digests(none()), &own.digests(none()));
+    own: &parted_rows::PartedRows,
+    peer: &parted_rows::PartedRows,
+) -> Vec<parted_rows::PartDelta> {
+    let parts = parted_rows::differing_parts(&peer.digests(none()), &own.digests(none()));
     let deltas = parts.into_iter();
     let deltas = deltas.map(|part| peer.delta(part, &own.row_digests(part)).expect("a part"));
     deltas.collect()
@@ -280,8 +280,8 @@
         let digests = peer.digests(none());
         prop_assert_eq!(own.digests(none()), digests);
         prop_assert_eq!(
-            endpoint_rows::combined_digest(&own.digests(none())),
-            endpoint_rows::combined_digest(&digests)
+            parted_rows::combined_digest(&own.digests(none())),
+            parted_rows::combined_digest(&digests)
         );
         let rows: Vec<(&str, &[u8])> = own.iter().collect();
         let expected: Vec<(&str, &[u8])> = peer.iter().collect();
@@ -308,14 +308,14 @@
     assert!(own.apply(deltas).is_none());
     assert_eq!(own.digests(none()), changed);
     // A part number out of range, and a row that does not belong to its part, are rejected.
-    let wrong = |part| endpoint_rows::PartDelta {
+    let wrong = |part| parted_rows::PartDelta {
         part,
         rows: vec![("e1".to_owned(), vec![1; 200])],
         removed: vec![],
         digest: 0,
     };
     assert!(own.apply(vec![wrong(200)]).is_none());
-    let elsewhere = u8::from(endpoint_rows::part_of("e1") == 0);
+    let elsewhere = u8::from(parted_rows::part_of("e1") == 0);
     assert!(own.apply(vec![wrong(elsewhere)]).is_none());
     assert_eq!(own.digests(none()), changed);
     assert!(peer.delta(200, &[]).is_none());
@@ -324,8 +324,8 @@
 /// Bytes that are exchanged when `changed` of `count` rows differ, including the digests of the
 /// query, and the bytes of the changed rows alone.
 fn delta_bytes(count: u32, changed: u32) -> (usize, usize) {
-    let mut own = endpoint_rows::EndpointRows::default();
-    let mut peer = endpoint_rows::EndpointRows::default();
+    let mut own = parted_rows::PartedRows::default();
+    let mut peer = parted_rows::PartedRows::default();
     for number in 0..count {
         own.insert(format!("e{number}"), vec![1; 300]);
         let value = if number < changed { 2 } else { 1 };
@@ -334,10 +334,10 @@
     let deltas = deltas_for(&own, &peer);
     let rows = deltas.iter().flat_map(|delta| &delta.rows);
     let rows: usize = rows.map(|(key, value)| key.len() + value.len()).sum();
-    let digests = |delta: &endpoint_rows::PartDelta| {
+    let digests = |delta: &parted_rows::PartDelta| {
         own.row_digests(delta.part).len() + delta.removed.len() + 1
     };
-    let digests: usize = deltas.iter().map(digests).sum::<usize>() + endpoint_rows::PART_COUNT;
+    let digests: usize = deltas.iter().map(digests).sum::<usize>() + parted_rows::PART_COUNT;
     let changed = usize::try_from(changed).expect("a small number");
     (rows + digests * size_of::<u64>(), changed * 300)
 }
@@ -362,12 +362,12 @@
 fn a_lapsed_mark_changes_the_digest_of_its_part() {
     let rows = rows_with(&[(1, Some(1)), (2, Some(2))]);
     let marked = rows.digests(std::iter::once("e1"));
-    let parts = endpoint_rows::differing_parts(&marked, &rows.digests(none()));
+    let parts = parted_rows::differing_parts(&marked, &rows.digests(none()));
     assert_eq!(parts.len(), 1);
-    assert_eq!(usize::from(parts[0]), endpoint_rows::part_of("e1"));
+    assert_eq!(usize::from(parts[0]), parted_rows::part_of("e1"));
     // Missing digests count as differing in all parts.
-    let all = endpoint_rows::differing_parts(&marked, &[]);
-    assert_eq!(all.len(), endpoint_rows::PART_COUNT);
+    let all = parted_rows::differing_parts(&marked, &[]);
+    assert_eq!(all.len(), parted_rows::PART_COUNT);
 }
 
 fn an_undecodable_entry_removes_only_its_own_endpoint() {
