Fetch from peers only the rows of a configuration that are missing

Cause: for each version, each router got the whole configuration in one answer to a poll, with 500 ms for it. On a busy link of 10 Mbit/s the answer took longer, was dropped, and was asked for again from its start, which kept the link busy; endpoints in the same answer were lost with it. The class: a transfer that is all or nothing, under a limit that does not grow with its size.

Now a poll tells only the number. A task of its own fetches the rows that differ, by the digests that routers compare for endpoints already, 16 KiB an answer before compression with LZ4. Rows that have arrived are kept when an answer does not come, and hold for any later version and any peer. A version is in force once the digests of all its rows agree. This works because each answer is progress, and a changed route costs two rows.

New: slow_links::changed_route, config_rows.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -24,6 +24,7 @@
 pub mod in_flight;
 pub mod observed;
 pub mod order_client;
+pub mod packed;
 pub mod peer;
 pub mod peer_client;
 pub mod peer_server;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -57,7 +57,7 @@
     },
     /// Asks for the peer's view of the platform's store.
     StoreView {
-        /// Version number that the sender has; the reply includes the row of a newer version.
+        /// Version number above which the reply includes the version's row.
         above: u64,
         /// Digest of all the sender's endpoint rows; the reply holds part digests if it differs.
         digest: u64,
@@ -81,6 +81,13 @@
     RetryTokens(token_wire::RetryTokensWire),
     /// Asks or tells about roll-outs.
     Rollout(Box<rollout_wire::RolloutQueryWire>),
+    /// Asks for the rows of the configuration in force that the sender lacks.
+    ConfigRows {
+        /// Combined digest of that configuration as the sender knows it; 0 if it does not.
+        known: u64,
+        /// Parts that differ, with the digests of the sender's rows in each.
+        parts: Vec<(u8, Vec<u64>)>,
+    },
 }
 
 /// Request limit of an endpoint as the sender knows it.
@@ -172,6 +179,8 @@
     RetryTokens(u32),
     /// Reply about roll-outs.
     Rollout(Box<rollout_wire::RolloutReplyWire>),
+    /// Rows of the configuration that the querying router lacks; `None` when there is none yet.
+    ConfigRows(Option<Box<store_view_wire::ConfigRowsWire>>),
 }
 
 /// A gossip message; the reply has the same type.
--- a/src/connection/store_view_wire.rs
+++ b/src/connection/store_view_wire.rs
@@ -10,7 +10,8 @@
     pub number: u64,
     /// Time since `number` was confirmed to be the newest version, in microseconds.
     pub age_micros: u64,
-    /// Key and content of the version's row, if it is newer than the number in the query.
+    /// Key and content of the version's row, if it is newer than the number in the query. Asked for
+    /// by routers of earlier releases only.
     pub row: Option<(String, Vec<u8>)>,
     /// Time since the store last answered the sender, or the routers that read on its behalf, in
     /// microseconds; `None` when no answer is known.
@@ -25,6 +26,20 @@
     pub blocked: Vec<crash_wire::BlockedRequestWire>,
 }
 
+/// Rows of a configuration version that the receiver lacks, as many as fit into one message.
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct ConfigRowsWire {
+    /// Number of the configuration version in force at the sender.
+    pub number: u64,
+    /// Time since `number` was confirmed to be the newest version, in microseconds.
+    pub age_micros: u64,
+    /// Digests of the version's rows by part; empty when the receiver knows them.
+    pub digests: Vec<u64>,
+    /// Packed list of [`PartDeltaWire`], one for each part in the query.
+    pub parts: Vec<u8>,
+}
+
 /// Changes that bring some parts of the receiver's endpoint rows up to date.
 #[derive(Clone, Debug, Default)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! They make no routing decisions, and no other module depends on the platform's names.
 
 pub mod block_wire;
+pub mod config_rows;
 pub mod config_wire;
 pub mod entry_wire;
 pub mod info_dialect;
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -5,9 +5,9 @@
 use base64::Engine as _;
 use base64::engine::general_purpose;
 
-use crate::platform::{block_wire, config_wire, entry_wire, rollout_wire};
+use crate::platform::{block_wire, config_rows, config_wire, entry_wire, rollout_wire};
 use crate::process::gateway::rollout::{order, record};
-use crate::process::gateway::{block_list, endpoint_registry, rows};
+use crate::process::gateway::{block_list, endpoint_registry, parted_rows, rows};
 use crate::version::traffic;
 
 /// Result of decoding a store response.
@@ -212,6 +212,18 @@
         decoded.ok()
     }
 
+    fn split_config(&self, value: &[u8]) -> Option<parted_rows::PartedRows> {
+        let split = config_rows::split(value);
+        if let Err(error) = &split {
+            log::error!(cause = error.to_string().as_str(); "cannot split the configuration");
+        }
+        Some(parted_rows::PartedRows::from_iter(split.ok()?))
+    }
+
+    fn join_config(&self, rows: &parted_rows::PartedRows) -> (String, Vec<u8>) {
+        (CONFIG_KEY.to_owned(), config_rows::join(rows.iter()))
+    }
+
     fn endpoint(&self, key: &str, value: &[u8]) -> endpoint_registry::EntryChange {
         match entry_wire::decode(key, value) {
             Ok(record) => endpoint_registry::EntryChange::Present(record),
--- a/src/process/gateway/assembly.rs
+++ b/src/process/gateway/assembly.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic;
 use std::time;
 
+use async_std::channel;
+
 use crate::process::endpoints::placement;
 use crate::process::gateway::rollout::{control, coordinator, plan_book, ramp, version_policy};
 use crate::process::gateway::{
@@ -118,6 +120,7 @@
         reader_watch: parking_lot::Mutex::default(),
         zone_watch: parking_lot::Mutex::default(),
         poll_failures: parking_lot::Mutex::default(),
+        newer_versions: channel::bounded(1),
         config_state: parking_lot::Mutex::default(),
         store: sync::Arc::clone(&adapters.store),
         codec: sync::Arc::clone(&adapters.codec),
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Gateway: a router that forwards callers' requests to endpoints.
 //!
 //! It caches the configuration and the endpoints. Updates come from the platform's store through
-//! `rows` and from other gateways through `peers`. `freshness`, `endpoint_registry` and
+//! `rows` and from other gateways through `peers` and `config_pull`. `freshness`, `endpoint_registry` and
 //! `endpoint_fleet` hold the cached state and decide from it without I/O.
 
 pub mod assembly;
@@ -9,6 +9,7 @@
 pub mod boot_clock;
 pub mod budgets;
 pub mod caller_server;
+pub mod config_pull;
 pub mod config_state;
 pub mod counter_names;
 mod crash_exchange;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic;
 use std::time;
 
+use async_std::channel;
+
 use crate::connection::h1::{head, segments, sink};
 use crate::connection::peer;
 use crate::process::gateway::rollout::{control, plan_book, version_policy};
 use crate::process::gateway::{
-    boot_clock, config_state, counter_names, endpoint_fleet, endpoint_registry, first_read,
-    freshness, parted_rows, peer_polls, permits, readers, request_check, request_guard, rows,
-    settings, stop, stop_schedule, stream_duration, token_exchange, unfinished_request,
+    boot_clock, config_pull, config_state, counter_names, endpoint_fleet, endpoint_registry,
+    first_read, freshness, parted_rows, peer_polls, permits, readers, request_check, request_guard,
+    rows, settings, stop, stop_schedule, stream_duration, token_exchange, unfinished_request,
 };
 use crate::process::members::{gossip, seed};
 use crate::process::telemetry::{metrics, timeline};
@@ -59,6 +61,11 @@
     pub zone_watch: parking_lot::Mutex<readers::ReaderLiveness>,
     /// Polls of peers that failed.
     pub poll_failures: parking_lot::Mutex<peer_polls::PollFailures>,
+    /// A peer with a newer version, as noticed by a poll.
+    pub newer_versions: (
+        channel::Sender<config_pull::VersionSource>,
+        channel::Receiver<config_pull::VersionSource>,
+    ),
     /// The configuration in force and its age.
     pub config_state: parking_lot::Mutex<config_state::ConfigState>,
     /// Client of the platform's store.
--- a/src/process/gateway/parted_rows.rs
+++ b/src/process/gateway/parted_rows.rs
@@ -33,14 +33,14 @@
     pub digest: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoredRow {
     value: Vec<u8>,
     digest: u64,
 }
 
 /// Rows by part and key, with their digests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct PartedRows {
     parts: Vec<collections::BTreeMap<String, StoredRow>>,
     /// XOR of the row digests of each part, without the marks of lapsed entries; does not depend
@@ -58,6 +58,16 @@
     }
 }
 
+impl FromIterator<(String, Vec<u8>)> for PartedRows {
+    fn from_iter<I: IntoIterator<Item = (String, Vec<u8>)>>(iter: I) -> Self {
+        let mut parted = Self::default();
+        for (key, value) in iter {
+            parted.insert(key, value);
+        }
+        parted
+    }
+}
+
 impl PartedRows {
     /// Inserts a row, or replaces the one with the same key.
     pub fn insert(&mut self, key: String, value: Vec<u8>) {
@@ -111,11 +121,20 @@
     /// there is no such part.
     #[must_use]
     pub fn delta(&self, part: u8, held: &[u64]) -> Option<PartDelta> {
+        let mut unlimited = usize::MAX;
+        self.delta_within(part, held, &mut unlimited)
+    }
+
+    /// Like [`Self::delta`], but leaves out further rows once `room` bytes are used, and subtracts
+    /// what it used. The part still differs if rows were left out.
+    #[must_use]
+    pub fn delta_within(&self, part: u8, held: &[u64], room: &mut usize) -> Option<PartDelta> {
         let rows = self.parts.get(usize::from(part))?;
         let mut removed: collections::BTreeSet<u64> = held.iter().copied().collect();
         let mut changed = Vec::new();
         for (key, row) in rows {
-            if !removed.remove(&row.digest) {
+            if !removed.remove(&row.digest) && *room > 0 {
+                *room = room.saturating_sub(key.len() + row.value.len());
                 changed.push((key.clone(), row.value.clone()));
             }
         }
@@ -148,6 +167,24 @@
         Some(removed)
     }
 
+    /// Applies a delta that may lack rows, without checking its digest.
+    pub fn merge(&mut self, delta: PartDelta) {
+        let part = usize::from(delta.part);
+        let removed: collections::BTreeSet<u64> = delta.removed.into_iter().collect();
+        if let Some((rows, digest)) = self.parts.get_mut(part).zip(self.digests.get_mut(part)) {
+            rows.retain(|_key, row| {
+                let is_kept = !removed.contains(&row.digest);
+                if !is_kept {
+                    *digest ^= row.digest;
+                }
+                is_kept
+            });
+        }
+        for (key, value) in delta.rows {
+            self.insert(key, value);
+        }
+    }
+
     /// Keys of the rows that a delta removes; `None` if the delta is invalid or does not lead to
     /// its digest.
     fn removed_keys(&self, delta: &PartDelta) -> Option<Vec<String>> {
--- a/src/process/gateway/peers.rs
+++ b/src/process/gateway/peers.rs
@@ -11,11 +11,17 @@
 use stop_token::future::FutureExt as _;
 
 use crate::connection::{peer, peer_wire, rollout_wire, store_view_wire};
-use crate::process::gateway::{boot_clock, endpoint_registry, node, parted_rows, readers};
+use crate::process::gateway::{
+    boot_clock, config_pull, endpoint_registry, node, parted_rows, readers,
+};
 
 /// Timeout of one query to a peer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// Number above which a peer adds the row of its version to the reply. The rows of a newer version
+/// are fetched by `config_pull`, so that their size does not delay the rest.
+const NO_ROW: u64 = u64::MAX;
+
 /// Maximum number of parts of the endpoint rows in one query. An answer then holds at most an
 /// eighth of all rows, so that many routers that lack all rows and query the same peer at once do
 /// not exhaust the memory of a small VM.
@@ -110,6 +116,10 @@
                         });
                     peer_wire::ReplyBody::Rollout(Box::new(reply))
                 }
+                peer_wire::QueryBody::ConfigRows { known, parts } => {
+                    let rows = self.config_rows_for_peer(known, &parts);
+                    peer_wire::ReplyBody::ConfigRows(rows.map(Box::new))
+                }
                 _ => peer_wire::ReplyBody::Refused("the query is not known here".to_owned()),
             }
         }
@@ -131,13 +141,8 @@
         let config_state = self.config_state.lock();
         let number = config_state.version.as_ref()?.number();
         let age = config_state.clock.age(now)?;
-        let row = config_state.row.clone().filter(|_row| number > above);
+        let row = (number > above).then(|| self.codec.join_config(&config_state.rows));
         drop(config_state);
-        if let Some((_key, value)) = &row {
-            self.metrics.count("config.sent");
-            let bytes = u64::try_from(value.len()).unwrap_or(u64::MAX);
-            self.metrics.count_by("config.sent_bytes", bytes);
-        }
         let endpoint_age = self.endpoint_clock.lock().age(now)?;
         let own = self.endpoint_digests();
         let is_same = parted_rows::combined_digest(&own) == digest;
@@ -184,11 +189,10 @@
     async fn query_peer(&self, peer: &peer_wire::MemberWire) {
         let address = &peer.peer_address;
         let asked_at = boot_clock::BootInstant::now();
-        let above = self.version_number().unwrap_or_default();
         let own = self.endpoint_digests();
         let digest = parted_rows::combined_digest(&own);
         let query = peer_wire::QueryBody::StoreView {
-            above,
+            above: NO_ROW,
             digest,
             blocked: self.guard.digest(),
         };
@@ -206,6 +210,14 @@
                 self.zone_watch.lock().record_answer(answered_at);
             }
         }
+        if self.version_number() < Some(state.number) {
+            // A full channel already names a peer with a newer version.
+            let source = config_pull::VersionSource {
+                address: address.clone(),
+                number: state.number,
+            };
+            let _is_full = self.newer_versions.0.try_send(source);
+        }
         let Some(confirmed_at) = self.apply_peer_state(&state, asked_at) else {
             return;
         };
@@ -257,16 +269,13 @@
         parts.collect()
     }
 
-    /// Applies the configuration of a peer. Returns when the peer's endpoint rows were last
+    /// Applies the age of a peer's configuration. Returns when the peer's endpoint rows were last
     /// confirmed, if that is recent and later than for this router's rows.
     fn apply_peer_state(
         &self,
         state: &store_view_wire::StoreViewWire,
         asked_at: boot_clock::BootInstant,
     ) -> Option<boot_clock::BootInstant> {
-        if let Some((key, value)) = &state.row {
-            self.apply_version(key, value, "peer");
-        }
         // A peer with an older version cannot confirm the version in force here.
         if self.version_number() == Some(state.number) {
             let age = time::Duration::from_micros(state.age_micros);
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -6,7 +6,7 @@
 use futures::future;
 
 use crate::process::gateway::rollout::{order, record};
-use crate::process::gateway::{block_list, endpoint_registry};
+use crate::process::gateway::{block_list, endpoint_registry, parted_rows};
 use crate::version::traffic;
 
 /// Result of a call to the store.
@@ -125,6 +125,12 @@
     /// Decodes a configuration version; `None` if the row is not a valid one.
     fn traffic(&self, key: &str, value: &[u8]) -> Option<traffic::TrafficVersion>;
 
+    /// Splits a configuration into rows that routers compare; `None` if it is not valid.
+    fn split_config(&self, value: &[u8]) -> Option<parted_rows::PartedRows>;
+
+    /// Key and content of the store's row with the configuration that was split into `rows`.
+    fn join_config(&self, rows: &parted_rows::PartedRows) -> (String, Vec<u8>);
+
     /// Decodes an endpoint entry. One that cannot be decoded counts as absent.
     fn endpoint(&self, key: &str, value: &[u8]) -> endpoint_registry::EntryChange;
 
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -13,7 +13,8 @@
 
 use crate::connection::{http, peer, peer_server};
 use crate::process::gateway::{
-    assembly, caller_server, info_server, node, peers, reload, rows, settings, stop, store_watch,
+    assembly, caller_server, config_pull, info_server, node, peers, reload, rows, settings, stop,
+    store_watch,
 };
 use crate::process::members::peering;
 use crate::process::start;
@@ -199,6 +200,7 @@
     ));
     task::spawn(store_watch::watch_routers(sync::Arc::clone(node), token()));
     task::spawn(peers::poll_peers(sync::Arc::clone(node), token()));
+    task::spawn(config_pull::pull_versions(sync::Arc::clone(node), token()));
     if let (Some(rollouts), Some(versions)) = (&node.rollouts, &node.versions) {
         let router = node.settings.router.clone();
         let reporter = rollouts.reporter(router, sync::Arc::clone(versions) as _);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod call_queues;
 mod caller_keys;
 mod changed_configuration;
+mod config_rows;
 mod crash_evidence;
 mod crash_replays;
 mod crashing_calls;
--- a/tests/gateway/slow_links.rs
+++ b/tests/gateway/slow_links.rs
@@ -1,7 +1,6 @@
 //! How a change of the configuration reaches all gateways of a zone over slow links.
 
 use std::collections;
-use std::fmt::Write as _;
 use std::sync::atomic;
 use std::thread;
 use std::time;
@@ -21,34 +20,14 @@
 /// Pause between two changes of the configuration.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-/// Longest time until all gateways have their first configuration.
+/// Time after which no transfer of an earlier version is left.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Longest time until all gateways have a version to begin with.
 const START_LIMIT: time::Duration = time::Duration::from_secs(10);
 
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
-/// A configuration whose last route depends on its number.
-fn config(number: u64, routes: usize) -> String {
-    let mut text = format!(r#"{{"version":{number},"routes":["#);
-    for index in 0..routes {
-        let timeout = if index + 1 == routes {
-            1_000 + number
-        } else {
-            1_000
-        };
-        // Names and paths are as hard to compress as random ones.
-        let name = fastrand::Rng::with_seed(index as u64).u64(..);
-        let _infallible = write!(
-            text,
-            r#"{{"name":"r{name:016x}","host":"h{}.example","prefix":"/{:08x}/","kind":"safe","timeout_ms":{timeout},"goal_ms":200,"priority":2,"attempts":2,"public":false,"service":"desk"}},"#,
-            index % 7,
-            name >> 24,
-        );
-    }
-    text.pop();
-    text.push_str(r#"],"services":[{"name":"desk","health_path":"/health"}],"limits":{}}"#);
-    text
-}
-
 /// Names of the gateways that lack version `number`.
 fn lacking(zone: &paced_net::PacedZone, number: u64) -> Vec<String> {
     let nodes = zone.nodes.iter();
@@ -59,13 +38,18 @@
 /// Starts the gateways and waits until all have a small configuration.
 fn start_zone() -> paced_net::PacedZone {
     let zone = paced_net::PacedZone::start(VMS, LINK_BYTES_PER_SECOND);
-    zone.store.put_config(&config(1, FEW_ROUTES));
+    zone.store.put_config(&paced_net::config(1, FEW_ROUTES));
+    wait_for_all(&zone, 1);
+    zone
+}
+
+/// Waits until all gateways have version `number`.
+fn wait_for_all(zone: &paced_net::PacedZone, number: u64) {
     let until = time::Instant::now() + START_LIMIT;
-    while !lacking(&zone, 1).is_empty() {
-        assert!(time::Instant::now() < until, "{:?}", lacking(&zone, 1));
+    while !lacking(zone, number).is_empty() {
+        assert!(time::Instant::now() < until, "{:?}", lacking(zone, number));
         thread::sleep(CHECK_INTERVAL);
     }
-    zone
 }
 
 /// Guards against gateways that never get a configuration, as it takes longer than a query may. The
@@ -82,7 +66,7 @@
     while next <= last || !pending.is_empty() {
         let now = time::Instant::now();
         if next <= last && now >= begin + CHANGE_PAUSE * u32::try_from(next - 2).expect("few") {
-            zone.store.put_config(&config(next, MANY_ROUTES));
+            zone.store.put_config(&paced_net::config(next, MANY_ROUTES));
             pending.push_back((next, now + paced_net::PROPAGATION_LIMIT));
             next += 1;
         }
@@ -98,7 +82,22 @@
     }
 }
 
+/// Guards against a change of one route that costs each gateway more than the stated 5 KB a second.
+fn a_changed_route_costs_little() {
+    let zone = start_zone();
+    zone.store.put_config(&paced_net::config(2, MANY_ROUTES));
+    wait_for_all(&zone, 2);
+    thread::sleep(SETTLE_TIME);
+    let sent = zone.sent_bytes();
+    zone.store.put_config(&paced_net::config(3, MANY_ROUTES));
+    thread::sleep(time::Duration::from_secs(1));
+    assert!(lacking(&zone, 3).is_empty());
+    let each = (zone.sent_bytes() - sent) / u64::try_from(VMS).expect("few");
+    assert!(each <= 5_000, "{each} bytes");
+}
+
 common::cases! {
+    changed_route: a_changed_route_costs_little();
     grown_once: each_version_is_in_force_in_time(0);
     grown_and_then_changed: each_version_is_in_force_in_time(6);
 }
--- a/tests/gateway/support/paced_net.rs
+++ b/tests/gateway/support/paced_net.rs
@@ -1,6 +1,7 @@
 //! Gateways in one process, over links and to a store of limited bandwidth.
 
 use std::collections;
+use std::fmt::Write as _;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -26,6 +27,7 @@
 struct PacedLink {
     bytes_per_second: u32,
     free_at: parking_lot::Mutex<time::Instant>,
+    carried: atomic::AtomicU64,
 }
 
 impl PacedLink {
@@ -33,6 +35,7 @@
         Self {
             bytes_per_second,
             free_at: parking_lot::Mutex::new(time::Instant::now()),
+            carried: atomic::AtomicU64::default(),
         }
     }
 
@@ -48,6 +51,8 @@
                 *free_at = now.max(*free_at) + took;
                 *free_at
             };
+            self.carried
+                .fetch_add(u64::from(frame), atomic::Ordering::SeqCst);
             task::sleep(ready_at.saturating_duration_since(now)).await;
         }
     }
@@ -214,10 +219,20 @@
 pub struct PacedZone {
     pub store: sync::Arc<SharedStore>,
     pub nodes: Vec<sync::Arc<node::GatewayNode>>,
+    net: sync::Arc<PacedNet>,
     _stop: stop_token::StopSource,
 }
 
 impl PacedZone {
+    /// Bytes sent by all gateways to each other, those of transfers that were given up included.
+    pub fn sent_bytes(&self) -> u64 {
+        let vms = self.net.vms.lock();
+        let links = vms.values().map(|(_node, link)| link);
+        links
+            .map(|link| link.carried.load(atomic::Ordering::SeqCst))
+            .sum()
+    }
+
     /// Starts `count` gateways with links of `bytes_per_second` each.
     pub fn start(count: usize, bytes_per_second: u32) -> Self {
         let store = sync::Arc::<SharedStore>::default();
@@ -229,6 +244,7 @@
         Self {
             store,
             nodes,
+            net,
             _stop: stop,
         }
     }
@@ -312,3 +328,26 @@
 
 /// Time within which each VM must have a version that the store has acknowledged.
 pub const PROPAGATION_LIMIT: time::Duration = time::Duration::from_secs(3);
+
+/// A configuration whose last route depends on its number.
+pub fn config(number: u64, routes: usize) -> String {
+    let mut text = format!(r#"{{"version":{number},"routes":["#);
+    for index in 0..routes {
+        let timeout = if index + 1 == routes {
+            1_000 + number
+        } else {
+            1_000
+        };
+        // Names and paths are as hard to compress as random ones.
+        let name = fastrand::Rng::with_seed(index as u64).u64(..);
+        let _infallible = write!(
+            text,
+            r#"{{"name":"r{name:016x}","host":"h{}.example","prefix":"/{:08x}/","kind":"safe","timeout_ms":{timeout},"goal_ms":200,"priority":2,"attempts":2,"public":false,"service":"desk"}},"#,
+            index % 7,
+            name >> 24,
+        );
+    }
+    text.pop();
+    text.push_str(r#"],"services":[{"name":"desk","health_path":"/health"}],"limits":{}}"#);
+    text
+}
