Log the version of each stream attempt and what a take-up resumes

The log named the engine of an attempt, not its software version, and Resumes was read nowhere, so it could not tell a take-up at a wrong version from one answer that changes its version. Now 'stream attempt' has both; nothing else uses them yet.

--- a/src/platform/request_header.rs
+++ b/src/platform/request_header.rs
@@ -26,6 +26,8 @@
 /// Address of the engine that holds a KV cache copy, a slash, and the name of the copy.
 const COPY_SOURCE: &str = "Kv-From";
 const LAST_EVENT: &str = "Last-Event-Id";
+/// ID of the caller's attempt that brought the first event of a stream that goes on.
+const RESUMES: &str = "Resumes";
 /// Prompt tokens, a comma, and the maximum number of output tokens.
 const TOKENS: &str = "Kumquatpulley-Token-Counts";
 /// Number of output tokens that the caller expects.
@@ -89,6 +91,7 @@
             caller_timeout: parse_number(headers, DEADLINE)?.map(time::Duration::from_millis),
             key: headers.get("Authorization").and_then(bearer_key),
             last_event: parse_number(headers, LAST_EVENT)?,
+            resumes: resumed_request(headers),
             tokens: expected_tokens(headers),
             shared_parts: shared_parts(headers),
         })
@@ -203,6 +206,13 @@
     }
 }
 
+/// The request that is resumed, if exactly one with a valid ID is named.
+fn resumed_request(headers: &head::HeaderList) -> Option<String> {
+    let id = headers.get(RESUMES).map(str::trim)?;
+    let is_valid = headers.count(RESUMES) == 1 && !id.is_empty();
+    (is_valid && id.len() <= MAX_REQUEST_ID_BYTES).then(|| id.to_owned())
+}
+
 /// Estimates the tokens that the request holds at its end, from the caller's headers. Fields that
 /// cannot be parsed count as 0; rejecting them is left to the endpoint.
 fn expected_tokens(headers: &head::HeaderList) -> u64 {
--- a/src/request/relay/dialect.rs
+++ b/src/request/relay/dialect.rs
@@ -21,6 +21,9 @@
     pub key: Option<String>,
     /// Last event of an interrupted stream that the caller received; the stream resumes after it.
     pub last_event: Option<u64>,
+    /// Identifier of the request that brought the first event of the interrupted stream; `None` when
+    /// not stated.
+    pub resumes: Option<String>,
     /// Tokens of the prompt plus the expected output; 0 when not stated.
     pub tokens: u64,
     /// Leading parts of the prompt that other requests may have too; without the last part, which
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -181,9 +181,11 @@
             request = self.request.metadata.id.as_str(),
             endpoint = lease.endpoint.name.as_str(),
             copy = holder.as_ref().map_or("", |holder| holder.name.as_str()),
+            version = lease.endpoint.version.as_str(),
             from_copy = source.is_some(),
             features = request_feature::join(&self.request.features).as_str(),
-            last_event:? = self.cursor.last();
+            last_event:? = self.cursor.last(),
+            resumes = self.request.metadata.resumes.as_deref().unwrap_or_default();
             "stream attempt"
         );
         self.is_sent = true;
--- a/tests/gateway/formats.rs
+++ b/tests/gateway/formats.rs
@@ -45,6 +45,16 @@
     assert_eq!(terms.last_event, None);
 }
 
+/// Only one well-formed name says which stream a caller takes up.
+fn the_resumed_request_is_read(values: &[&str], expected: Option<&str>) {
+    let mut head = request(&VALID_FIELDS);
+    for value in values {
+        head.headers.push("Resumes", value);
+    }
+    let terms = request_header::HeaderDialect.request_metadata(&head);
+    assert_eq!(terms.expect("a valid request").resumes.as_deref(), expected);
+}
+
 /// The last part belongs to one request or its session, so it is not shared.
 fn shared_parts_of_a_prompt_are_read(prompt: &str, expected: &[u64]) {
     let mut head = request(&VALID_FIELDS);
@@ -335,6 +345,10 @@
 }
 
 common::cases! {
+    resumes_one: the_resumed_request_is_read(&["r0"], Some("r0"));
+    resumes_none: the_resumed_request_is_read(&[], None);
+    resumes_two: the_resumed_request_is_read(&["r0", "r1"], None);
+    resumes_empty: the_resumed_request_is_read(&[" "], None);
     three_parts: shared_parts_of_a_prompt_are_read("5C1e07a2:800, 91bd3f06:410,e4402b7d:250", &[0x5c1e_07a2, 0x91bd_3f06]);
     one_part: shared_parts_of_a_prompt_are_read("5c1e07a2:800", &[]);
     part_without_tokens: shared_parts_of_a_prompt_are_read("5c1e07a2,,e4402b7d:250", &[0x5c1e_07a2]);
