Add failing tests for streams joined from two versions

Callers got text joined from two software versions, in one answer or over their tries. The tests run real gateways and endpoints of two versions with no order: an answer whose engine is lost, take-ups at another gateway and after all were killed, a version that has left, and streams that nobody knows.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod formats;
 mod framing;
 mod full_calls;
+mod joined_versions;
 mod long_prompts;
 mod odd_answers;
 mod odd_entries;
