Keep an answer at the software version that began it

A caller's stream went on at an engine of another version in the same answer, when the engine that began it was lost, and ended as complete.

Cause: the version that began a stream limited the choice only while a roll-out was ordered, and even then others were a fallback. Now it allows that version alone, for the stream and its KV copy, with or without an order. If no endpoint of it is left that is not leaving, the answer is broken off at once; if one is, it is waited for as before. is_pinned goes, as no fallback is left to rank.

--- a/src/process/gateway/endpoint_fleet.rs
+++ b/src/process/gateway/endpoint_fleet.rs
@@ -208,8 +208,7 @@
         !orders.has_orders_since(since)
     }
 
-    /// The best of `open`. An endpoint that recently failed is better than none, and better than one of
-    /// another version only for a stream that has begun.
+    /// The best of `open`. An endpoint that recently failed is better than none.
     fn best_rank(
         &self,
         open: &[fleet::EndpointKey],
@@ -219,12 +218,7 @@
         let rank = |key: fleet::EndpointKey| {
             let entry = &self.entries[key];
             let is_avoided = entry.is_avoided(now);
-            let is_other = !versions.drawn.allows(&entry.record.version);
-            if versions.is_pinned {
-                (is_other, is_avoided)
-            } else {
-                (is_avoided, is_other)
-            }
+            (is_avoided, !versions.drawn.allows(&entry.record.version))
         };
         let ranked: Vec<_> = open.iter().map(|key| (rank(*key), *key)).collect();
         let best = ranked.iter().map(|(rank, _key)| *rank).min();
@@ -287,6 +281,13 @@
         keys.filter_map(|key| state.chosen_endpoint(key)).collect()
     }
 
+    fn has_version(&self, service: &str, versions: &version_choice::VersionFilter) -> bool {
+        let state = self.state.lock();
+        let keys = state.by_service.get(service).into_iter().flatten();
+        let mut entries = keys.map(|key| &state.entries[*key]);
+        entries.any(|entry| !entry.is_leaving() && versions.allows(&entry.record.version))
+    }
+
     fn is_healthy(&self, key: fleet::EndpointKey) -> bool {
         let state = self.state.lock();
         let entry = state.entries.get(key);
--- a/src/request/relay/fleet.rs
+++ b/src/request/relay/fleet.rs
@@ -72,6 +72,10 @@
     /// Chooses up to `count` random endpoints, without counting a request there.
     fn sample(&self, query: &EndpointQuery<'_>, count: usize) -> Vec<ChosenEndpoint>;
 
+    /// Whether `service` has an endpoint that is not leaving and whose version `versions` allows, even
+    /// if it takes no requests at the moment.
+    fn has_version(&self, service: &str, versions: &version_choice::VersionFilter) -> bool;
+
     /// Whether the endpoint is known, accepts new requests and did not fail at its last attempt.
     fn is_healthy(&self, key: EndpointKey) -> bool;
 
--- a/src/request/relay/rollout.rs
+++ b/src/request/relay/rollout.rs
@@ -13,6 +13,8 @@
     Only(String),
     /// Endpoints of all versions but this one.
     AllBut(String),
+    /// No endpoint.
+    Nothing,
 }
 
 impl VersionDraw {
@@ -23,6 +25,7 @@
             Self::Any => true,
             Self::Only(only) => version == only,
             Self::AllBut(excluded) => version != excluded,
+            Self::Nothing => false,
         }
     }
 }
--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -79,6 +79,14 @@
             if let Some(lease) = self.acquire_least_loaded().await {
                 return Some((lease, None));
             }
+            if self.is_interrupted() && !self.has_version() {
+                log::warn!(
+                    request = self.request.metadata.id.as_str(),
+                    versions:? = self.allowed_versions().drawn;
+                    "no endpoint is left of the version that began the stream"
+                );
+                return None;
+            }
             // Falls back to endpoints that were already tried.
             if !self.excluded.is_empty() {
                 self.excluded.clear();
@@ -237,6 +245,12 @@
         self.versions.filter(rules, &self.request.service)
     }
 
+    /// Whether an endpoint is left that the stream may go on at, now or later.
+    pub(super) fn has_version(&self) -> bool {
+        let fleet = &self.context.fleet;
+        fleet.has_version(&self.request.service, &self.allowed_versions())
+    }
+
     /// Probes a few engines that `search` has not probed yet.
     async fn probe_engines(
         &mut self,
--- a/src/request/relay/version_choice.rs
+++ b/src/request/relay/version_choice.rs
@@ -29,8 +29,6 @@
     pub drawn: rollout::VersionDraw,
     /// Versions to choose from if no working endpoint of the others is left.
     pub fallback: Option<rollout::VersionDraw>,
-    /// Whether endpoints of `drawn` that failed are preferred to those of `fallback`.
-    pub is_pinned: bool,
 }
 
 impl VersionFilter {
@@ -38,7 +36,6 @@
     pub const ANY: Self = Self {
         drawn: rollout::VersionDraw::Any,
         fallback: None,
-        is_pinned: false,
     };
 
     /// Filter without a fallback.
@@ -46,7 +43,6 @@
         Self {
             drawn,
             fallback: None,
-            is_pinned: false,
         }
     }
 
@@ -89,7 +85,7 @@
     }
 
     /// Records that the caller has a part of a stream from an endpoint of `version`. It goes on with
-    /// that version even where a failed engine has to be replaced.
+    /// that version only.
     pub fn record_start(&mut self, version: &str) {
         if self.started_on.as_deref() != Some(version) {
             self.started_on = Some(version.to_owned());
@@ -104,14 +100,14 @@
         service: &str,
         version: &str,
     ) -> VersionFilter {
-        resume_filter(rules, service, version, self.random)
+        resume_filter(rules, service, version)
     }
 
     /// Versions that the next attempt at `service` may use.
     #[must_use]
     pub fn filter(&self, rules: &dyn VersionRules, service: &str) -> VersionFilter {
         if let Some(version) = &self.started_on {
-            return resume_filter(rules, service, version, self.random);
+            return resume_filter(rules, service, version);
         }
         let drawn = rules.draw(service, self.random);
         let rollout::VersionDraw::Only(new) = &drawn else {
@@ -122,38 +118,15 @@
             return VersionFilter::only(last);
         }
         let fallback = (last != drawn).then_some(last);
-        VersionFilter {
-            drawn,
-            fallback,
-            is_pinned: false,
-        }
+        VersionFilter { drawn, fallback }
     }
 }
 
-/// Versions for a stream that began on `version`, and for its KV copy.
-fn resume_filter(
-    rules: &dyn VersionRules,
-    service: &str,
-    version: &str,
-    random: f64,
-) -> VersionFilter {
-    let drawn = rules.draw(service, random);
-    if drawn == rollout::VersionDraw::Any {
-        return VersionFilter::ANY;
-    }
+/// Versions for a stream that began on `version`, and for its KV copy: that one alone, as what two
+/// versions write does not fit together.
+fn resume_filter(rules: &dyn VersionRules, service: &str, version: &str) -> VersionFilter {
     if !rules.may_resume(service, version) {
-        return VersionFilter::only(drawn);
-    }
-    // Other versions than the one that the stream began on: the old one if it began on the new one, and
-    // the new one only if the request has drawn it.
-    let other = if drawn.allows(version) {
-        rules.draw(service, LAST_DRAW)
-    } else {
-        drawn
-    };
-    VersionFilter {
-        drawn: rollout::VersionDraw::Only(version.to_owned()),
-        fallback: Some(other),
-        is_pinned: true,
+        return VersionFilter::only(rollout::VersionDraw::Nothing);
     }
+    VersionFilter::only(rollout::VersionDraw::Only(version.to_owned()))
 }
