Take a stream up at the software version that began it

Callers whose streams had broken off took them up, got 200, and had text joined from two software versions, with nothing in the answer to show it.

Cause: Resumes was read nowhere. A router that gets a take-up knew only the last event, and chose among all engines of the service. The class: a decision that needs knowledge from before a loss, made as if there were none to keep.

Now the router that sends the first event remembers the version, and writes it to the store while the service has, or had within 60 s, more than one version; streams that run when a second version appears are written too. A take-up goes on at that version only. If none of its endpoints is left, or nobody knows the version and there are several, it is refused at once as version-gone, so that the caller can begin anew; with one version it goes on as before. This works because a row names one version for good, and what is not known is never guessed.

New: stream_versions.

What it does not do: a router that has just started and gets no answer of the store refuses take-ups until it does, or for 60 s.

--- a/src/connection/caller_retry.rs
+++ b/src/connection/caller_retry.rs
@@ -40,6 +40,7 @@
         | verdict::RefusalCode::RequestBlocked => RetryAdvice::Never,
         verdict::RefusalCode::NotReady
         | verdict::RefusalCode::NoEndpoint
+        | verdict::RefusalCode::VersionGone
         | verdict::RefusalCode::EndpointFailed => RetryAdvice::Elsewhere,
         verdict::RefusalCode::WorkspaceLimit
         | verdict::RefusalCode::Overloaded
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -83,10 +83,20 @@
         }
     }
 
-    async fn read_pages(&self, topic: rows::RowTopic) -> rows::Result<rows::RowBatch> {
+    /// Reads the rows with keys from `from` on, if there is one, and before `to`, if there is one.
+    async fn read_pages(
+        &self,
+        topic: rows::RowTopic,
+        from: Option<&str>,
+        to: Option<&str>,
+    ) -> rows::Result<rows::RowBatch> {
         let table = store_wire::table_name(topic);
         let mut all = rows::RowBatch::default();
-        let mut path = format!("/rows-get?table={table}&part=");
+        let end = to.map_or_else(String::new, |to| format!("&to={}", escaped(to.bytes())));
+        let begin = from.map_or_else(String::new, |from| {
+            format!("&from={}", escaped(from.bytes()))
+        });
+        let mut path = format!("/rows-get?table={table}&part={end}{begin}");
         for _page in 0..MAX_PAGES {
             let (page, era) = self.get(&path, time::Duration::ZERO).await?;
             let next = page.next_after().map_err(unavailable)?.map(next_key);
@@ -106,7 +116,7 @@
             let Some(next) = next else {
                 return Ok(all);
             };
-            path = format!("/rows-get?table={table}&part=&from={next}");
+            path = format!("/rows-get?table={table}&part={end}&from={next}");
         }
         Err(unavailable("the list has too many pages"))
     }
@@ -122,8 +132,13 @@
 
 /// Returns the smallest key after `key`, percent-encoded for a query.
 fn next_key(key: &str) -> String {
+    escaped(key.bytes().chain([0]))
+}
+
+/// Percent-encodes a key for a query.
+fn escaped(key: impl Iterator<Item = u8>) -> String {
     let mut escaped = String::new();
-    for byte in key.bytes().chain([0]) {
+    for byte in key {
         // Writing to a string cannot fail.
         let _infallible = write!(escaped, "%{byte:02X}");
     }
@@ -139,7 +154,34 @@
         &self,
         topic: rows::RowTopic,
     ) -> future::BoxFuture<'_, rows::Result<rows::RowBatch>> {
-        self.read_pages(topic).boxed()
+        self.read_pages(topic, None, None).boxed()
+    }
+
+    fn read_range<'a>(
+        &'a self,
+        topic: rows::RowTopic,
+        from: &'a str,
+        to: &'a str,
+    ) -> future::BoxFuture<'a, rows::Result<rows::RowBatch>> {
+        self.read_pages(topic, Some(from), Some(to)).boxed()
+    }
+
+    fn write_rows<'a>(
+        &'a self,
+        topic: rows::RowTopic,
+        puts: &'a [(String, Vec<u8>)],
+        removed: &'a [String],
+    ) -> future::BoxFuture<'a, rows::Result<()>> {
+        async move {
+            let puts = puts.iter();
+            let puts = puts.map(|(key, value)| (key.as_str(), value.as_slice()));
+            let body = store_wire::write_rows(topic, puts, removed);
+            let method = http_types::Method::Post;
+            let wait = time::Duration::ZERO;
+            let call = self.call(method, "/rows-tx", Some(&body), wait);
+            call.await.map(|_response| ())
+        }
+        .boxed()
     }
 
     fn read_changes(
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -153,20 +153,32 @@
         rows::RowTopic::BlockedRequests => "blocked_prompts",
         rows::RowTopic::Rollouts => "rollouts",
         rows::RowTopic::RolloutStatus => "status",
+        rows::RowTopic::StreamVersions => "stream_versions",
     }
 }
 
 /// Builds the transaction that writes a row unconditionally.
 pub(super) fn put_row(topic: rows::RowTopic, key: &str, value: &[u8]) -> serde_json::Value {
+    write_rows(topic, std::iter::once((key, value)), &[])
+}
+
+/// Builds the transaction that writes and removes rows unconditionally.
+pub(super) fn write_rows<'a>(
+    topic: rows::RowTopic,
+    puts: impl Iterator<Item = (&'a str, &'a [u8])>,
+    removed: &[String],
+) -> serde_json::Value {
+    let table = table_name(topic);
+    let named = |key: &str| serde_json::json!({"table": table, "part": "", "key": key});
+    let puts = puts.map(|(key, value)| {
+        let mut put = named(key);
+        put["value"] = general_purpose::STANDARD.encode(value).into();
+        put
+    });
     serde_json::json!({
         "precondition": [],
-        "puts": [{
-            "table": table_name(topic),
-            "part": "",
-            "key": key,
-            "value": general_purpose::STANDARD.encode(value),
-        }],
-        "delete": [],
+        "puts": puts.collect::<Vec<_>>(),
+        "delete": removed.iter().map(|key| named(key)).collect::<Vec<_>>(),
     })
 }
 
--- a/src/process/gateway/assembly.rs
+++ b/src/process/gateway/assembly.rs
@@ -8,6 +8,7 @@
 
 use crate::process::endpoints::placement;
 use crate::process::gateway::rollout::{control, coordinator, plan_book, ramp, version_policy};
+use crate::process::gateway::stream_versions::keeper;
 use crate::process::gateway::{
     budgets, endpoint_fleet, endpoint_registry, first_read, node, permits, readers, request_guard,
     settings, start, token_exchange,
@@ -15,6 +16,7 @@
 use crate::process::limits::byte_budget;
 use crate::process::members::{gossip, peering};
 use crate::process::telemetry::{metrics, timeline};
+use crate::process::view;
 use crate::request::relay::{context, rollout};
 
 /// The process's memory divided by this is the limit for what is held of callers: heads, bodies and
@@ -56,7 +58,6 @@
         sync::Arc::clone(&metrics) as _,
     ));
     let pace = readers::ReadTiming::new(settings.bounds.propagation_limit);
-    let first_read = first_read_of(&settings);
     let memory = usize::try_from(settings.memory_bytes).unwrap_or(usize::MAX);
     let permits = sync::Arc::new(permits::RouterPermits::new(
         sync::Arc::clone(&fleet),
@@ -71,6 +72,7 @@
         sync::Arc::clone(&adapters.codec),
         sync::Arc::clone(&metrics) as _,
     ));
+    let origins = origin_keeper(&settings, adapters, &metrics);
     let relay = context::RelayContext {
         memory: sync::Arc::new(byte_budget::ByteBudget::new(memory / CALLER_MEMORY_DIVISOR)),
         fleet: sync::Arc::clone(&fleet) as _,
@@ -79,6 +81,7 @@
             || sync::Arc::new(rollout::AnyVersion) as _,
             |versions| versions as _,
         ),
+        origins: sync::Arc::clone(&origins) as _,
         budget: sync::Arc::clone(&tokens) as _,
         loads: sync::Arc::default(),
         permits: sync::Arc::clone(&permits) as _,
@@ -100,8 +103,9 @@
         })
     });
     let registry = endpoint_registry::EndpointRegistry::new(settings.bounds.reregistration_grace);
-    let stop_grace = parking_lot::Mutex::new(settings.bounds.stop_grace);
     sync::Arc::new(node::GatewayNode {
+        first_read: first_read_of(&settings),
+        stop_grace: parking_lot::Mutex::new(settings.bounds.stop_grace),
         settings,
         ring,
         metrics,
@@ -112,7 +116,6 @@
         fleet,
         registry: parking_lot::Mutex::new(registry),
         pace,
-        first_read,
         endpoint_rows: parking_lot::Mutex::default(),
         endpoint_era: parking_lot::Mutex::default(),
         endpoint_clock: parking_lot::Mutex::default(),
@@ -127,13 +130,13 @@
         permits,
         tokens,
         guard,
+        origins,
         plans,
         versions,
         rollouts,
         relay,
         is_draining: atomic::AtomicBool::default(),
         is_closing: atomic::AtomicBool::default(),
-        stop_grace,
         stop_schedule: parking_lot::Mutex::default(),
         stream_duration: parking_lot::Mutex::default(),
         in_flight: atomic::AtomicU64::default(),
@@ -147,6 +150,17 @@
     }
 }
 
+fn origin_keeper(
+    settings: &settings::GatewaySettings,
+    adapters: &start::PlatformAdapters,
+    metrics: &sync::Arc<metrics::RouterMetrics>,
+) -> sync::Arc<keeper::OriginKeeper> {
+    let counters: sync::Arc<dyn view::CounterSink> = sync::Arc::clone(metrics) as _;
+    let store = sync::Arc::clone(&adapters.store);
+    let keeper = keeper::OriginKeeper::new(store, counters, settings.is_first_start);
+    sync::Arc::new(keeper)
+}
+
 /// The fleet, and the policy by which it is used where roll-outs are followed.
 fn versioned_fleet(
     settings: &settings::GatewaySettings,
--- a/src/process/gateway/counter_names.rs
+++ b/src/process/gateway/counter_names.rs
@@ -39,5 +39,6 @@
         verdict::RefusalCode::KeyReused => "refused.key_reused",
         verdict::RefusalCode::PromptBlocked => "refused.prompt_blocked",
         verdict::RefusalCode::RequestBlocked => "refused.request_blocked",
+        verdict::RefusalCode::VersionGone => "refused.version_gone",
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -47,5 +47,6 @@
 mod store_role;
 pub mod store_watch;
 pub mod stream_duration;
+pub mod stream_versions;
 pub mod token_exchange;
 mod unfinished_request;
--- a/src/process/gateway/node.rs
+++ b/src/process/gateway/node.rs
@@ -10,6 +10,7 @@
 use crate::connection::h1::{head, segments, sink};
 use crate::connection::peer;
 use crate::process::gateway::rollout::{control, plan_book, version_policy};
+use crate::process::gateway::stream_versions::keeper;
 use crate::process::gateway::{
     boot_clock, config_pull, config_state, counter_names, endpoint_fleet, endpoint_registry,
     first_read, freshness, parted_rows, peer_polls, permits, readers, request_check, request_guard,
@@ -78,6 +79,8 @@
     pub tokens: sync::Arc<token_exchange::TokenExchange>,
     /// Requests that are blocked because they crash endpoints.
     pub guard: sync::Arc<request_guard::RouterRequestGuard>,
+    /// Software versions that began streams.
+    pub origins: sync::Arc<keeper::OriginKeeper>,
     /// Plans of the roll-outs; empty where none are followed.
     pub plans: sync::Arc<plan_book::PlanBook>,
     /// Draws versions and counts how they do; `None` where roll-outs are not followed.
@@ -123,7 +126,11 @@
     /// it was of another one, so that the store was restored meanwhile.
     pub(super) fn enter_endpoint_era(&self, era: u64) -> bool {
         let before = self.endpoint_era.lock().replace(era);
-        before.is_some_and(|before| before != era)
+        let is_restored = before.is_some_and(|before| before != era);
+        if is_restored {
+            self.origins.mark_restored();
+        }
+        is_restored
     }
 
     /// Whether new callers should use this router.
@@ -147,6 +154,7 @@
             return false;
         }
         let registry = self.registry.lock();
+        self.origins.observe(registry.records());
         self.fleet.update(registry.records());
         drop(registry);
         let (known, open) = self.fleet.counts();
--- a/src/process/gateway/rows.rs
+++ b/src/process/gateway/rows.rs
@@ -54,6 +54,8 @@
     Rollouts,
     /// States of roll-outs for the operators.
     RolloutStatus,
+    /// Software versions that began streams.
+    StreamVersions,
 }
 
 /// A row that was added or changed, or the removal of a row.
@@ -107,6 +109,23 @@
         wait: time::Duration,
     ) -> future::BoxFuture<'_, Result<RowBatch>>;
 
+    /// Reads the rows of a topic with keys from `from` on and before `to`.
+    fn read_range<'a>(
+        &'a self,
+        topic: RowTopic,
+        from: &'a str,
+        to: &'a str,
+    ) -> future::BoxFuture<'a, Result<RowBatch>>;
+
+    /// Writes rows, whatever they held before, and removes those with the keys `removed`: 100 at most in
+    /// all. Only the system's own topics can be written.
+    fn write_rows<'a>(
+        &'a self,
+        topic: RowTopic,
+        puts: &'a [(String, Vec<u8>)],
+        removed: &'a [String],
+    ) -> future::BoxFuture<'a, Result<()>>;
+
     /// Writes a row, whatever it held before. Only the system's own topics can be written.
     fn put<'a>(
         &'a self,
--- a/src/process/gateway/start.rs
+++ b/src/process/gateway/start.rs
@@ -200,6 +200,7 @@
     ));
     task::spawn(store_watch::watch_routers(sync::Arc::clone(node), token()));
     task::spawn(peers::poll_peers(sync::Arc::clone(node), token()));
+    task::spawn(sync::Arc::clone(&node.origins).run(token()));
     task::spawn(config_pull::pull_versions(sync::Arc::clone(node), token()));
     if let (Some(rollouts), Some(versions)) = (&node.rollouts, &node.versions) {
         let router = node.settings.router.clone();
--- a/src/process/gateway/store_role.rs
+++ b/src/process/gateway/store_role.rs
@@ -62,7 +62,8 @@
             rows::RowTopic::Routers
             | rows::RowTopic::BlockedRequests
             | rows::RowTopic::Rollouts
-            | rows::RowTopic::RolloutStatus => return,
+            | rows::RowTopic::RolloutStatus
+            | rows::RowTopic::StreamVersions => return,
         };
         self.store_answered_at.lock()[index] = boot_clock::BootInstant::now();
     }
--- a/src/request/relay/context.rs
+++ b/src/request/relay/context.rs
@@ -9,7 +9,7 @@
 use crate::process::view;
 use crate::request::relay::{
     attempt, dialect, fleet, permit, request_feature, request_guard, response_memory, service_load,
-    version_choice,
+    stream_origin, version_choice,
 };
 use crate::request::verdict;
 use crate::version::traffic;
@@ -46,6 +46,8 @@
     pub guard: sync::Arc<dyn request_guard::RequestGuard>,
     /// Software versions that attempts may use while one is rolled out.
     pub versions: sync::Arc<dyn version_choice::VersionRules>,
+    /// Software versions that began streams.
+    pub origins: sync::Arc<dyn stream_origin::OriginMemory>,
     /// Retry budget.
     pub budget: sync::Arc<dyn RetryLimiter>,
     /// Durations and refusals of calls, by service.
--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -82,6 +82,9 @@
 
 impl StreamRelay<'_> {
     async fn run(&mut self) -> context::RelayOutcome {
+        if let Some(refusal) = self.pin_taken_up().await {
+            return context::RelayOutcome::Refused(refusal);
+        }
         loop {
             if let Some(refusal) = self.refuse_blocked() {
                 return self.give_up(refusal);
@@ -105,7 +108,10 @@
             // Until here a timeout has to count this attempt as a possible run.
             self.is_sent = false;
             let step = match conclusion {
-                stream_end::AttemptConclusion::Served => return context::RelayOutcome::Served(200),
+                stream_end::AttemptConclusion::Served => {
+                    self.context.origins.forget(self.origin_request());
+                    return context::RelayOutcome::Served(200);
+                }
                 stream_end::AttemptConclusion::CallerGone => {
                     return context::RelayOutcome::CallerGone;
                 }
@@ -277,7 +283,7 @@
                 }
                 if !event.is_comment && std::mem::take(&mut is_first) {
                     trial.record_first_event(self.cursor.last().is_some());
-                    self.versions.record_start(&lease.endpoint.version);
+                    self.record_origin(&lease.endpoint.version);
                     // The engine makes the copy only after prefill, which the first event marks.
                     self.copies = kv_copy::CopyManager::new(holder.take());
                     self.first_event
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -85,6 +85,8 @@
     PromptBlocked,
     /// Endpoints crash on this request.
     RequestBlocked,
+    /// No endpoint can go on with the stream, as none has the software version that began it.
+    VersionGone,
 }
 
 /// Error response to a request that was not served.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -49,6 +49,7 @@
 mod stop_replays;
 mod stop_rules;
 mod stray_refusals;
+mod stream_versions;
 mod support;
 mod token_transfers;
 mod version_choice;
--- a/tests/gateway/support/fake_store.rs
+++ b/tests/gateway/support/fake_store.rs
@@ -306,6 +306,11 @@
                 held.rows
                     .insert((text("table"), text("key")), (Some(content), version));
             }
+            for removed in value["delete"].as_array().expect("a list") {
+                let text = |name: &str| removed[name].as_str().expect("text").to_owned();
+                held.rows
+                    .insert((text("table"), text("key")), (None, version));
+            }
             let era = held.era;
             drop(held);
             let answer = serde_json::json!({"ver": version, "now_ms": now_ms()});
@@ -351,18 +356,31 @@
     let _gone = stream.write_all(format!("{head}{text}").as_bytes());
 }
 
+/// A value of a query in which each byte is percent-encoded.
+fn unescaped(request: &fakes::ReceivedRequest, name: &str) -> Option<String> {
+    let bytes = request.query(name)?.split('%').skip(1);
+    let bytes = bytes.map(|byte| u8::from_str_radix(byte, 16).expect("a byte"));
+    Some(String::from_utf8(bytes.collect()).expect("text"))
+}
+
 fn rows_after(
     request: &fakes::ReceivedRequest,
     state: &sync::Mutex<StoreState>,
     after: Option<u64>,
 ) -> (serde_json::Value, u64) {
     let wanted = request.query("table").unwrap_or_default();
+    let (from, to) = (unescaped(request, "from"), unescaped(request, "to"));
+    let is_in_range = |key: &str| {
+        from.as_deref().is_none_or(|from| from <= key) && to.as_deref().is_none_or(|to| key < to)
+    };
     let state = state.lock().expect("not poisoned");
     let rows = state
         .rows
         .iter()
-        .filter(|((table, _key), (value, version))| {
-            table == wanted && after.map_or(value.is_some(), |after| *version > after)
+        .filter(|((table, key), (value, version))| {
+            table == wanted
+                && is_in_range(key)
+                && after.map_or(value.is_some(), |after| *version > after)
         });
     let rows = rows.map(|((table, key), (value, version))| match value {
         Some(value) => serde_json::json!({"table": table, "part": "", "key": key,
--- a/tests/gateway/support/paced_net.rs
+++ b/tests/gateway/support/paced_net.rs
@@ -197,6 +197,24 @@
         self.read(topic, after, wait).boxed()
     }
 
+    fn read_range<'a>(
+        &'a self,
+        _topic: rows::RowTopic,
+        _from: &'a str,
+        _to: &'a str,
+    ) -> future::BoxFuture<'a, rows::Result<rows::RowBatch>> {
+        future::ready(Ok(rows::RowBatch::default())).boxed()
+    }
+
+    fn write_rows<'a>(
+        &'a self,
+        _topic: rows::RowTopic,
+        _puts: &'a [(String, Vec<u8>)],
+        _removed: &'a [String],
+    ) -> future::BoxFuture<'a, rows::Result<()>> {
+        future::ready(Ok(())).boxed()
+    }
+
     fn put<'a>(
         &'a self,
         _topic: rows::RowTopic,
--- a/tests/gateway/support/rollout_world.rs
+++ b/tests/gateway/support/rollout_world.rs
@@ -121,6 +121,34 @@
         self.read_all(topic)
     }
 
+    fn read_range<'a>(
+        &'a self,
+        topic: rows::RowTopic,
+        from: &'a str,
+        to: &'a str,
+    ) -> future::BoxFuture<'a, rows::Result<rows::RowBatch>> {
+        let mut batch = self.batch(topic);
+        batch
+            .rows
+            .retain(|row| (from..to).contains(&row.key.as_str()));
+        future::ready(self.check().map(|()| batch)).boxed()
+    }
+
+    fn write_rows<'a>(
+        &'a self,
+        topic: rows::RowTopic,
+        puts: &'a [(String, Vec<u8>)],
+        removed: &'a [String],
+    ) -> future::BoxFuture<'a, rows::Result<()>> {
+        for (key, value) in puts {
+            self.set(topic, key, value);
+        }
+        for key in removed {
+            self.rows.lock().remove(&(topic, key.clone()));
+        }
+        future::ready(self.check()).boxed()
+    }
+
     fn put<'a>(
         &'a self,
         topic: rows::RowTopic,
