--- a/src/request/relay/stream.rs
+++ b/src/request/relay/stream.rs
@@ -133,13 +133,6 @@
         }
     }
 
-    pub(super) fn verdict(&self, is_sent: bool) -> verdict::RunVerdict {
-        if self.possible_runs == 0 && !is_sent {
-            return verdict::RunVerdict::NotRun;
-        }
-        verdict::RunVerdict::MayHaveRun
-    }
-
     fn refuse_unserved(&self, verdict: verdict::RunVerdict) -> verdict::RequestRefusal {
         self.context.refuse_unserved(&self.request.service, verdict)
     }
--- a/src/request/relay/stream_end.rs
+++ b/src/request/relay/stream_end.rs
@@ -1,6 +1,7 @@
 //! How an attempt of a stream ends, and what follows.
 
 use crate::request::relay::{attempt, buffered, context, fleet, retry, stream, stream_loss};
+use crate::request::verdict;
 
 /// How one attempt at an engine ended.
 #[derive(Debug)]
@@ -25,6 +26,14 @@
 }
 
 impl stream::StreamRelay<'_> {
+    /// Whether the request may have run; `is_sent` tells that an attempt is under way.
+    pub(super) fn verdict(&self, is_sent: bool) -> verdict::RunVerdict {
+        if self.possible_runs == 0 && !is_sent {
+            return verdict::RunVerdict::NotRun;
+        }
+        verdict::RunVerdict::MayHaveRun
+    }
+
     pub(super) fn finish_attempt(
         &mut self,
         lease: &context::EndpointLease,
