Wait for a service that has no endpoint at all

A stream is broken off, or its take-up refused for its version, only while the service has endpoints and none of its version.

Evidence: tests/gateway, joined_versions::answer_while_there_is_no_endpoint: failed before, passes now; the other ten cases pass.

--- a/src/request/relay/stream_placement.rs
+++ b/src/request/relay/stream_placement.rs
@@ -79,7 +79,7 @@
             if let Some(lease) = self.acquire_least_loaded().await {
                 return Some((lease, None));
             }
-            if self.is_interrupted() && !self.has_version() {
+            if self.is_interrupted() && self.has_only_other_versions() {
                 log::warn!(
                     request = self.request.metadata.id.as_str(),
                     versions:? = self.allowed_versions().drawn;
@@ -245,10 +245,12 @@
         self.versions.filter(rules, &self.request.service)
     }
 
-    /// Whether an endpoint is left that the stream may go on at, now or later.
-    pub(super) fn has_version(&self) -> bool {
-        let fleet = &self.context.fleet;
-        fleet.has_version(&self.request.service, &self.allowed_versions())
+    /// Whether the service has endpoints, and none that the stream may go on at. A service without any
+    /// may get some again.
+    pub(super) fn has_only_other_versions(&self) -> bool {
+        let (fleet, service) = (&self.context.fleet, &self.request.service);
+        fleet.has_version(service, &version_choice::VersionFilter::ANY)
+            && !fleet.has_version(service, &self.allowed_versions())
     }
 
     /// Probes a few engines that `search` has not probed yet.
--- a/src/request/relay/stream_take_up.rs
+++ b/src/request/relay/stream_take_up.rs
@@ -45,7 +45,7 @@
         match origin {
             stream_origin::StreamOrigin::Version(version) => {
                 self.versions.record_start(&version);
-                (!self.has_version()).then(|| refuse(GONE_MESSAGE))
+                self.has_only_other_versions().then(|| refuse(GONE_MESSAGE))
             }
             stream_origin::StreamOrigin::NoEndpoint => None,
             stream_origin::StreamOrigin::Unknown => Some(refuse(UNKNOWN_MESSAGE)),
--- a/tests/gateway/joined_versions.rs
+++ b/tests/gateway/joined_versions.rs
@@ -176,6 +176,27 @@
         .for_each(|endpoint| endpoint.stop_answering());
 }
 
+/// Guards against an answer that is broken off although its service gets its only endpoint back.
+fn an_answer_waits_for_a_service_without_endpoints() {
+    let mixed = MixedSystem::start(1);
+    let first = &mixed.system.first;
+    first.set_mode(fakes::EndpointMode::SlowThenDiesAfter(4));
+    mixed.system.store.remove("servers", "e2");
+    mixed.system.wait_for_known(1);
+    let ip = mixed.system.ip();
+    let stream = thread::spawn(move || System::send(ip, "/stream/1", "s"));
+    mixed.system.wait_for_line(&["stream lost"]);
+    mixed.system.store.remove("servers", "e1");
+    mixed.system.wait_for_known(0);
+    thread::sleep(time::Duration::from_millis(500));
+    first.set_mode(fakes::EndpointMode::Healthy);
+    first.revive();
+    let entry = first.entry("m", "z1", "ready");
+    mixed.system.store.put("servers", "e1", &entry);
+    let answer = stream.join().expect("no panic").expect("an answer");
+    assert!(answer.is_complete, "{}", mixed.system.logs());
+}
+
 /// Guards against take-ups that are joined from two versions, and against refusing all of them.
 fn take_ups_stay_with_their_version(gateways: u8, killed: ops::Range<usize>) {
     let mut mixed = MixedSystem::start(gateways);
@@ -252,6 +273,7 @@
 common::cases! {
     answer_with_another_engine: an_answer_stays_with_its_version(true);
     answer_without_another_engine: an_answer_stays_with_its_version(false);
+    answer_while_there_is_no_endpoint: an_answer_waits_for_a_service_without_endpoints();
     take_up_at_another_gateway: take_ups_stay_with_their_version(2, 0..1);
     take_up_after_all_were_killed: take_ups_stay_with_their_version(2, 0..2);
     version_has_left: a_take_up_without_its_version_is_refused_at_once();
