--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -183,10 +183,8 @@
     ConfigRows(Option<Box<store_view_wire::ConfigRowsWire>>),
 }
 
-/// A gossip message; the reply has the same type.
-///
-/// Each side numbers its own changes. `have` requests the changes after that number; after applying
-/// this message the receiver has the sender's changes up to `upto`.
+/// A gossip message; the reply has the same type. Each side numbers its own changes. `have` requests
+/// those after that number; after this message the receiver has the sender's changes up to `upto`.
 #[derive(Clone, Debug, Default)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct GossipWire {
