Keep a write of stream versions within the store's 100 entries

A write held up to 40 rows of streams, 40 removed rows and a row for each version of a service in it, so with more than 20 versions in one batch it exceeded what the store accepts, and would be refused for good. Found by reading; 30 of each leave room for a row of its own version with every stream. joined_versions and stream_versions pass (19). No new test: no batch of the tests has so many versions.

--- a/src/process/gateway/stream_versions/keeper.rs
+++ b/src/process/gateway/stream_versions/keeper.rs
@@ -34,10 +34,10 @@
 /// Longest wait of a take-up for the store. A slow store takes a few hundred milliseconds.
 const LOOKUP_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
-/// Rows of streams in one write, and rows removed with it. The store accepts 100 in all, those of
-/// versions included.
-const MAX_WRITTEN: usize = 40;
-const MAX_REMOVED: usize = 40;
+/// Rows of streams in one write, and rows removed with it. The store accepts 100 in all; each row of a
+/// stream may come with one of its version.
+const MAX_WRITTEN: usize = 30;
+const MAX_REMOVED: usize = 30;
 
 /// Remembers the versions of streams; see [`ledger`].
 #[derive(Debug)]
